--- /dev/null
+++ b/broker/src/config.rs
@@ -0,0 +1,208 @@
+//! The one place where configuration is read, checked and given defaults: the environment, the
+//! JSON object that `LB_CONFIG` names, and the operator's file. Every error names the faulty key.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+
+use log::LevelFilter;
+use serde_json::Value;
+use stoatlane::Setup;
+
+use crate::clock::Millis;
+
+/// What is wrong with which key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    key: String,
+    fault: String,
+}
+
+impl Error {
+    /// A fault of `key`.
+    pub fn new(key: impl Into<String>, fault: impl Into<String>) -> Self {
+        Self { key: key.into(), fault: fault.into() }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.key, self.fault)
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Everything that the program is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    /// The broker's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery listens.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// How many file descriptors the process may hold.
+    pub sockets: usize,
+    /// The list as this broker last had it, in discovery's form.
+    pub known: Option<Value>,
+    /// What the decisions go by, and the names of classes, tenants and zones.
+    pub setup: Setup,
+    /// How many queries and parts may be open.
+    pub max_open: usize,
+    /// How many parts a connection to a store carries at once.
+    pub streams: usize,
+    /// A connection to a store that is not up by then has failed.
+    pub dial_timeout_ms: Millis,
+    /// A store closes a connection that has stood idle so long.
+    pub idle_ms: Millis,
+    /// What goes to the log.
+    pub log: LevelFilter,
+    /// The feature front, where the operator has set one up.
+    pub features: Option<features::Features>,
+}
+
+/// Longest advice given to refused clients where the settings name none.
+const RETRY_AFTER_MS: Millis = 1000.0;
+const LEAST_SOCKETS: usize = 64;
+
+impl Config {
+    /// Reads the environment through `var`, and the files that it names through `read`.
+    pub fn read(
+        var: impl Fn(&str) -> Option<String>,
+        read: impl Fn(&str) -> std::io::Result<String>,
+    ) -> Result<Self, Error> {
+        let file = |key: &str, path: &str| {
+            read(path).map_err(|e| Error::new(key, format!("can't read `{path}`: {e}")))
+        };
+        let path = var("LB_CONFIG").ok_or_else(|| Error::new("LB_CONFIG", "not set"))?;
+        let text = file("LB_CONFIG", &path)?;
+        let json: Value =
+            serde_json::from_str(&text).map_err(|e| Error::new("LB_CONFIG", format!("not JSON: {e}")))?;
+        // The environment goes before the file.
+        let told = |env: &str, key: &str| match var(env) {
+            Some(text) => Ok((env.to_owned(), text)),
+            None => match json.get(key).and_then(Value::as_str) {
+                Some(text) => Ok((key.to_owned(), text.to_owned())),
+                None => Err(Error::new(env, format!("not set, and no text `{key}` in LB_CONFIG"))),
+            },
+        };
+        let (_, name) = told("LB_NAME", "name")?;
+        let listen = address(told("LB_LISTEN", "listen")?)?;
+        let discovery = address(told("LB_DISCOVERY", "discovery")?)?;
+        let seed = match json.get("seed") {
+            None => 0,
+            Some(Value::Number(n)) => n.as_u64().ok_or_else(|| Error::new("seed", "not a whole number"))?,
+            Some(Value::String(hex)) => u64::from_str_radix(hex, 16)
+                .map_err(|_| Error::new("seed", format!("expected hex digits, found `{hex}`")))?,
+            Some(other) => return Err(Error::new("seed", format!("expected hex digits, found `{other}`"))),
+        };
+        let settings = json.get("settings").ok_or_else(|| Error::new("settings", "missing"))?;
+        let mut pairs = HashMap::new();
+        flatten(settings, String::new(), &mut pairs);
+        let mut setup = Setup::read(&pairs).map_err(|fault| match fault.split_once(": ") {
+            Some((key, fault)) => Error::new(format!("settings.{key}"), fault),
+            None => Error::new("settings", fault),
+        })?;
+        if setup.settings.max_retry_after_ms <= 0.0 {
+            // Refusals are answered at once and carry advice instead of being held back.
+            setup.settings.max_retry_after_ms =
+                number(&pairs, "limits.max_retry_after_ms", RETRY_AFTER_MS, 1.0, 60_000.0)?;
+        }
+        let sockets = json.get("limits").and_then(|limits| limits.get("sockets"));
+        let sockets = match sockets {
+            None => 1024,
+            Some(n) => n.as_u64().map(|n| n as usize).filter(|n| *n >= LEAST_SOCKETS).ok_or_else(|| {
+                Error::new("limits.sockets", format!("expected at least {LEAST_SOCKETS}, found `{n}`"))
+            })?,
+        };
+        let log = match var("LB_LOG") {
+            None => LevelFilter::Info,
+            Some(level) => level
+                .parse()
+                .map_err(|_| Error::new("LB_LOG", format!("expected off to trace, found `{level}`")))?,
+        };
+        let features = match var("LB_OPERATOR") {
+            None => None,
+            Some(path) => Some(features::Features::read(&file("LB_OPERATOR", &path)?, &setup, sockets)?),
+        };
+        Ok(Self {
+            name,
+            listen,
+            discovery,
+            seed,
+            sockets,
+            known: json.get("known").filter(|known| !known.is_null()).cloned(),
+            max_open: number(&pairs, "limits.max_open", 200.0, 2.0, 100_000.0)? as usize,
+            streams: number(&pairs, "limits.streams_per_conn", 32.0, 1.0, 100_000.0)? as usize,
+            dial_timeout_ms: number(&pairs, "limits.dial_timeout_ms", 250.0, 1.0, 60_000.0)?,
+            idle_ms: number(&pairs, "limits.conn_idle_ms", 30_000.0, 1.0, 86_400_000.0)?,
+            setup,
+            log,
+            features,
+        })
+    }
+}
+
+fn address((key, text): (String, String)) -> Result<SocketAddr, Error> {
+    text.parse().map_err(|_| Error::new(key, format!("expected address:port, found `{text}`")))
+}
+
+fn number(
+    pairs: &HashMap<String, String>,
+    key: &str,
+    absent: f64,
+    least: f64,
+    most: f64,
+) -> Result<f64, Error> {
+    let Some(text) = pairs.get(key) else { return Ok(absent) };
+    text.parse().ok().filter(|n: &f64| (least..=most).contains(n)).ok_or_else(|| {
+        Error::new(format!("settings.{key}"), format!("expected {least} to {most}, found `{text}`"))
+    })
+}
+
+/// Nested JSON as path and value: the form in which the settings are read.
+fn flatten(value: &Value, path: String, pairs: &mut HashMap<String, String>) {
+    let below = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
+    match value {
+        Value::Object(fields) => {
+            for (key, value) in fields {
+                flatten(value, below(key), pairs);
+            }
+        }
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            pairs.insert(below("count"), items.len().to_string());
+            for (n, item) in items.iter().enumerate() {
+                flatten(item, below(&n.to_string()), pairs);
+            }
+        }
+        Value::Array(items) => {
+            let items: Vec<String> = items.iter().map(plain).collect();
+            pairs.insert(path, items.join(","));
+        }
+        Value::Null => {}
+        _ => drop(pairs.insert(path, plain(value))),
+    }
+}
+
+fn plain(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
+}
+
+/// The operator's file.
+pub mod features {
+    use super::*;
+
+    /// The feature front, as set up by the operator.
+    #[derive(Debug)]
+    pub struct Features {}
+
+    impl Features {
+        /// Reads the operator's file.
+        pub fn read(_text: &str, _setup: &Setup, _sockets: usize) -> Result<Self, Error> {
+            Err(Error::new("LB_OPERATOR", "this version has no feature front"))
+        }
+    }
+}
--- /dev/null
+++ b/broker/src/counters.rs
@@ -0,0 +1,91 @@
+//! Counters of what is taken in, sent and answered; printed on SIGUSR1 and at exit.
+
+use std::cell::Cell;
+use std::fmt;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident,)*) => {
+        /// Counts since the start. Shared by reference: the program has one thread.
+        #[derive(Debug, Default)]
+        pub struct Counters {
+            $($(#[$doc])* pub $name: Cell<u64>,)*
+        }
+
+        impl fmt::Display for Counters {
+            /// One line, `name=count` each, in the order of their declaration.
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                let all = [$((stringify!($name), self.$name.get()),)*];
+                let mut gap = "";
+                for (name, count) in all {
+                    write!(f, "{gap}{name}={count}")?;
+                    gap = " ";
+                }
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    /// Client connections accepted.
+    connections,
+    /// Client connections closed because too many were open.
+    connections_shed,
+    /// HTTP requests read whole.
+    requests,
+    /// Requests answered with a 4xx before they became a query.
+    bad_requests,
+    /// Queries handed to the core.
+    queries,
+    /// Queries turned away because the broker held as many as it may.
+    queries_full,
+    /// Clients that left before their answer.
+    clients_gone,
+    /// Queries answered.
+    answered,
+    /// Queries refused.
+    refused,
+    /// Queries failed.
+    failed,
+    /// Queries that the core had not ended when their time was up.
+    overdue,
+    /// Final answers that the exchange dropped: the client had left, or had one.
+    finals_dropped,
+    /// Answers that could not be written whole to the client.
+    unwritten,
+    /// Attempts sent to stores.
+    attempts,
+    /// Attempts served.
+    served,
+    /// Attempts answered with an error.
+    errors,
+    /// Attempts turned away unseen.
+    turned_away,
+    /// Attempts without a connection.
+    unreachable,
+    /// Attempts whose connection broke.
+    broken,
+    /// Attempts timed out.
+    timed_out,
+    /// Attempts given up by the core.
+    withdrawn,
+    /// Attempts never sent.
+    void,
+    /// Connections opened to stores.
+    dials,
+    /// Frames or answers from stores that could not be used.
+    bad_frames,
+    /// Answers to parts that were no longer waited for.
+    late_answers,
+    /// Watches on discovery begun.
+    watches,
+    /// Lists and changes read from discovery.
+    lists,
+    /// Calls to discovery that failed.
+    list_failures,
+}
+
+/// Adds one.
+pub fn count(counter: &Cell<u64>) {
+    counter.set(counter.get().saturating_add(1));
+}
--- /dev/null
+++ b/broker/src/discovery.rs
@@ -0,0 +1,240 @@
+//! Discovery: a watch on the list of stores, begun when the core asks for one. Where a watch can't be
+//! had, the whole list is fetched once instead; the core is told of the failure and asks again, after
+//! a wait of its own.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use serde::Deserialize;
+use stoatlane::{Entry, ListKind, Status};
+
+use crate::counters::{count, Counters};
+use crate::exchange::Exchange;
+use crate::http::{self, Kind, Stream};
+use crate::store::Stores;
+
+const CONNECT_WITHIN: Duration = Duration::from_millis(1000);
+/// A call waits in turn with those of other brokers.
+const HEAD_WITHIN: Duration = Duration::from_millis(2500);
+/// An empty line comes every 2 s: after so long without one the watch is dead, though its connection
+/// may not show it. What it would have told counts as told 6 s later.
+const SILENCE: Duration = Duration::from_millis(4500);
+/// No line of a watch is longer.
+const LINE_MAX: usize = 256 * 1024;
+/// No list has more entries.
+const ENTRIES_MAX: usize = 4096;
+
+/// One line of a list.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "camelCase")]
+pub struct Instance {
+    /// The store's name, the same at every broker.
+    pub instance_id: String,
+    /// Where it listens.
+    pub host_port: String,
+    /// Its zone, by name.
+    #[serde(default)]
+    pub zone: String,
+    /// Its cell.
+    pub cell: u32,
+    /// Its state.
+    pub lifecycle: Lifecycle,
+    /// When it last started, in Unix time; 0 means long ago.
+    #[serde(default)]
+    pub started_at_ms: f64,
+}
+
+/// A store's state.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Lifecycle {
+    /// May be sent work.
+    Up,
+    /// Finishes what it has.
+    Draining,
+    /// Gone.
+    Removed,
+}
+
+/// A list, or the changes to one.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct List {
+    /// Its version.
+    pub generation: u64,
+    /// Whether it is the whole list.
+    pub reset: bool,
+    /// The entries.
+    pub instances: Vec<Instance>,
+}
+
+/// Why a list could not be read.
+#[derive(Debug)]
+pub struct Fault(String);
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// Reads a list.
+pub fn parse(text: &[u8]) -> Result<List, Fault> {
+    let list: List = serde_json::from_slice(text).map_err(|e| Fault(format!("not a list: {e}")))?;
+    if list.instances.len() > ENTRIES_MAX {
+        return Err(Fault("a list of too many entries".to_owned()));
+    }
+    Ok(list)
+}
+
+/// Lines of a watch, put together from chunks that may cut them anywhere.
+#[derive(Debug, Default)]
+pub struct Lines(Vec<u8>);
+
+impl Lines {
+    /// Takes a chunk in; returns the lines that are whole now.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<Vec<Vec<u8>>, Fault> {
+        self.0.extend_from_slice(chunk);
+        let mut lines = Vec::new();
+        while let Some(end) = self.0.iter().position(|&b| b == b'\n') {
+            let line: Vec<u8> = self.0.drain(..=end).collect();
+            lines.push(line.trim_ascii().to_vec());
+        }
+        if self.0.len() > LINE_MAX {
+            return Err(Fault("a line of a watch is too long".to_owned()));
+        }
+        Ok(lines)
+    }
+}
+
+/// Begins watches.
+pub struct Discovery {
+    address: SocketAddr,
+    zones: std::collections::HashMap<String, u32>,
+    exchange: Rc<Exchange>,
+    stores: Rc<Stores>,
+    counters: Rc<Counters>,
+    asks: (Sender<()>, Receiver<()>),
+}
+
+impl Discovery {
+    /// Discovery at this address.
+    pub fn new(
+        address: SocketAddr,
+        zones: std::collections::HashMap<String, u32>,
+        exchange: Rc<Exchange>,
+        stores: Rc<Stores>,
+        counters: Rc<Counters>,
+    ) -> Rc<Self> {
+        Rc::new(Self { address, zones, exchange, stores, counters, asks: async_channel::bounded(1) })
+    }
+
+    /// Asks for a watch; one that stands is kept.
+    pub fn subscribe(&self) {
+        let _ = self.asks.0.try_send(());
+    }
+
+    /// Tells the core of a list.
+    pub fn tell(&self, list: &List, remembered: bool) {
+        let mut entries = Vec::with_capacity(list.instances.len());
+        for instance in &list.instances {
+            let Ok(address) = instance.host_port.parse() else {
+                log::warn!("discovery: `{}` is no address", instance.host_port);
+                continue;
+            };
+            let ready = instance.lifecycle == Lifecycle::Up;
+            entries.push(Entry {
+                server: self.stores.note(&instance.instance_id, address, ready),
+                since: instance.started_at_ms,
+                zone: self.zones.get(&instance.zone).copied().unwrap_or(u32::MAX),
+                cell: instance.cell,
+                status: match instance.lifecycle {
+                    Lifecycle::Up => Status::Ready,
+                    Lifecycle::Draining => Status::Draining,
+                    Lifecycle::Removed => Status::Gone,
+                },
+            });
+        }
+        let kind = match (remembered, list.reset) {
+            (true, _) => ListKind::Remembered,
+            (false, true) => ListKind::Complete,
+            (false, false) => ListKind::Changes,
+        };
+        if kind != ListKind::Changes {
+            let listed: Vec<_> = entries.iter().map(|entry| entry.server).collect();
+            self.stores.keep(&listed);
+        }
+        count(&self.counters.lists);
+        self.exchange.listed(kind, entries);
+    }
+
+    /// Serves requests for a watch, one at a time. `since` is the version already known.
+    pub async fn run(self: Rc<Self>, mut since: Option<u64>) {
+        while self.asks.1.recv().await.is_ok() {
+            count(&self.counters.watches);
+            let before = since;
+            let Err(fault) = self.watch(&mut since).await;
+            log::info!("discovery: watch ended: {fault}");
+            count(&self.counters.list_failures);
+            if since == before {
+                // The watch told nothing: perhaps the whole list can be had.
+                match self.fetch().await {
+                    Ok(list) => {
+                        since = Some(list.generation);
+                        self.tell(&list, false);
+                    }
+                    Err(fault) => log::info!("discovery: list not fetched: {fault}"),
+                }
+            }
+            // What was asked for meanwhile is answered by this failure.
+            let _ = self.asks.1.try_recv();
+            self.exchange.listed(ListKind::Failed, Vec::new());
+        }
+    }
+
+    async fn get(&self, target: &str) -> Result<(Stream, http::Head), String> {
+        let socket = http::connect(self.address, CONNECT_WITHIN).await.map_err(|e| e.to_string())?;
+        let mut stream = Stream::new(socket);
+        let request =
+            format!("GET {target} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.address);
+        stream.write(request.as_bytes(), CONNECT_WITHIN).await.map_err(|e| e.to_string())?;
+        let head = stream.head(Kind::Answer, HEAD_WITHIN).await.map_err(|e| format!("{e:?}"))?;
+        match head.status {
+            200 => Ok((stream, head)),
+            status => Err(format!("status {status}")),
+        }
+    }
+
+    async fn fetch(&self) -> Result<List, String> {
+        let (mut stream, head) = self.get("/v1/endpoints").await?;
+        let body = stream.body(head.framing, HEAD_WITHIN).await.map_err(|e| format!("{e:?}"))?;
+        parse(&body).map_err(|fault| fault.to_string())
+    }
+
+    /// Watches until the watch ends, which it always does with a fault.
+    async fn watch(&self, since: &mut Option<u64>) -> Result<std::convert::Infallible, String> {
+        let target = match since {
+            Some(version) => format!("/v1/endpoints?follow=1&since={version}"),
+            None => "/v1/endpoints?follow=1".to_owned(),
+        };
+        let (mut stream, head) = self.get(&target).await?;
+        if head.framing != http::Framing::Chunked {
+            return Err("a watch that is not chunked".to_owned());
+        }
+        let mut lines = Lines::default();
+        loop {
+            let chunk = stream.chunk(SILENCE).await.map_err(|e| format!("{e:?}"))?;
+            let chunk = chunk.ok_or("ended")?;
+            for line in lines.push(&chunk).map_err(|fault| fault.to_string())? {
+                if line.is_empty() {
+                    continue;
+                }
+                let list = parse(&line).map_err(|fault| fault.to_string())?;
+                *since = Some(list.generation);
+                self.tell(&list, false);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/broker/src/exchange.rs
@@ -0,0 +1,182 @@
+//! Where the client side and the store side meet, and the only place where they do. Fronts leave
+//! queries here and wait on a [`Ticket`]; the store side and discovery leave what has happened. The
+//! core takes all of it in turns and hands the final answers back, of which a query gets exactly one.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use stoatlane::{Entry, ListKind};
+
+use crate::clock::Clock;
+use crate::core::{AttemptId, Ended, Final, Happening, QueryId, Question};
+use crate::counters::{count, Counters};
+
+/// A query that could not be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Untaken {
+    /// As many queries and parts are open as may be; a repeat later does no harm.
+    Full,
+    /// A query of this name is open.
+    Duplicate,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    name: Rc<str>,
+    size: usize,
+    answer: Sender<Final>,
+}
+
+/// Shared by all sides; see the module's description.
+#[derive(Debug)]
+pub struct Exchange {
+    clock: Clock,
+    counters: Rc<Counters>,
+    happened: RefCell<VecDeque<Happening>>,
+    waiting: RefCell<HashMap<QueryId, Waiting>>,
+    names: RefCell<HashMap<Rc<str>, QueryId>>,
+    /// Queries and parts open, and how many may be.
+    open: Cell<usize>,
+    max_open: usize,
+    next: Cell<QueryId>,
+    wake: (Sender<()>, Receiver<()>),
+}
+
+impl Exchange {
+    /// An exchange that holds at most `max_open` queries and parts.
+    pub fn new(clock: Clock, counters: Rc<Counters>, max_open: usize) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            counters,
+            happened: RefCell::default(),
+            waiting: RefCell::default(),
+            names: RefCell::default(),
+            open: Cell::new(0),
+            max_open,
+            next: Cell::new(0),
+            wake: async_channel::bounded(1),
+        })
+    }
+
+    /// Takes a query in. From here on it is owed one final answer.
+    pub fn ask(self: &Rc<Self>, question: Question) -> Result<Ticket, Untaken> {
+        let size = 1 + question.parts.len();
+        if self.names.borrow().contains_key(&question.name) {
+            return Err(Untaken::Duplicate);
+        }
+        if self.open.get() + size > self.max_open {
+            count(&self.counters.queries_full);
+            return Err(Untaken::Full);
+        }
+        let id = self.next.get() + 1;
+        self.next.set(id);
+        self.open.set(self.open.get() + size);
+        let (send, answer) = async_channel::bounded(1);
+        let name = question.name.clone();
+        self.names.borrow_mut().insert(name.clone(), id);
+        self.waiting.borrow_mut().insert(id, Waiting { name, size, answer: send });
+        count(&self.counters.queries);
+        let deadline = question.deadline;
+        self.tell(Happening::Asked(id, question));
+        Ok(Ticket { exchange: self.clone(), id, deadline, answer })
+    }
+
+    /// The end of an attempt.
+    pub fn ended(&self, attempt: AttemptId, ended: Ended) {
+        self.tell(Happening::Ended(attempt, ended));
+    }
+
+    /// What discovery has told.
+    pub fn listed(&self, kind: ListKind, entries: Vec<Entry>) {
+        self.tell(Happening::Listed(kind, entries));
+    }
+
+    fn tell(&self, happening: Happening) {
+        self.happened.borrow_mut().push_back(happening);
+        // A full channel means that the core is to be woken anyway.
+        let _ = self.wake.0.try_send(());
+    }
+
+    /// Waits until something has happened, or until `due`.
+    pub async fn happened(&self, due: Option<f64>) -> VecDeque<Happening> {
+        let timer = async {
+            match due {
+                Some(at) => drop(Timer::after(self.clock.until(at)).await),
+                None => futures_lite::future::pending().await,
+            }
+        };
+        let woken = async {
+            let _ = self.wake.1.recv().await;
+        };
+        futures_lite::future::or(woken, timer).await;
+        std::mem::take(&mut *self.happened.borrow_mut())
+    }
+
+    /// Gives a query its final answer. A second one is dropped: the client has had the first.
+    pub fn finish(&self, id: QueryId, answer: Final) -> bool {
+        let Some(waiting) = self.close(id) else {
+            count(&self.counters.finals_dropped);
+            return false;
+        };
+        count(match answer {
+            Final::Answered { .. } => &self.counters.answered,
+            Final::Refused { .. } => &self.counters.refused,
+            Final::Failed => &self.counters.failed,
+        });
+        waiting.answer.try_send(answer).is_ok()
+    }
+
+    fn close(&self, id: QueryId) -> Option<Waiting> {
+        let waiting = self.waiting.borrow_mut().remove(&id)?;
+        self.names.borrow_mut().remove(&waiting.name);
+        self.open.set(self.open.get() - waiting.size);
+        Some(waiting)
+    }
+
+    /// How many queries wait for their final answer.
+    pub fn open_queries(&self) -> usize {
+        self.waiting.borrow().len()
+    }
+}
+
+/// A query that has been taken. Dropped before its answer, its client has left.
+#[derive(Debug)]
+pub struct Ticket {
+    exchange: Rc<Exchange>,
+    id: QueryId,
+    deadline: f64,
+    answer: Receiver<Final>,
+}
+
+impl Ticket {
+    /// Waits for the final answer.
+    pub async fn answer(&self) -> Final {
+        let given = async { self.answer.recv().await.ok() };
+        // Guards the rule that no query goes without an answer in time, should the core ever owe one.
+        let overdue = async {
+            Timer::after(self.exchange.clock.until(self.deadline)).await;
+            None
+        };
+        if let Some(answer) = futures_lite::future::or(given, overdue).await {
+            return answer;
+        }
+        if self.exchange.close(self.id).is_some() {
+            count(&self.exchange.counters.overdue);
+            count(&self.exchange.counters.failed);
+            self.exchange.tell(Happening::Gone(self.id));
+        }
+        Final::Failed
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if self.exchange.close(self.id).is_some() {
+            count(&self.exchange.counters.clients_gone);
+            self.exchange.tell(Happening::Gone(self.id));
+        }
+    }
+}
--- /dev/null
+++ b/broker/src/lib.rs
@@ -0,0 +1,15 @@
+//! The broker of the Great Lakes Hive Weighing Association: a multi-protocol edge that takes queries
+//! in, has the decision module `stoatlane` place their parts on reading stores, and gives each query
+//! exactly one final answer. `ARCHITECTURE.md` tells the life of a request.
+
+pub mod clock;
+pub mod config;
+pub mod core;
+pub mod counters;
+pub mod discovery;
+pub mod exchange;
+pub mod front;
+pub mod http;
+pub mod logger;
+pub mod service;
+pub mod store;
--- /dev/null
+++ b/broker/src/store/frame.rs
@@ -0,0 +1,144 @@
+//! The frames between brokers and reading stores: a length of four bytes, least significant first,
+//! then a letter and the rest. The length counts the letter and the rest.
+
+use std::fmt;
+
+/// No frame is longer.
+pub const FRAME_MAX: usize = 128 * 1024;
+/// No line inside a frame is longer.
+const LINE_MAX: usize = 1024;
+
+/// A call for one part.
+pub const CALL: u8 = b'm';
+/// A part given up.
+pub const GIVE_UP: u8 = b'n';
+/// A probe.
+pub const PROBE: u8 = b'o';
+/// A probe for load.
+pub const LOAD: u8 = b'p';
+/// A part's answer.
+pub const ANSWER: u8 = b'q';
+/// The frame before could not be used.
+pub const COMPLAINT: u8 = b'r';
+
+/// How a store ended a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served.
+    Good,
+    /// An error; it may have run.
+    Bad,
+    /// Turned away unseen.
+    Later,
+}
+
+/// A frame from a store.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Frame<'a> {
+    /// A part's answer.
+    Answer {
+        /// The part's id.
+        id: &'a str,
+        /// How it ended.
+        end: End,
+        /// Decides where a second step goes.
+        score: u64,
+        /// The load report, if there is one.
+        report: Vec<f64>,
+        /// The value.
+        value: &'a [u8],
+    },
+    /// The answer to a probe.
+    Probed,
+    /// The answer to a probe for load, with its report if it was allowed.
+    Loaded(Vec<f64>),
+    /// The frame before could not be used; the store closes the connection.
+    Complaint(&'a [u8]),
+}
+
+/// Why a frame could not be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault(&'static str);
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+/// Writes a frame.
+pub fn frame(letter: u8, rest: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(5 + rest.len());
+    bytes.extend_from_slice(&(rest.len() as u32 + 1).to_le_bytes());
+    bytes.push(letter);
+    bytes.extend_from_slice(rest);
+    bytes
+}
+
+/// Writes a call for one part: its line, then the query's text as it came.
+pub fn call(id: &str, shard: u32, list: &str, text: &[u8]) -> Vec<u8> {
+    let mut rest = format!("{id} {shard} {list} {}\n", text.len()).into_bytes();
+    rest.extend_from_slice(text);
+    frame(CALL, &rest)
+}
+
+/// A frame's letter, its rest, and the length of it all.
+pub type Split<'a> = (u8, &'a [u8], usize);
+
+/// Splits the first frame off; `None` until it is whole.
+pub fn split(bytes: &[u8]) -> Result<Option<Split<'_>>, Fault> {
+    let Some((length, after)) = bytes.split_first_chunk::<4>() else { return Ok(None) };
+    let length = u32::from_le_bytes(*length) as usize;
+    if length == 0 || length > FRAME_MAX {
+        return Err(Fault("a frame of no letter, or longer than any may be"));
+    }
+    let Some(whole) = after.get(..length) else { return Ok(None) };
+    Ok(whole.split_first().map(|(letter, rest)| (*letter, rest, 4 + length)))
+}
+
+/// Reads what a store sent.
+pub fn parse(letter: u8, rest: &[u8]) -> Result<Frame<'_>, Fault> {
+    match letter {
+        ANSWER => answer(rest),
+        PROBE => Ok(Frame::Probed),
+        LOAD => {
+            let text = std::str::from_utf8(rest).map_err(|_| Fault("a report that is no text"))?;
+            let text = text.trim();
+            Ok(Frame::Loaded(if text == "bad" { Vec::new() } else { report(text)? }))
+        }
+        COMPLAINT => Ok(Frame::Complaint(rest)),
+        _ => Err(Fault("an unknown letter")),
+    }
+}
+
+fn answer(rest: &[u8]) -> Result<Frame<'_>, Fault> {
+    let end = rest.iter().take(LINE_MAX).position(|&b| b == b'\n');
+    let (line, value) = rest.split_at(end.ok_or(Fault("an answer without a line"))?);
+    let line = std::str::from_utf8(line).map_err(|_| Fault("an answer's line is no text"))?;
+    let mut fields = line.split(' ');
+    let mut field = || fields.next().filter(|f| !f.is_empty()).ok_or(Fault("an answer lacks a field"));
+    let (id, end, score, load) = (field()?, field()?, field()?, field()?);
+    if fields.next().is_some() {
+        return Err(Fault("an answer has a field too many"));
+    }
+    let end = match end {
+        "good" => End::Good,
+        "bad" => End::Bad,
+        "later" => End::Later,
+        _ => return Err(Fault("an unknown end")),
+    };
+    let score = match score {
+        "-" => 0,
+        digits => digits.parse().map_err(|_| Fault("a score that is no whole number"))?,
+    };
+    Ok(Frame::Answer { id, end, score, report: report(load)?, value: &value[1..] })
+}
+
+/// The figures of `util=0.61,queue=3`, in their order; none for `-`.
+fn report(text: &str) -> Result<Vec<f64>, Fault> {
+    if text == "-" {
+        return Ok(Vec::new());
+    }
+    let figure = |pair: &str| pair.split_once('=')?.1.parse().ok().filter(|v: &f64| v.is_finite());
+    text.split(',').map(|pair| figure(pair).ok_or(Fault("a report that can't be read"))).collect()
+}
--- /dev/null
+++ b/broker/src/store/link.rs
@@ -0,0 +1,237 @@
+//! One connection to a store. It carries many parts at once; its own task opens it, writes what is
+//! queued and reads what comes. Whatever ends it, every part on it gets its outcome.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_io::{Async, Timer};
+use futures_lite::AsyncReadExt;
+use stoatlane::Outcome;
+
+use super::frame::{self, End, Frame};
+use super::Site;
+use crate::core::{Ended, Served};
+use crate::counters::{count, Counters};
+use crate::http;
+
+/// A store that takes no byte of a frame for so long is stalled.
+const WRITE_WITHIN: Duration = Duration::from_secs(5);
+
+/// What a link needs to know of its surroundings.
+pub struct Limits {
+    /// How many parts it carries at once.
+    pub streams: usize,
+    /// It has failed if it is not up by then.
+    pub dial: Duration,
+    /// It is closed before use once it has stood idle so long.
+    pub idle: Duration,
+}
+
+#[derive(Debug)]
+struct Flight {
+    ended: Sender<Ended>,
+    /// Whether its frame's last byte has been written: from then on it may run.
+    written: bool,
+}
+
+#[derive(Debug)]
+struct Outgoing {
+    bytes: Vec<u8>,
+    /// The part whose call this is.
+    id: Option<Rc<str>>,
+}
+
+/// A connection, or one that is being opened.
+pub struct Link {
+    site: Rc<Site>,
+    counters: Rc<Counters>,
+    flights: RefCell<HashMap<Rc<str>, Flight>>,
+    queue: RefCell<VecDeque<Outgoing>>,
+    wake: (Sender<()>, Receiver<()>),
+    used: Cell<Instant>,
+    closing: Cell<bool>,
+}
+
+impl Link {
+    /// A link to be opened by [`Link::run`].
+    pub fn new(site: Rc<Site>, counters: Rc<Counters>) -> Rc<Self> {
+        Rc::new(Self {
+            site,
+            counters,
+            flights: RefCell::default(),
+            queue: RefCell::default(),
+            wake: async_channel::bounded(1),
+            used: Cell::new(Instant::now()),
+            closing: Cell::new(false),
+        })
+    }
+
+    /// Whether it can carry one more part now. One that has stood idle for nearly as long as the store
+    /// bears is not used: a call that crosses the store's close would end as a reset.
+    pub fn has_room(&self, limits: &Limits) -> bool {
+        !self.closing.get()
+            && self.flights.borrow().len() < limits.streams
+            && (!self.idle() || self.used.get().elapsed() < limits.idle)
+    }
+
+    /// Whether it carries nothing.
+    pub fn idle(&self) -> bool {
+        self.flights.borrow().is_empty() && self.queue.borrow().is_empty()
+    }
+
+    /// Takes no more parts; closes once it carries nothing.
+    pub fn retire(&self) {
+        self.closing.set(true);
+        self.wake();
+    }
+
+    fn wake(&self) {
+        let _ = self.wake.0.try_send(());
+    }
+
+    /// Queues a call. Its end comes on the channel.
+    pub fn call(&self, id: Rc<str>, bytes: Vec<u8>) -> Receiver<Ended> {
+        let (send, ended) = async_channel::bounded(1);
+        // An older attempt under the same id has been given up; its answer would be this one's.
+        self.flights.borrow_mut().insert(id.clone(), Flight { ended: send, written: false });
+        self.queue.borrow_mut().push_back(Outgoing { bytes, id: Some(id) });
+        self.used.set(Instant::now());
+        self.wake();
+        ended
+    }
+
+    /// Gives a part up: takes its call back if no byte of it has been written (true), or tells the store.
+    pub fn give_up(&self, id: &Rc<str>) -> bool {
+        let mut queue = self.queue.borrow_mut();
+        let queued = queue.iter().position(|out| out.id.as_ref() == Some(id));
+        if let Some(at) = queued {
+            queue.remove(at);
+            self.flights.borrow_mut().remove(id);
+            return true;
+        }
+        queue.push_back(Outgoing { bytes: frame::frame(frame::GIVE_UP, id.as_bytes()), id: None });
+        drop(queue);
+        self.wake();
+        false
+    }
+
+    /// Forgets a part that is no longer waited for.
+    pub fn forget(&self, id: &Rc<str>) {
+        self.flights.borrow_mut().remove(id);
+        self.used.set(Instant::now());
+        self.wake();
+    }
+
+    /// Opens the connection and serves it until it ends.
+    pub async fn run(self: Rc<Self>, limits: Rc<Limits>) {
+        count(&self.counters.dials);
+        let why = match http::connect(self.site.address.get(), limits.dial).await {
+            Ok(socket) => {
+                let _ = socket.get_ref().set_nodelay(true);
+                futures_lite::future::or(self.read(&socket), self.write(&socket, &limits)).await
+            }
+            Err(e) => format!("not opened: {e}"),
+        };
+        log::debug!("{}: connection ended: {why}", self.site.name);
+        self.closing.set(true);
+        self.queue.borrow_mut().clear();
+        let flights = std::mem::take(&mut *self.flights.borrow_mut());
+        for flight in flights.into_values() {
+            let outcome = if flight.written { Outcome::Broken } else { Outcome::Unreachable };
+            let _ = flight.ended.try_send(outcome.into());
+        }
+    }
+
+    async fn write(&self, socket: &Async<TcpStream>, limits: &Limits) -> String {
+        loop {
+            // Bound first: a guard held over the write would lock out whoever queues meanwhile.
+            let next = self.queue.borrow_mut().pop_front();
+            if let Some(out) = next {
+                // Guards the rule on drains: a call that waited too long behind others stays unsent.
+                if out.id.is_some() && !self.site.may_send() {
+                    if let Some(flight) = out.id.and_then(|id| self.flights.borrow_mut().remove(&id)) {
+                        let _ = flight.ended.try_send(Outcome::Void.into());
+                    }
+                    continue;
+                }
+                if let Err(e) = http::write_all(socket, &out.bytes, WRITE_WITHIN).await {
+                    return format!("writing: {e}");
+                }
+                if let Some(id) = out.id {
+                    self.flights.borrow_mut().entry(id).and_modify(|flight| flight.written = true);
+                }
+                continue;
+            }
+            if self.idle() && (self.closing.get() || self.used.get().elapsed() >= limits.idle) {
+                return "idle".to_owned();
+            }
+            let idle = async {
+                Timer::after(limits.idle).await;
+            };
+            let woken = async {
+                let _ = self.wake.1.recv().await;
+            };
+            futures_lite::future::or(woken, idle).await;
+        }
+    }
+
+    async fn read(&self, mut socket: &Async<TcpStream>) -> String {
+        let (mut buffer, mut piece) = (Vec::new(), [0; 4096]);
+        loop {
+            match socket.read(&mut piece).await {
+                Ok(0) => return "closed by the store".to_owned(),
+                Ok(n) => buffer.extend_from_slice(&piece[..n]),
+                Err(e) => return format!("reading: {e}"),
+            }
+            let mut at = 0;
+            loop {
+                match frame::split(&buffer[at..]) {
+                    Ok(None) => break,
+                    Ok(Some((letter, rest, length))) => {
+                        if let Err(fault) = self.take(letter, rest) {
+                            count(&self.counters.bad_frames);
+                            return fault;
+                        }
+                        at += length;
+                    }
+                    Err(fault) => {
+                        count(&self.counters.bad_frames);
+                        return fault.to_string();
+                    }
+                }
+            }
+            buffer.drain(..at);
+        }
+    }
+
+    fn take(&self, letter: u8, rest: &[u8]) -> Result<(), String> {
+        match frame::parse(letter, rest).map_err(|fault| fault.to_string())? {
+            Frame::Answer { id, end, score, report, value } => {
+                self.used.set(Instant::now());
+                let Some(flight) = self.flights.borrow_mut().remove(id) else {
+                    count(&self.counters.late_answers);
+                    return Ok(());
+                };
+                let outcome = match end {
+                    End::Good => Outcome::Success,
+                    End::Bad => Outcome::Failure,
+                    End::Later => Outcome::Overloaded,
+                };
+                let served = (end == End::Good).then(|| Served { score, value: value.into() });
+                let _ = flight.ended.try_send(Ended { outcome, served, report });
+                if self.closing.get() {
+                    self.wake();
+                }
+                Ok(())
+            }
+            Frame::Probed | Frame::Loaded(_) => Ok(()),
+            Frame::Complaint(words) => {
+                Err(format!("the store complains: {}", String::from_utf8_lossy(words)))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/broker/src/store/mod.rs
@@ -0,0 +1,238 @@
+//! The store side: who the stores are ([`Site`]), the connections to them ([`link`]), and the
+//! attempts on those connections. Each attempt is a task with a timer of its own; its end goes to the
+//! [`Exchange`].
+
+pub mod frame;
+pub mod link;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use stoatlane::{Outcome, ServerId};
+
+use crate::clock::millis;
+use crate::core::{AttemptId, Ended, Order};
+use crate::counters::{count, Counters};
+use crate::exchange::Exchange;
+use link::{Limits, Link};
+
+/// After an attempt has been given up, its answer may still be under way, and another attempt that goes
+/// out at once could reach its store before this one learns of it. Both are waited for so long: twice
+/// the longest way between zones and a little more.
+const GIVING_UP: Duration = Duration::from_millis(8);
+/// Nothing is written to a store so much before the grace after its drain ends.
+const DRAIN_MARGIN: Duration = Duration::from_millis(200);
+
+/// A store as discovery names it.
+pub struct Site {
+    /// Its name, the same at every broker.
+    pub name: String,
+    /// Where it listens.
+    pub address: Cell<SocketAddr>,
+    drained: Cell<Option<Instant>>,
+    grace: Duration,
+    links: RefCell<Vec<Rc<Link>>>,
+}
+
+impl Site {
+    /// Whether a frame may still be written to it.
+    pub fn may_send(&self) -> bool {
+        self.drained.get().is_none_or(|at| at.elapsed() < self.grace)
+    }
+}
+
+/// The stores, and the attempts that are out at them.
+pub struct Stores {
+    executor: Rc<LocalExecutor<'static>>,
+    exchange: Rc<Exchange>,
+    counters: Rc<Counters>,
+    limits: Rc<Limits>,
+    grace: Duration,
+    sites: RefCell<Vec<Rc<Site>>>,
+    names: RefCell<HashMap<String, ServerId>>,
+    stops: RefCell<HashMap<AttemptId, Sender<()>>>,
+}
+
+impl Stores {
+    /// No stores yet.
+    pub fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        exchange: Rc<Exchange>,
+        counters: Rc<Counters>,
+        limits: Limits,
+        drain_grace: Duration,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            executor,
+            exchange,
+            counters,
+            limits: Rc::new(limits),
+            grace: drain_grace.saturating_sub(DRAIN_MARGIN),
+            sites: RefCell::default(),
+            names: RefCell::default(),
+            stops: RefCell::default(),
+        })
+    }
+
+    /// Notes what discovery tells of a store; returns the number that the core knows it by.
+    pub fn note(&self, name: &str, address: SocketAddr, ready: bool) -> ServerId {
+        let mut sites = self.sites.borrow_mut();
+        let id = *self.names.borrow_mut().entry(name.to_owned()).or_insert_with(|| {
+            sites.push(Rc::new(Site {
+                name: name.to_owned(),
+                address: Cell::new(address),
+                drained: Cell::new(None),
+                grace: self.grace,
+                links: RefCell::default(),
+            }));
+            sites.len() as ServerId - 1
+        });
+        if let Some(site) = sites.get(id as usize) {
+            if site.address.replace(address) != address {
+                site.links.borrow().iter().for_each(|link| link.retire());
+            }
+            set_ready(site, ready);
+        }
+        id
+    }
+
+    /// Notes that every store not among these is gone.
+    pub fn keep(&self, listed: &[ServerId]) {
+        for (id, site) in (0..).zip(self.sites.borrow().iter()) {
+            if !listed.contains(&id) {
+                set_ready(site, false);
+            }
+        }
+    }
+
+    /// The name of a store.
+    pub fn name(&self, server: ServerId) -> String {
+        self.sites.borrow().get(server as usize).map_or_else(String::new, |site| site.name.clone())
+    }
+
+    /// Closes the idle connections to a store.
+    pub fn release(&self, server: ServerId) {
+        if let Some(site) = self.sites.borrow().get(server as usize) {
+            site.links.borrow().iter().filter(|link| link.idle()).for_each(|link| link.retire());
+        }
+    }
+
+    /// Begins an attempt; its end goes to the exchange.
+    pub fn send(self: &Rc<Self>, order: Order) {
+        count(&self.counters.attempts);
+        let (stop, stopped) = async_channel::bounded(1);
+        self.stops.borrow_mut().insert(order.attempt, stop);
+        let this = self.clone();
+        let attempt = async move {
+            let id = order.attempt;
+            let ended = this.attempt(order, stopped).await;
+            this.stops.borrow_mut().remove(&id);
+            count(match ended.outcome {
+                Outcome::Success => &this.counters.served,
+                Outcome::Failure => &this.counters.errors,
+                Outcome::Overloaded => &this.counters.turned_away,
+                Outcome::TimedOut => &this.counters.timed_out,
+                Outcome::Unreachable => &this.counters.unreachable,
+                Outcome::Broken => &this.counters.broken,
+                Outcome::Withdrawn => &this.counters.withdrawn,
+                Outcome::Void => &this.counters.void,
+            });
+            this.exchange.ended(id, ended);
+        };
+        self.executor.spawn(attempt).detach();
+    }
+
+    /// Stops waiting for an attempt; its end still goes to the exchange.
+    pub fn give_up(&self, attempt: AttemptId) {
+        if let Some(stop) = self.stops.borrow().get(&attempt) {
+            let _ = stop.try_send(());
+        }
+    }
+
+    async fn attempt(&self, order: Order, stopped: Receiver<()>) -> Ended {
+        let Some(site) = self.sites.borrow().get(order.server as usize).cloned() else {
+            return Outcome::Void.into();
+        };
+        let patience = millis(order.patience_ms);
+        let link = self.link(&site);
+        let (id, bytes) = call(&order);
+        let ended = link.call(id.clone(), bytes);
+        let end = async { Some(ended.recv().await.unwrap_or(Outcome::Broken.into())) };
+        let stop = async {
+            futures_lite::future::or(
+                async {
+                    Timer::after(patience).await;
+                    Outcome::TimedOut
+                },
+                async {
+                    let _ = stopped.recv().await;
+                    Outcome::Withdrawn
+                },
+            )
+            .await
+        };
+        let outcome = match futures_lite::future::or(async { Ok(end.await) }, async { Err(stop.await) }).await
+        {
+            Ok(Some(ended)) => return ended,
+            Ok(None) => return Outcome::Broken.into(),
+            Err(outcome) => outcome,
+        };
+        if link.give_up(&id) {
+            return Outcome::Void.into();
+        }
+        let settled = async {
+            Timer::after(GIVING_UP).await;
+            outcome.into()
+        };
+        let last = async { ended.recv().await.unwrap_or(outcome.into()) };
+        let ended = futures_lite::future::or(last, settled).await;
+        link.forget(&id);
+        ended
+    }
+
+    /// A connection with room for one more part; a new one where none has.
+    fn link(&self, site: &Rc<Site>) -> Rc<Link> {
+        let mut links = site.links.borrow_mut();
+        if let Some(link) = links.iter().find(|link| link.has_room(&self.limits)) {
+            return link.clone();
+        }
+        links.iter().filter(|link| link.idle()).for_each(|link| link.retire());
+        let link = Link::new(site.clone(), self.counters.clone());
+        links.push(link.clone());
+        let (site, running, limits) = (site.clone(), link.clone(), self.limits.clone());
+        let run = async move {
+            running.clone().run(limits).await;
+            site.links.borrow_mut().retain(|link| !Rc::ptr_eq(link, &running));
+        };
+        self.executor.spawn(run).detach();
+        link
+    }
+}
+
+fn set_ready(site: &Site, ready: bool) {
+    match (ready, site.drained.get()) {
+        (true, _) => site.drained.set(None),
+        (false, None) => site.drained.set(Some(Instant::now())),
+        (false, Some(_)) => {}
+    }
+}
+
+/// A part's id and the frame that calls for it.
+fn call(order: &Order) -> (Rc<str>, Vec<u8>) {
+    let shard = order.shard;
+    let mut id = format!("{}.{shard}", order.query);
+    let mut list = format!("d={}", order.patience_ms.max(1.0).floor());
+    if let Some(first) = &order.second {
+        id.push_str(".r");
+        let from: Vec<String> = first.from.iter().map(u32::to_string).collect();
+        list.push_str(&format!(",from={},whole={}", from.join("+"), u8::from(first.whole)));
+    }
+    let bytes = frame::call(&id, shard, &list, &order.text);
+    (id.into(), bytes)
+}
--- a/src/bin/stoatlane-drill/wire.rs
+++ b/src/bin/stoatlane-drill/wire.rs
@@ -3,10 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, Write};
 
-use stoatlane::{
-    Action, Aggregator, Budget, Class, Entry, Event, ListKind, Millis, Outcome, Repeat, ReportField,
-    ServerId, Settings, Status, Tenant,
-};
+use stoatlane::{Action, Aggregator, Entry, Event, ListKind, Millis, Outcome, ServerId, Setup, Status};
 
 /// A plain message on what was wrong and where.
 type Fault = String;
@@ -368,145 +365,16 @@
     })
 }
 
-/// The settings of a `START` line, by path.
-struct Setup<'a>(HashMap<&'a str, &'a str>);
-
-impl Setup<'_> {
-    fn text(&self, key: &str) -> Result<&str, Fault> {
-        self.0.get(key).copied().ok_or_else(|| format!("setup: {key}: missing"))
-    }
-
-    fn float(&self, key: &str) -> Result<f64, Fault> {
-        let text = self.text(key)?;
-        float(text).ok_or_else(|| format!("setup: {key}: expected a number, found `{text}`"))
-    }
-
-    fn float_or(&self, key: &str, absent: f64) -> Result<f64, Fault> {
-        if self.0.contains_key(key) {
-            self.float(key)
-        } else {
-            Ok(absent)
-        }
-    }
-
-    fn count(&self, key: &str) -> Result<usize, Fault> {
-        match self.0.get(key) {
-            None => Ok(0),
-            Some(t) => t.parse().map_err(|_| format!("setup: {key}: expected a whole number, found `{t}`")),
-        }
-    }
-
-    fn flag(&self, key: &str) -> Result<bool, Fault> {
-        match self.text(key)? {
-            "true" | "1" => Ok(true),
-            "false" | "0" => Ok(false),
-            other => Err(format!("setup: {key}: expected true or false, found `{other}`")),
-        }
-    }
-
-    /// A value stated once for each class: a list, or one value for all.
-    fn by_class(&self, key: &str, class: usize) -> Result<f64, Fault> {
-        let text = self.text(key)?;
-        let mut values = text.split(',');
-        let first = values.next().unwrap_or_default();
-        let value = if class == 0 { first } else { values.nth(class - 1).unwrap_or(first) };
-        float(value).ok_or_else(|| format!("setup: {key}: expected numbers, found `{text}`"))
-    }
-}
-
 fn start(now: Millis, rest: &str) -> Result<Instance, Fault> {
     let (seed, pairs) = rest.split_once(' ').unwrap_or((rest, ""));
     let seed = seed.parse().map_err(|_| format!("init_seed: expected a whole number, found `{seed}`"))?;
-    let setup = Setup(pairs.split(' ').filter_map(|pair| pair.split_once('=')).collect());
-    let mut classes = HashMap::new();
-    let mut settings = Settings {
-        aggregators: setup.float("replicas_of_me")? as u32,
-        turn_ms: setup.float("granularity_ms")?,
-        over_share_worth: setup.float_or("over_share_worth", 1.0)?,
-        cells: setup.float("domain.cells")? as u32,
-        reach: setup.float("domain.reach")? as u32,
-        shards: setup.float("domain.slabs")? as u32,
-        batch: setup.float("domain.batch")? as u32,
-        call_cost_ms: setup.float("domain.call_cost_ms")?,
-        max_attempts: setup.float("limits.max_attempts")? as u32,
-        parallel: setup.flag("limits.parallel_tries")?,
-        withdrawals: setup.0.contains_key("limits.may_cancel") && setup.flag("limits.may_cancel")?,
-        subscribe: match setup.text("registry_mode")? {
-            "subscribe" => true,
-            "automatic" => false,
-            other => {
-                return Err(format!("setup: registry_mode: expected automatic or subscribe, found `{other}`"))
-            }
-        },
-        idle_ms: setup.float_or("limits.conn_idle_ms", 0.0)?,
-        ask_every_ms: setup.float("invariants.ask_every_ms")?,
-        answer_slack_ms: setup.float("invariants.answer_slack_ms")?,
-        drain_grace_ms: setup.float("invariants.drain_grace_ms")?,
-        cold_from: setup.float("invariants.cold_from")?,
-        cold_ms: setup.float("invariants.cold_ms")?,
-        overload_factor: setup.float("invariants.overload_factor")?,
-        fall_ms: setup.float("invariants.fall_ms")?,
-        ..Settings::default()
-    };
-    if setup.flag("limits.retry_after")? {
-        settings.max_retry_after_ms = setup.float("limits.max_retry_after_ms")?;
-    }
-    if setup.0.contains_key("invariants.look_back_ms") {
-        settings.budget = Some(Budget {
-            free: setup.float_or("invariants.extra_free", 0.0)?,
-            ratio: setup.float_or("invariants.repeat_ratio", 0.0)?,
-            window_ms: setup.float("invariants.look_back_ms")?,
-        });
-    }
-    for i in 0..setup.count("categories.count")? {
-        let key = |field: &str| format!("categories.{i}.{field}");
-        classes.insert(setup.text(&key("name"))?.to_owned(), i);
-        settings.classes.push(Class {
-            aim_ms: setup.float(&key("aim_ms"))?,
-            aim_stretch: setup.float_or(&key("aim_stretch"), 0.0)?,
-            deadline_ms: setup.float(&key("deadline_ms"))?,
-            late_share: setup.float(&key("late_share"))?,
-            worth: setup.float(&key("importance"))?,
-            repeat: match setup.text(&key("repeat"))? {
-                "safe" => Repeat::Safe,
-                "keyed" => Repeat::Keyed,
-                "unsafe" => Repeat::Unsafe,
-                other => return Err(format!("setup: {}: unknown value `{other}`", key("repeat"))),
-            },
-            memory_ms: setup.float_or(&key("memory_span_ms"), 0.0)?,
-            need: setup.by_class("domain.class_need", i)?,
-            floor: setup.by_class("domain.min_share", i)?,
-            partial: setup.by_class("domain.class_partial", i)?,
-            follow_up: setup.by_class("domain.follow_up", i)? as u32,
-        });
-    }
-    let mut tenants = HashMap::new();
-    for i in 0..setup.count("accounts.count")? {
-        tenants.insert(setup.text(&format!("accounts.{i}.name"))?.to_owned(), i);
-        let quota_per_s = setup.float(&format!("accounts.{i}.quota_per_s"))?;
-        settings.tenants.push(Tenant { quota_per_s });
-    }
-    let zones: HashMap<String, u32> =
-        setup.text("azs")?.split(',').zip(0..).map(|(z, i)| (z.to_owned(), i)).collect();
-    settings.zone = zones.get(setup.text("my_zone")?).copied().unwrap_or(u32::MAX);
-    let fields = setup.0.get("report.fields").copied().unwrap_or_default();
-    settings.report = fields
-        .split(',')
-        .map(|field| match field {
-            "busy_reqs" => ReportField::InHand,
-            "pending" => ReportField::Waiting,
-            "cpu_share" => ReportField::Utilisation,
-            "svc_ms" => ReportField::ServiceMs,
-            "served_ps" => ReportField::ServedPerS,
-            "failed_ps" => ReportField::ErrorsPerS,
-            _ => ReportField::Other,
-        })
-        .collect();
+    let pairs: HashMap<&str, &str> = pairs.split(' ').filter_map(|pair| pair.split_once('=')).collect();
+    let setup = Setup::read(&pairs).map_err(|fault| format!("setup: {fault}"))?;
     Ok(Instance {
-        aggregator: Aggregator::new(seed, settings, now),
-        classes,
-        tenants,
-        zones,
+        aggregator: Aggregator::new(seed, setup.settings, now),
+        classes: setup.classes,
+        tenants: setup.tenants,
+        zones: setup.zones,
         servers: HashMap::new(),
         names: Vec::new(),
     })
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,9 +41,11 @@
 
 mod aggregator;
 mod interface;
+mod setup;
 
 pub use aggregator::Aggregator;
 pub use interface::*;
+pub use setup::Setup;
 
 #[cfg(doctest)]
 #[doc = include_str!("../README.md")]
