Add the feature front: OGC API - Features over the same core

An operator file (LB_OPERATOR) sets up collections, clubs, block extents, a loopback address of its own and the stores that offer the feature form. An items request becomes one query with a part for each block its box touches; pages are put together in the order of ids, and next links are signed and name the last feature given, never a store. store::features speaks the feature form. The service is split into Broker::start and run, so that tests can hold one.

Conclusion: the path is whole but untested; its tests come next.

--- a/broker/src/config.rs
+++ b/broker/src/config.rs
@@ -1,6 +1,8 @@
 //! The one place where configuration is read, checked and given defaults: the environment, the
 //! JSON object that `LB_CONFIG` names, and the operator's file. Every error names the faulty key.
 
+pub mod features;
+
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -126,7 +128,7 @@
         };
         let features = match var("LB_OPERATOR") {
             None => None,
-            Some(path) => Some(features::Features::read(&file("LB_OPERATOR", &path)?, &setup, sockets)?),
+            Some(path) => Some(features::Features::read(&file("LB_OPERATOR", &path)?, &setup)?),
         };
         Ok(Self {
             name,
@@ -190,19 +192,3 @@
 fn plain(value: &Value) -> String {
     value.as_str().map_or_else(|| value.to_string(), str::to_owned)
 }
-
-/// The operator's file.
-pub mod features {
-    use super::*;
-
-    /// The feature front, as set up by the operator.
-    #[derive(Debug)]
-    pub struct Features {}
-
-    impl Features {
-        /// Reads the operator's file.
-        pub fn read(_text: &str, _setup: &Setup, _sockets: usize) -> Result<Self, Error> {
-            Err(Error::new("LB_OPERATOR", "this version has no feature front"))
-        }
-    }
-}
--- a/broker/src/core/mod.rs
+++ b/broker/src/core/mod.rs
@@ -34,6 +34,16 @@
     pub cost_ms: Option<Millis>,
 }
 
+/// Which forms a query's text may be carried in; the core only passes it on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Form {
+    /// In frames only.
+    #[default]
+    Opaque,
+    /// It is a feature request too, for stores that offer such.
+    Features,
+}
+
 /// A query as a front hands it over: checked, its names resolved.
 #[derive(Clone, Debug)]
 pub struct Question {
@@ -51,6 +61,8 @@
     pub parts: Vec<Ask>,
     /// What each part carries.
     pub text: Text,
+    /// The forms it may be carried in.
+    pub form: Form,
 }
 
 /// What a store gave for a part.
@@ -133,6 +145,8 @@
     pub shard: u32,
     /// What it carries.
     pub text: Text,
+    /// The forms it may be carried in.
+    pub form: Form,
     /// How long to wait.
     pub patience_ms: Millis,
     /// Set for a part of the second step.
@@ -376,6 +390,7 @@
             query: query.question.name.clone(),
             shard: part.shard,
             text: query.question.text.clone(),
+            form: query.question.form,
             patience_ms: if patience_ms > 0.0 { patience_ms.min(left) } else { left },
             second: query.second.clone(),
         })
--- a/broker/src/front/mod.rs
+++ b/broker/src/front/mod.rs
@@ -1,9 +1,11 @@
 //! The client side: what all fronts share. A front reads requests, makes [`crate::core::Question`]s of
 //! them, waits for their answers at the exchange and writes those in its own form.
 
+pub mod features;
 pub mod platform;
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::future::Future;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -94,38 +96,48 @@
     fn accept(&self, head: &Head, body: Vec<u8>) -> Accepted;
     /// The reply to a request that could not be read.
     fn unreadable(&self, fault: http::Fault) -> Reply;
-    /// The reply that carries a query's final answer.
-    fn answered(&self, head: &Head, answer: Final) -> Reply;
+    /// The refusal of a request on a connection too many.
+    fn shed(&self) -> Reply;
 }
 
+/// Makes the reply of a query's final answer.
+pub type Replier = Box<dyn FnOnce(Final) -> Reply>;
+
 /// What became of a request.
 pub enum Accepted {
     /// It was a query, and an answer is owed.
-    Query(Ticket),
+    Query(Ticket, Replier),
     /// It is answered at once.
     Reply(Reply),
 }
 
 /// Serves connections from a listener until the gate closes.
 pub struct Server<S> {
-    /// Reads requests and writes replies.
-    pub service: Rc<S>,
-    /// Whether requests are taken.
-    pub gate: Rc<Gate>,
-    /// Counts.
-    pub counters: Rc<Counters>,
-    /// Runs a task for each connection.
-    pub executor: Rc<LocalExecutor<'static>>,
-    /// How many connections may be open.
-    pub most: usize,
+    service: S,
+    gate: Rc<Gate>,
+    counters: Rc<Counters>,
+    executor: Rc<LocalExecutor<'static>>,
+    most: usize,
 }
 
 impl<S: Service + 'static> Server<S> {
+    /// A server for a front that may have `most` connections open.
+    pub fn new(
+        service: S,
+        gate: &Rc<Gate>,
+        counters: &Rc<Counters>,
+        executor: &Rc<LocalExecutor<'static>>,
+        most: usize,
+    ) -> Rc<Self> {
+        let (gate, counters, executor) = (gate.clone(), counters.clone(), executor.clone());
+        Rc::new(Self { service, gate, counters, executor, most })
+    }
+
     /// Accepts and serves.
     pub async fn run(self: Rc<Self>, listener: Async<TcpListener>) {
         let open = Rc::new(Cell::new(0usize));
         // Those between requests, the longest so first: they make room when too many are open.
-        let idle: Rc<RefCell<std::collections::VecDeque<Sender<()>>>> = Rc::default();
+        let idle: Rc<RefCell<VecDeque<Sender<()>>>> = Rc::default();
         loop {
             let accept = async { Some(listener.accept().await) };
             let closed = async {
@@ -159,17 +171,13 @@
         }
     }
 
-    fn make_room(idle: &RefCell<std::collections::VecDeque<Sender<()>>>) -> bool {
+    fn make_room(idle: &RefCell<VecDeque<Sender<()>>>) -> bool {
         let longest = idle.borrow_mut().pop_front();
         longest.is_some_and(|wake| wake.try_send(()).is_ok())
     }
 
     /// Waits for the first byte of a request; false if the connection is to be closed instead.
-    async fn first(
-        &self,
-        stream: &mut Stream,
-        idle: &RefCell<std::collections::VecDeque<Sender<()>>>,
-    ) -> bool {
+    async fn first(&self, stream: &mut Stream, idle: &RefCell<VecDeque<Sender<()>>>) -> bool {
         if stream.begun() {
             return true;
         }
@@ -189,12 +197,7 @@
         begun
     }
 
-    async fn serve(
-        &self,
-        mut stream: Stream,
-        shed: bool,
-        idle: &RefCell<std::collections::VecDeque<Sender<()>>>,
-    ) {
+    async fn serve(&self, mut stream: Stream, shed: bool, idle: &RefCell<VecDeque<Sender<()>>>) {
         while self.first(&mut stream, idle).await {
             let (reply, keep_alive) = match self.request(&mut stream, shed).await {
                 Ok(served) => served,
@@ -233,16 +236,16 @@
         count(&self.counters.requests);
         if shed {
             count(&self.counters.connections_shed);
-            return Ok((self.service.answered(&head, Final::Refused { retry_after_ms: 1000.0 }), false));
+            return Ok((self.service.shed(), false));
         }
-        let ticket = match self.service.accept(&head, body) {
+        let (ticket, replier) = match self.service.accept(&head, body) {
             Accepted::Reply(reply) => {
                 if (400..500).contains(&reply.status) && reply.status != 429 {
                     count(&self.counters.bad_requests);
                 }
                 return Ok((reply, head.keep_alive));
             }
-            Accepted::Query(ticket) => ticket,
+            Accepted::Query(ticket, replier) => (ticket, replier),
         };
         let answer = async { Some(ticket.answer().await) };
         let left = async {
@@ -250,7 +253,7 @@
             None
         };
         match either(answer, left).await {
-            Some(answer) => Ok((self.service.answered(&head, answer), head.keep_alive)),
+            Some(answer) => Ok((replier(answer), head.keep_alive)),
             // The client has closed: nobody waits, and dropping the ticket tells the core.
             None => Err(None),
         }
--- a/broker/src/front/platform.rs
+++ b/broker/src/front/platform.rs
@@ -8,7 +8,7 @@
 
 use super::{Accepted, Gate, Reply, Service};
 use crate::clock::Clock;
-use crate::core::{Ask, Final, Question, Text};
+use crate::core::{Ask, Final, Form, Question, Text};
 use crate::exchange::{Exchange, Untaken};
 use crate::http::{self, Head, BODY_MAX};
 
@@ -125,6 +125,7 @@
         repeated: head.header("X-Retried") == Some("1"),
         parts,
         text: body.predicate.as_bytes().into(),
+        form: Form::Opaque,
     })
 }
 
@@ -181,10 +182,8 @@
             ("POST", _) => match question(head, &body, &self.names, self.clock.now()) {
                 Err(Bad { status, what }) => Reply::text(status, &what),
                 Ok(question) => match self.exchange.ask(question) {
-                    Ok(ticket) => return Accepted::Query(ticket),
-                    Err(Untaken::Full) => {
-                        self.answered(head, Final::Refused { retry_after_ms: self.full_retry_ms })
-                    }
+                    Ok(ticket) => return Accepted::Query(ticket, Box::new(reply)),
+                    Err(Untaken::Full) => self.shed(),
                     Err(Untaken::Duplicate) => Reply::text(409, "X-Request-ID: such a request is open"),
                 },
             },
@@ -198,19 +197,23 @@
         Reply::text(fault.status(), &fault.to_string())
     }
 
-    fn answered(&self, _head: &Head, final_answer: Final) -> Reply {
-        match final_answer {
-            Final::Answered { whole, values } => match answer(whole, &values) {
-                Some(body) => {
-                    Reply { status: 200, headers: "Content-Type: application/json\r\n".to_owned(), body }
-                }
-                None => Reply::text(502, "the stores' values don't fit an answer"),
-            },
-            Final::Refused { retry_after_ms } => {
-                let reply = Reply::text(503, "refused; trying again is harmless");
-                Reply { headers: reply.headers + &retry_after(retry_after_ms), ..reply }
+    fn shed(&self) -> Reply {
+        reply(Final::Refused { retry_after_ms: self.full_retry_ms })
+    }
+}
+
+fn reply(final_answer: Final) -> Reply {
+    match final_answer {
+        Final::Answered { whole, values } => match answer(whole, &values) {
+            Some(body) => {
+                Reply { status: 200, headers: "Content-Type: application/json\r\n".to_owned(), body }
             }
-            Final::Failed => Reply::text(504, "failed"),
+            None => Reply::text(502, "the stores' values don't fit an answer"),
+        },
+        Final::Refused { retry_after_ms } => {
+            let reply = Reply::text(503, "refused; trying again is harmless");
+            Reply { headers: reply.headers + &retry_after(retry_after_ms), ..reply }
         }
+        Final::Failed => Reply::text(504, "failed"),
     }
 }
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -1,20 +1,22 @@
 //! Puts the parts together and runs them on one thread: fronts, core, stores and discovery.
 
-use std::net::TcpListener;
+use std::cell::Cell;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 
-use crate::clock::{millis, Clock};
+use crate::clock::{millis, Clock, Millis};
 use crate::config::{Config, Error};
 use crate::core::{Command, Core};
 use crate::counters::Counters;
 use crate::discovery::Discovery;
 use crate::exchange::Exchange;
+use crate::front::features::Front;
 use crate::front::platform::{Names, Platform};
 use crate::front::{Gate, Server};
 use crate::store::link::Limits;
@@ -35,77 +37,122 @@
 /// Runs the broker until it is told to stop.
 pub fn run(config: Config, clock: Clock) -> Result<(), Error> {
     let executor = Rc::new(LocalExecutor::new());
-    let serving = serve(config, clock, executor.clone());
+    let serving = async {
+        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1])
+            .map_err(|e| Error::new("signals", e.to_string()))?;
+        let broker = Broker::start(config, clock, executor.clone())?;
+        broker.watch(signals).await;
+        broker.stop().await;
+        Ok(())
+    };
     async_io::block_on(executor.run(serving))
 }
 
-async fn serve(config: Config, clock: Clock, executor: Rc<LocalExecutor<'static>>) -> Result<(), Error> {
-    let counters = Rc::new(Counters::default());
-    let exchange = Exchange::new(clock, counters.clone(), config.max_open);
-    let gate = Gate::new();
-    let limits = Limits {
-        streams: config.streams,
-        dial: millis(config.dial_timeout_ms),
-        idle: millis(config.idle_ms * IDLE_SHARE),
-    };
-    let setup = config.setup;
-    let settings = setup.settings;
-    let grace = millis(settings.drain_grace_ms);
-    let stores = Stores::new(executor.clone(), exchange.clone(), counters.clone(), limits, grace);
-    let discovery =
-        Discovery::new(config.discovery, setup.zones, exchange.clone(), stores.clone(), counters.clone());
+/// A broker that serves.
+pub struct Broker {
+    /// Where the platform's clients connect.
+    pub platform: SocketAddr,
+    /// Where the feature front's clients connect, if it is set up.
+    pub features: Option<SocketAddr>,
+    /// What it has counted.
+    pub counters: Rc<Counters>,
+    exchange: Rc<Exchange>,
+    gate: Rc<Gate>,
+}
 
-    let listener = Async::<TcpListener>::bind(config.listen)
-        .map_err(|e| Error::new("LB_LISTEN", format!("can't listen on {}: {e}", config.listen)))?;
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1])
-        .map_err(|e| Error::new("signals", e.to_string()))?;
+fn listen(key: &str, at: SocketAddr) -> Result<(Async<TcpListener>, SocketAddr), Error> {
+    let bound = Async::<TcpListener>::bind(at);
+    let bound = bound.and_then(|listener| listener.get_ref().local_addr().map(|at| (listener, at)));
+    bound.map_err(|e| Error::new(key, format!("can't listen on {at}: {e}")))
+}
+
+impl Broker {
+    /// Starts one on this executor.
+    pub fn start(config: Config, clock: Clock, executor: Rc<LocalExecutor<'static>>) -> Result<Self, Error> {
+        let counters = Rc::new(Counters::default());
+        let exchange = Exchange::new(clock, counters.clone(), config.max_open);
+        let gate = Gate::new();
+        let limits = Limits {
+            streams: config.streams,
+            dial: millis(config.dial_timeout_ms),
+            idle: millis(config.idle_ms * IDLE_SHARE),
+        };
+        let setup = config.setup;
+        let settings = setup.settings;
+        let full_retry_ms = settings.max_retry_after_ms;
+        let grace = millis(settings.drain_grace_ms);
+        let set = config.features.map(Rc::new);
+        let offers = set.as_ref().map(|set| set.stores.clone()).unwrap_or_default();
+        let stores = Stores::new(executor.clone(), exchange.clone(), counters.clone(), limits, grace, offers);
+        let discovery =
+            Discovery::new(config.discovery, setup.zones, exchange.clone(), stores.clone(), counters.clone());
+        let mut since = None;
+        if let Some(known) = &config.known {
+            let known = crate::discovery::parse(known.to_string().as_bytes());
+            let known = known.map_err(|fault| Error::new("known", fault.to_string()))?;
+            since = Some(known.generation);
+            discovery.tell(&known, true);
+        }
 
-    let mut since = None;
-    if let Some(known) = &config.known {
-        let known = crate::discovery::parse(known.to_string().as_bytes());
-        let known = known.map_err(|fault| Error::new("known", fault.to_string()))?;
-        since = Some(known.generation);
-        discovery.tell(&known, true);
+        let feature_clients = set.as_ref().map_or(0, |set| set.connections);
+        let clients = config.sockets.saturating_sub(SOCKETS_KEPT + feature_clients);
+        let (listener, platform) = listen("LB_LISTEN", config.listen)?;
+        let names = Names { classes: setup.classes, tenants: setup.tenants, shards: settings.shards };
+        let front = Platform { exchange: exchange.clone(), names, clock, gate: gate.clone(), full_retry_ms };
+        let server = |service, most| Server::new(service, &gate, &counters, &executor, most);
+        executor.spawn(server(front, clients.clamp(16, CLIENTS_MOST)).run(listener)).detach();
+        log::info!("serving on {platform}");
+        let mut features = None;
+        if let Some(set) = set {
+            let (listener, at) = listen("listen", set.listen)?;
+            let front = Front {
+                base: set.base_url.clone().unwrap_or_else(|| format!("http://{at}")).into(),
+                named: Cell::new(first_name(config.seed, clock.now())),
+                set,
+                exchange: exchange.clone(),
+                clock,
+                full_retry_ms,
+            };
+            let server = Server::new(front, &gate, &counters, &executor, feature_clients);
+            executor.spawn(server.run(listener)).detach();
+            log::info!("serving features on {at}");
+            features = Some(at);
+        }
+        let core = Core::new(config.seed, settings, clock.now());
+        executor.spawn(discovery.clone().run(since)).detach();
+        executor.spawn(drive(core, clock, exchange.clone(), stores, discovery)).detach();
+        Ok(Self { platform, features, counters, exchange, gate })
     }
-    let names = Names { classes: setup.classes, tenants: setup.tenants, shards: settings.shards };
-    let platform = Platform {
-        exchange: exchange.clone(),
-        names,
-        clock,
-        gate: gate.clone(),
-        full_retry_ms: settings.max_retry_after_ms,
-    };
-    let server = Rc::new(Server {
-        service: Rc::new(platform),
-        gate: gate.clone(),
-        counters: counters.clone(),
-        executor: executor.clone(),
-        most: config.sockets.saturating_sub(SOCKETS_KEPT).clamp(16, CLIENTS_MOST),
-    });
-    let core = Core::new(config.seed, settings, clock.now());
-    executor.spawn(discovery.clone().run(since)).detach();
-    executor.spawn(drive(core, clock, exchange.clone(), stores, discovery)).detach();
-    executor.spawn(server.run(listener)).detach();
-    log::info!("serving on {}", config.listen);
 
-    while let Some(signal) = signals.next().await {
-        match signal {
-            Ok(Signal::Usr1) => log::info!("counters: {counters}"),
-            Ok(Signal::Term | Signal::Int) => break,
-            Ok(_) => {}
-            Err(e) => log::warn!("signals: {e}"),
+    /// Prints the counters on SIGUSR1; returns on SIGTERM or SIGINT.
+    async fn watch(&self, mut signals: Signals) {
+        while let Some(signal) = signals.next().await {
+            match signal {
+                Ok(Signal::Usr1) => log::info!("counters: {}", self.counters),
+                Ok(Signal::Term | Signal::Int) => return,
+                Ok(_) => {}
+                Err(e) => log::warn!("signals: {e}"),
+            }
         }
     }
-    log::info!("stopping: {} queries open", exchange.open_queries());
-    gate.drain();
-    Timer::after(STILL_COMING).await;
-    gate.close();
-    let until = std::time::Instant::now() + FINISH_WITHIN;
-    while gate.connections() > 0 && std::time::Instant::now() < until {
-        Timer::after(FINISH_CHECK).await;
+
+    /// Stops taking requests and finishes those taken.
+    pub async fn stop(&self) {
+        log::info!("stopping: {} queries open", self.exchange.open_queries());
+        self.gate.drain();
+        Timer::after(STILL_COMING).await;
+        self.gate.close();
+        let until = Instant::now() + FINISH_WITHIN;
+        while self.gate.connections() > 0 && Instant::now() < until {
+            Timer::after(FINISH_CHECK).await;
+        }
+        log::info!("counters: {}", self.counters);
     }
-    log::info!("counters: {counters}");
-    Ok(())
+}
+
+/// Queries of the feature front are named from here on: apart at each broker and after each start.
+fn first_name(seed: u64, now: Millis) -> u64 {
+    seed.rotate_left(17) ^ now.to_bits()
 }
 
 /// Plays the core's turns: one whenever something has happened or is due.
--- /dev/null
+++ b/broker/src/store/features.rs
@@ -0,0 +1,102 @@
+//! Attempts at stores that offer the feature form: a part is a GET for the features of one block, on a
+//! connection that carries one request at a time. The answer's body is the part's value, as it came.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use stoatlane::Outcome;
+
+use super::link::Limits;
+use super::Site;
+use crate::core::{Ended, Order, Served};
+use crate::counters::{count, Counters};
+use crate::front::features::page;
+use crate::http::{self, Ending, Kind, Stream};
+
+/// Connections kept for later requests.
+const KEPT: usize = 8;
+/// A request is a few hundred bytes: a store that takes them no sooner is stalled.
+const WRITE_WITHIN: Duration = Duration::from_secs(5);
+/// Longer than any attempt waits; the attempt's own timer is the one that ends it.
+const READ_WITHIN: Duration = Duration::from_secs(600);
+
+/// Speaks the feature form to one store.
+pub struct Driver {
+    address: SocketAddr,
+    dial: Duration,
+    idle: Duration,
+    kept: RefCell<Vec<(Stream, Instant)>>,
+}
+
+impl Driver {
+    /// A driver for the store that offers the feature form at this address.
+    pub fn new(address: SocketAddr, limits: &Limits) -> Self {
+        Self { address, dial: limits.dial, idle: limits.idle, kept: RefCell::default() }
+    }
+
+    async fn connect(&self, counters: &Counters) -> std::io::Result<Stream> {
+        self.kept.borrow_mut().retain(|(_, since)| since.elapsed() < self.idle);
+        let kept = self.kept.borrow_mut().pop();
+        if let Some((stream, _)) = kept {
+            return Ok(stream);
+        }
+        count(&counters.dials);
+        Ok(Stream::new(http::connect(self.address, self.dial).await?))
+    }
+
+    /// Makes an attempt. `written` is set once its last byte has been: from then on it may run.
+    pub async fn ask(&self, site: &Site, order: &Order, written: &Cell<bool>, counters: &Counters) -> Ended {
+        let Ok(mut stream) = self.connect(counters).await else { return Outcome::Unreachable.into() };
+        if !site.may_send() {
+            return Outcome::Void.into();
+        }
+        if stream.write(&request(order, self.address), WRITE_WITHIN).await.is_err() {
+            return Outcome::Unreachable.into();
+        }
+        written.set(true);
+        let answer = async {
+            let head = stream.head(Kind::Answer, READ_WITHIN).await?;
+            let body = stream.body(head.framing, READ_WITHIN).await?;
+            Ok((head, body))
+        };
+        let (head, body) = match answer.await {
+            Ok(answer) => answer,
+            Err(Ending::Fault(fault)) => {
+                log::debug!("{}: {fault}", site.name);
+                count(&counters.bad_frames);
+                return Outcome::Failure.into();
+            }
+            Err(_) => return Outcome::Broken.into(),
+        };
+        if head.keep_alive && head.framing != http::Framing::Close && self.kept.borrow().len() < KEPT {
+            self.kept.borrow_mut().push((stream, Instant::now()));
+        }
+        match head.status {
+            200 if page::readable(&body) => {
+                let served = Some(Served { score: 0, value: body.into() });
+                Ended { outcome: Outcome::Success, served, report: Vec::new() }
+            }
+            200 => {
+                count(&counters.bad_frames);
+                Outcome::Failure.into()
+            }
+            // The store says that it did not look at the request.
+            429 | 503 => Outcome::Overloaded.into(),
+            _ => Outcome::Failure.into(),
+        }
+    }
+}
+
+fn request(order: &Order, address: SocketAddr) -> Vec<u8> {
+    let Order { query, shard, patience_ms, .. } = order;
+    let wait = patience_ms.max(1.0).floor();
+    let mut bytes = b"GET /".to_vec();
+    bytes.extend_from_slice(&order.text);
+    let head = format!(
+        "&block={shard} HTTP/1.1\r\nHost: {address}\r\nAccept: application/geo+json\r\n\
+         X-Request-ID: {query}.{shard}\r\nX-Timeout-Ms: {wait}\r\n\r\n"
+    );
+    bytes.extend_from_slice(head.as_bytes());
+    bytes
+}
--- a/broker/src/store/mod.rs
+++ b/broker/src/store/mod.rs
@@ -2,11 +2,13 @@
 //! attempts on those connections. Each attempt is a task with a timer of its own; its end goes to the
 //! [`Exchange`].
 
+pub mod features;
 pub mod frame;
 pub mod link;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -14,10 +16,11 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use futures_lite::future::or;
 use stoatlane::{Outcome, ServerId};
 
 use crate::clock::millis;
-use crate::core::{AttemptId, Ended, Order};
+use crate::core::{AttemptId, Ended, Form, Order};
 use crate::counters::{count, Counters};
 use crate::exchange::Exchange;
 use link::{Limits, Link};
@@ -38,6 +41,8 @@
     drained: Cell<Option<Instant>>,
     grace: Duration,
     links: RefCell<Vec<Rc<Link>>>,
+    /// Its feature form, if it offers one.
+    features: Option<features::Driver>,
 }
 
 impl Site {
@@ -56,6 +61,8 @@
     grace: Duration,
     sites: RefCell<Vec<Rc<Site>>>,
     names: RefCell<HashMap<String, ServerId>>,
+    /// Stores that offer the feature form, and where.
+    offers: HashMap<String, SocketAddr>,
     stops: RefCell<HashMap<AttemptId, Sender<()>>>,
 }
 
@@ -67,6 +74,7 @@
         counters: Rc<Counters>,
         limits: Limits,
         drain_grace: Duration,
+        offers: HashMap<String, SocketAddr>,
     ) -> Rc<Self> {
         Rc::new(Self {
             executor,
@@ -76,6 +84,7 @@
             grace: drain_grace.saturating_sub(DRAIN_MARGIN),
             sites: RefCell::default(),
             names: RefCell::default(),
+            offers,
             stops: RefCell::default(),
         })
     }
@@ -90,6 +99,7 @@
                 drained: Cell::new(None),
                 grace: self.grace,
                 links: RefCell::default(),
+                features: self.offers.get(name).map(|at| features::Driver::new(*at, &self.limits)),
             }));
             sites.len() as ServerId - 1
         });
@@ -160,27 +170,24 @@
             return Outcome::Void.into();
         };
         let patience = millis(order.patience_ms);
+        let patience = async {
+            Timer::after(patience).await;
+            Outcome::TimedOut
+        };
+        let withdrawn = async {
+            let _ = stopped.recv().await;
+            Outcome::Withdrawn
+        };
+        let stop = or(patience, withdrawn);
+        if let Some(driver) = site.features.as_ref().filter(|_| order.form == Form::Features) {
+            return self.ask(&site, driver, &order, stop).await;
+        }
         let link = self.link(&site);
         let (id, bytes) = call(&order);
         let ended = link.call(id.clone(), bytes);
-        let end = async { Some(ended.recv().await.unwrap_or(Outcome::Broken.into())) };
-        let stop = async {
-            futures_lite::future::or(
-                async {
-                    Timer::after(patience).await;
-                    Outcome::TimedOut
-                },
-                async {
-                    let _ = stopped.recv().await;
-                    Outcome::Withdrawn
-                },
-            )
-            .await
-        };
-        let outcome = match futures_lite::future::or(async { Ok(end.await) }, async { Err(stop.await) }).await
-        {
-            Ok(Some(ended)) => return ended,
-            Ok(None) => return Outcome::Broken.into(),
+        let end = async { Ok(ended.recv().await.unwrap_or(Outcome::Broken.into())) };
+        let outcome = match or(end, async { Err(stop.await) }).await {
+            Ok(ended) => return ended,
             Err(outcome) => outcome,
         };
         if link.give_up(&id) {
@@ -191,11 +198,31 @@
             outcome.into()
         };
         let last = async { ended.recv().await.unwrap_or(outcome.into()) };
-        let ended = futures_lite::future::or(last, settled).await;
+        let ended = or(last, settled).await;
         link.forget(&id);
         ended
     }
 
+    /// The same in feature form. Its connection carries nothing else: closing it gives the attempt up.
+    async fn ask(
+        &self,
+        site: &Site,
+        driver: &features::Driver,
+        order: &Order,
+        stop: impl Future<Output = Outcome>,
+    ) -> Ended {
+        let written = Cell::new(false);
+        let end = async { Ok(driver.ask(site, order, &written, &self.counters).await) };
+        match or(end, async { Err(stop.await) }).await {
+            Ok(ended) => ended,
+            Err(_) if !written.get() => Outcome::Void.into(),
+            Err(outcome) => {
+                Timer::after(GIVING_UP).await;
+                outcome.into()
+            }
+        }
+    }
+
     /// A connection with room for one more part; a new one where none has.
     fn link(&self, site: &Rc<Site>) -> Rc<Link> {
         let mut links = site.links.borrow_mut();
