--- a/broker/src/config.rs
+++ b/broker/src/config.rs
@@ -6,12 +6,14 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use log::LevelFilter;
 use serde_json::Value;
 use stoatlane::Setup;
 
 use crate::clock::Millis;
+use crate::front::Waits;
 
 /// What is wrong with which key.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -60,6 +62,8 @@
     pub dial_timeout_ms: Millis,
     /// A store closes a connection that has stood idle so long.
     pub idle_ms: Millis,
+    /// How long clients may take.
+    pub waits: Waits,
     /// What goes to the log.
     pub log: LevelFilter,
     /// The feature front, where the operator has set one up.
@@ -69,6 +73,7 @@
 /// Longest advice given to refused clients where the settings name none.
 const RETRY_AFTER_MS: Millis = 1000.0;
 const LEAST_SOCKETS: usize = 64;
+const WAIT_MOST_MS: u64 = 3_600_000;
 
 impl Config {
     /// Reads the environment through `var`, and the files that it names through `read`.
@@ -126,6 +131,20 @@
                 .parse()
                 .map_err(|_| Error::new("LB_LOG", format!("expected off to trace, found `{level}`")))?,
         };
+        let wait = |key: &str, absent: u64| match var(key) {
+            None => Ok(Duration::from_millis(absent)),
+            Some(text) => text
+                .parse()
+                .ok()
+                .filter(|ms| (1..=WAIT_MOST_MS).contains(ms))
+                .map(Duration::from_millis)
+                .ok_or_else(|| Error::new(key, format!("expected 1 to {WAIT_MOST_MS}, found `{text}`"))),
+        };
+        let waits = Waits {
+            idle: wait("LB_IDLE_MS", 90_000)?,
+            read: wait("LB_READ_MS", 10_000)?,
+            write: wait("LB_WRITE_MS", 10_000)?,
+        };
         let features = match var("LB_OPERATOR") {
             None => None,
             Some(path) => Some(features::Features::read(&file("LB_OPERATOR", &path)?, &setup)?),
@@ -142,6 +161,7 @@
             dial_timeout_ms: number(&pairs, "limits.dial_timeout_ms", 250.0, 1.0, 60_000.0)?,
             idle_ms: number(&pairs, "limits.conn_idle_ms", 30_000.0, 1.0, 86_400_000.0)?,
             setup,
+            waits,
             log,
             features,
         })
--- a/broker/src/front/features/mod.rs
+++ b/broker/src/front/features/mod.rs
@@ -153,9 +153,8 @@
             reply.headers.push_str("Allow: GET\r\n");
             return Err(reply);
         }
-        let decoded = |piece: &str| query::decode(&piece.replace('+', "%2B")).map_err(bad);
         let path = head.path().strip_prefix('/').unwrap_or_default();
-        let pieces = path.split('/').map(decoded).collect::<Result<Vec<_>, _>>()?;
+        let pieces = path.split('/').map(query::decode).collect::<Result<Vec<_>, _>>().map_err(bad)?;
         let pieces: Vec<&str> = pieces.iter().map(String::as_str).collect();
         let (set, base) = (&*self.set, &*self.base);
         match pieces[..] {
--- a/broker/src/front/features/query.rs
+++ b/broker/src/front/features/query.rs
@@ -176,7 +176,7 @@
     Ok(found)
 }
 
-/// Undoes percent-encoding.
+/// Undoes percent-encoding. A plus is a plus, as in the standard's own examples of offsets.
 pub fn decode(text: &str) -> Result<String, Bad> {
     let bad = || Bad("the percent-encoding is broken".to_owned());
     let mut bytes = Vec::with_capacity(text.len());
@@ -188,7 +188,6 @@
                 let (high, low) = (hex().ok_or_else(bad)?, hex().ok_or_else(bad)?);
                 (high * 16 + low) as u8
             }
-            b'+' => b' ',
             b => b,
         });
     }
--- a/broker/src/front/mod.rs
+++ b/broker/src/front/mod.rs
@@ -20,12 +20,17 @@
 use crate::exchange::Ticket;
 use crate::http::{self, Ending, Head, Kind, Stream};
 
-/// A connection between requests is closed after so long.
-const IDLE: Duration = Duration::from_secs(90);
-/// A request's head, and then its body, come within so long: devices on poor links send slowly.
-const READ_WITHIN: Duration = Duration::from_secs(10);
-/// An answer is read within so long.
-const WRITE_WITHIN: Duration = Duration::from_secs(10);
+/// How long clients may take: devices on poor links are slow, and stalled ones must not stay for ever.
+#[derive(Clone, Copy, Debug)]
+pub struct Waits {
+    /// A connection between requests is closed after so long.
+    pub idle: Duration,
+    /// A request's head, and then its body, come within so long.
+    pub read: Duration,
+    /// An answer is read within so long.
+    pub write: Duration,
+}
+
 /// After a failed accept (no descriptor is left, say) the next is tried so much later.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -117,6 +122,7 @@
     gate: Rc<Gate>,
     counters: Rc<Counters>,
     executor: Rc<LocalExecutor<'static>>,
+    waits: Waits,
     most: usize,
 }
 
@@ -127,10 +133,11 @@
         gate: &Rc<Gate>,
         counters: &Rc<Counters>,
         executor: &Rc<LocalExecutor<'static>>,
+        waits: Waits,
         most: usize,
     ) -> Rc<Self> {
         let (gate, counters, executor) = (gate.clone(), counters.clone(), executor.clone());
-        Rc::new(Self { service, gate, counters, executor, most })
+        Rc::new(Self { service, gate, counters, executor, waits, most })
     }
 
     /// Accepts and serves.
@@ -183,7 +190,7 @@
         }
         let (wake, woken) = async_channel::bounded(1);
         idle.borrow_mut().push_back(wake.clone());
-        let first = async { stream.first(IDLE).await.is_ok() };
+        let first = async { stream.first(self.waits.idle).await.is_ok() };
         let out = async {
             let _ = woken.recv().await;
             false
@@ -209,7 +216,7 @@
             };
             let keep_alive = keep_alive && !self.gate.draining() && !shed;
             let bytes = http::answer(reply.status, &reply.headers, &reply.body, keep_alive);
-            if let Err(e) = stream.write(&bytes, WRITE_WITHIN).await {
+            if let Err(e) = stream.write(&bytes, self.waits.write).await {
                 count(&self.counters.unwritten);
                 log::debug!("answer not written: {e}");
                 return;
@@ -226,13 +233,14 @@
     async fn request(&self, stream: &mut Stream, shed: bool) -> Result<(Reply, bool), Option<http::Fault>> {
         let fault = |ending| match ending {
             Ending::Fault(fault) => Some(fault),
-            _ => None,
+            Ending::Stalled => Some(http::Fault::Stalled),
+            Ending::Closed | Ending::Cut => None,
         };
-        let head = stream.head(Kind::Request, READ_WITHIN).await.map_err(fault)?;
+        let head = stream.head(Kind::Request, self.waits.read).await.map_err(fault)?;
         if head.expects && head.framing != http::Framing::Length(0) {
-            let _ = stream.write(b"HTTP/1.1 100 Continue\r\n\r\n", WRITE_WITHIN).await;
+            let _ = stream.write(b"HTTP/1.1 100 Continue\r\n\r\n", self.waits.write).await;
         }
-        let body = stream.body(head.framing, READ_WITHIN).await.map_err(fault)?;
+        let body = stream.body(head.framing, self.waits.read).await.map_err(fault)?;
         count(&self.counters.requests);
         if shed {
             count(&self.counters.connections_shed);
--- a/broker/src/http.rs
+++ b/broker/src/http.rs
@@ -30,6 +30,8 @@
     BodyTooLong,
     /// A transfer coding other than `chunked`.
     Coding,
+    /// It did not come in time.
+    Stalled,
 }
 
 impl Fault {
@@ -40,6 +42,7 @@
             Self::HeadTooLong => 431,
             Self::BodyTooLong => 413,
             Self::Coding => 501,
+            Self::Stalled => 408,
         }
     }
 }
@@ -51,6 +54,7 @@
             Self::HeadTooLong => "the head is too long",
             Self::BodyTooLong => "the body is too long",
             Self::Coding => "unknown transfer coding",
+            Self::Stalled => "the request did not come in time",
         })
     }
 }
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -99,8 +99,10 @@
         let (listener, platform) = listen("LB_LISTEN", config.listen)?;
         let names = Names { classes: setup.classes, tenants: setup.tenants, shards: settings.shards };
         let front = Platform { exchange: exchange.clone(), names, clock, gate: gate.clone(), full_retry_ms };
-        let server = |service, most| Server::new(service, &gate, &counters, &executor, most);
-        executor.spawn(server(front, clients.clamp(16, CLIENTS_MOST)).run(listener)).detach();
+        let waits = config.waits;
+        let most = clients.clamp(16, CLIENTS_MOST);
+        let server = Server::new(front, &gate, &counters, &executor, waits, most);
+        executor.spawn(server.run(listener)).detach();
         log::info!("serving on {platform}");
         let mut features = None;
         if let Some(set) = set {
@@ -113,7 +115,7 @@
                 clock,
                 full_retry_ms,
             };
-            let server = Server::new(front, &gate, &counters, &executor, feature_clients);
+            let server = Server::new(front, &gate, &counters, &executor, waits, feature_clients);
             executor.spawn(server.run(listener)).detach();
             log::info!("serving features on {at}");
             features = Some(at);
--- a/broker/tests/config.rs
+++ b/broker/tests/config.rs
@@ -70,6 +70,8 @@
         }
         let error = read(&config(&world), None, &[("LB_LOG", "loud")]).unwrap_err();
         assert!(error.starts_with("LB_LOG: "), "{error}");
+        let error = read(&config(&world), None, &[("LB_READ_MS", "0")]).unwrap_err();
+        assert!(error.starts_with("LB_READ_MS: "), "{error}");
         let error = Config::read(|_| None, |_| Ok(String::new())).unwrap_err().to_string();
         assert!(error.starts_with("LB_CONFIG: "), "{error}");
     });
--- a/broker/tests/native.rs
+++ b/broker/tests/native.rs
@@ -213,3 +213,51 @@
         assert!(Async::<std::net::TcpStream>::connect(broker.platform).await.is_err(), "nobody listens");
     });
 }
+
+#[test]
+fn devices_on_poor_links_are_served_and_stalled_ones_are_let_go() {
+    run(2, |world| async move {
+        *world.env.borrow_mut() = vec![("LB_IDLE_MS", "150"), ("LB_READ_MS", "400"), ("LB_WRITE_MS", "400")];
+        let broker = world.broker(world.settings(), None).await;
+        let connect =
+            || async { Stream::new(Async::<std::net::TcpStream>::connect(broker.platform).await.unwrap()) };
+        let text = query("slow", "yard-compare", 2000, &[0], "x");
+        // In small pieces.
+        let mut stream = connect().await;
+        for piece in text.chunks(7) {
+            stream.write(piece, Duration::from_secs(5)).await.unwrap();
+            Timer::after(Duration::from_millis(1)).await;
+        }
+        assert_eq!(read(&mut stream).await.unwrap().status, 200);
+        assert!(read(&mut stream).await.is_none(), "closed once it stood idle");
+        // Cut inside the head and inside the body: nothing is taken.
+        for cut in [20, text.len() - 3] {
+            let mut stream = connect().await;
+            stream.write(&text[..cut], Duration::from_secs(5)).await.unwrap();
+            drop(stream);
+            let mut stalled = connect().await;
+            stalled.write(&text[..cut], Duration::from_secs(5)).await.unwrap();
+            assert_eq!(read(&mut stalled).await.unwrap().status, 408);
+            assert!(read(&mut stalled).await.is_none());
+        }
+        assert_eq!(broker.counters.queries.get(), 1);
+    });
+}
+
+#[test]
+fn too_many_connections_close_the_idle_ones_first() {
+    run(2, |world| async move {
+        // 256 of them are kept for stores and discovery.
+        world.sockets.set(256 + 20);
+        let broker = world.broker(world.settings(), None).await;
+        let mut idle = Vec::new();
+        for _ in 0..25 {
+            idle.push(Stream::new(Async::<std::net::TcpStream>::connect(broker.platform).await.unwrap()));
+        }
+        until(|| broker.counters.connections.get() == 25).await;
+        let got = exchange(broker.platform, &query("q1", "yard-compare", 2000, &[0], "x")).await.unwrap();
+        assert_eq!((got.status, broker.counters.connections_shed.get()), (200, 0));
+        assert!(read(&mut idle[0]).await.is_none(), "the one idle longest made room");
+        drop(idle);
+    });
+}
