Log at debug what became of attempts and queries that were not served

Ruled out: connections, resets, lateness of the broker (0.2 ms to the first attempt), refusals held back.

The log lines stay, since the question will come up again.

--- a/broker/src/exchange.rs
+++ b/broker/src/exchange.rs
@@ -121,6 +121,9 @@
             count(&self.counters.finals_dropped);
             return false;
         };
+        if !matches!(answer, Final::Answered { .. }) {
+            log::debug!("{}: {answer:?}", waiting.name);
+        }
         count(match answer {
             Final::Answered { .. } => &self.counters.answered,
             Final::Refused { .. } => &self.counters.refused,
