Keep two queries of one id apart, and test bounds, fallback and poor links

Seen: a client that leaves and comes back under the same id, against the protocol, could be given the first query's value for the second's text, if both parts met on one connection (store/link.rs, call). Such a call now ends as void, and the module goes elsewhere.

--- a/broker/src/store/link.rs
+++ b/broker/src/store/link.rs
@@ -96,7 +96,12 @@
     /// Queues a call. Its end comes on the channel.
     pub fn call(&self, id: Rc<str>, bytes: Vec<u8>) -> Receiver<Ended> {
         let (send, ended) = async_channel::bounded(1);
-        // An older attempt under the same id has been given up; its answer would be this one's.
+        // Guards against a client that uses an id again while a part of that id is still out here: the
+        // answer to the one would be taken for the other's.
+        if self.flights.borrow().contains_key(&id) {
+            let _ = send.try_send(Outcome::Void.into());
+            return ended;
+        }
         self.flights.borrow_mut().insert(id.clone(), Flight { ended: send, written: false });
         self.queue.borrow_mut().push_back(Outgoing { bytes, id: Some(id) });
         self.used.set(Instant::now());
--- a/broker/tests/common/world.rs
+++ b/broker/tests/common/world.rs
@@ -59,6 +59,8 @@
     pub given_up: RefCell<Vec<String>>,
     /// Features of block 0 that a store gives on a page at the most, whatever the limit.
     pub store_page: Cell<usize>,
+    /// Whether discovery refuses watches.
+    pub no_watch: Cell<bool>,
     /// How many descriptors the broker may hold.
     pub sockets: Cell<usize>,
     /// What the broker finds in its environment.
@@ -107,6 +109,7 @@
             sent: RefCell::default(),
             given_up: RefCell::default(),
             store_page: Cell::new(usize::MAX),
+            no_watch: Cell::new(false),
             sockets: Cell::new(1024),
             env: RefCell::default(),
             yards: (0..5 * stores).map(|n| yard(n, n % stores)).collect(),
@@ -235,6 +238,9 @@
             let bytes = http::answer(200, "", self.list().as_bytes(), false);
             return stream.write(&bytes, WITHIN).await.ok();
         }
+        if self.no_watch.get() {
+            return stream.write(&http::answer(503, "", b"", false), WITHIN).await.ok();
+        }
         let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
         stream.write(head, WITHIN).await.ok()?;
         let (watcher, changed) = async_channel::bounded(8);
--- a/broker/tests/native.rs
+++ b/broker/tests/native.rs
@@ -261,3 +261,53 @@
         drop(idle);
     });
 }
+
+#[test]
+fn a_list_is_fetched_where_no_watch_is_to_be_had_and_the_watch_asked_for_again() {
+    run(2, |world| async move {
+        world.no_watch.set(true);
+        let broker = world.broker(world.settings(), None).await;
+        assert_eq!((broker.counters.watches.get(), broker.counters.list_failures.get()), (1, 1));
+        let text = query("q1", "yard-compare", 2000, &[0, 1], "x");
+        assert_eq!(exchange(broker.platform, &text).await.unwrap().status, 200);
+        world.no_watch.set(false);
+        until(|| broker.counters.watches.get() >= 2).await;
+        world.drain(1, &broker).await;
+    });
+}
+
+#[test]
+fn an_id_used_again_while_its_part_is_out_gets_no_answer_of_the_other() {
+    run(1, |world| async move {
+        world.mood.borrow_mut()[0] = Mood::Slow(300);
+        let broker = world.broker(world.settings(), None).await;
+        let mut stream = Stream::new(Async::<std::net::TcpStream>::connect(broker.platform).await.unwrap());
+        let first = query("q1", "yard-compare", 2000, &[0], "collections/yards/items?limit=1");
+        stream.write(&first, Duration::from_secs(5)).await.unwrap();
+        until(|| world.sent.borrow().len() == 1).await;
+        drop(stream);
+        until(|| broker.counters.clients_gone.get() == 1).await;
+        let second = query("q1", "yard-compare", 2400, &[0], "another text");
+        let got = exchange(broker.platform, &second).await.unwrap();
+        if got.status == 200 {
+            assert_eq!(got.json()["answers"][0]["blob"], "v0-false");
+        }
+        assert!(broker.counters.void.get() > 0);
+    });
+}
+
+#[test]
+fn a_client_that_expects_to_be_asked_for_its_body_is_asked() {
+    run(2, |world| async move {
+        let broker = world.broker(world.settings(), None).await;
+        let text = String::from_utf8(query("q1", "yard-compare", 2000, &[0], "x")).unwrap();
+        let (head, body) = text.split_once("\r\n\r\n").unwrap();
+        let mut stream = Stream::new(Async::<std::net::TcpStream>::connect(broker.platform).await.unwrap());
+        let head = format!("{head}\r\nExpect: 100-continue\r\n\r\n");
+        stream.write(head.as_bytes(), Duration::from_secs(5)).await.unwrap();
+        let asked = stream.head(gingerledge::http::Kind::Answer, Duration::from_secs(5)).await.unwrap();
+        assert_eq!(asked.status, 100);
+        stream.write(body.as_bytes(), Duration::from_secs(5)).await.unwrap();
+        assert_eq!(read(&mut stream).await.unwrap().status, 200);
+    });
+}
--- a/broker/tests/parsers.rs
+++ b/broker/tests/parsers.rs
@@ -272,6 +272,20 @@
     assert!(page::page(&[(0, PAGE.into())], Some(&after), 10, 1000).is_err(), "not after the position");
 }
 
+#[test]
+fn a_page_that_grows_too_large_goes_on_at_the_next() {
+    let feature = |id: u32, size: usize| {
+        format!(r#"{{"type":"Feature","id":{id},"properties":{{"text":"{}"}}}}"#, "x".repeat(size))
+    };
+    let features: Vec<String> = (1..=3).map(|id| feature(id, 400)).collect();
+    let value = format!(r#"{{"type":"FeatureCollection","features":[{}]}}"#, features.join(","));
+    let values = [(0, value.as_bytes().into())];
+    let first = page::page(&values, None, 10, 1000).unwrap();
+    assert_eq!((first.features.len(), first.next), (2, Some(page::Id::Number(2))));
+    assert_eq!(page::page(&values, None, 10, 9000).unwrap().next, None);
+    assert!(page::page(&values, None, 10, 100).is_err(), "one that fits no page is no empty page");
+}
+
 #[test]
 fn broken_configuration_is_refused() {
     garbage(br#"{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{}}"#, |bytes| {
--- a/broker/tests/process.rs
+++ b/broker/tests/process.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use std::io::{BufRead, BufReader, Read};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::process::{Child, Command, Stdio};
 
 use common::world::{listener, run};
@@ -43,6 +43,45 @@
     });
 }
 
+/// As many connections as it takes, each in the midst of as long a body as may be.
+#[test]
+fn half_sent_bodies_on_every_connection_stay_within_its_memory() {
+    run(2, |world| async move {
+        let config = json!({ "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
+            "settings": world.settings() });
+        let mut child = start(&config, "memory");
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut line = String::new();
+        log.read_line(&mut line).unwrap();
+        let at = line.trim().rsplit(' ').next().unwrap().to_owned();
+        let mut text = b"POST /yard-compare HTTP/1.1\r\nContent-Length: 65536\r\n\r\n".to_vec();
+        text.extend(vec![b'x'; 65_000]);
+        let mut clients = Vec::new();
+        for _ in 0..512 {
+            let mut client = std::net::TcpStream::connect(&at).unwrap();
+            client.write_all(&text).unwrap();
+            clients.push(client);
+        }
+        let memory = |what: &str| -> u64 {
+            let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap();
+            let line = status.lines().find_map(|line| line.strip_prefix(what)).unwrap();
+            line.trim().trim_end_matches(" kB").parse().unwrap()
+        };
+        // All of it has been read once so much is held.
+        let mut checks = 0;
+        while memory("VmRSS:") < 512 * 60 {
+            checks += 1;
+            assert!(checks < 2000, "the bodies are not read");
+            std::thread::sleep(std::time::Duration::from_millis(5));
+        }
+        let kib = memory("VmHWM:");
+        assert!(kib < 192 * 1024, "{kib} KiB");
+        drop(clients);
+        signal(&child, "-TERM");
+        assert_eq!(child.wait().unwrap().code(), Some(0));
+    });
+}
+
 #[test]
 fn it_counts_on_request_and_exits_with_0_when_told_to_stop() {
     run(2, |world| async move {
