Refuse a query that no listed server may take before half its time

Seen, on checking the module for answers held back: all that it gives up on is ended in the same turn (settle, admit, fill), but a query none of whose parts has a server on the list was held until just before its end (settle, give_up), which leaves its client no time to come back. It is now refused at 45% of its time, with advice.

--- a/src/aggregator.rs
+++ b/src/aggregator.rs
@@ -70,6 +70,8 @@
 const OVER_QUOTA_SHARE: f64 = 0.6;
 /// Nothing is begun for a client that waits less than so many usual latencies, and less than the aim.
 const HASTE: f64 = 2.0;
+/// A query none of whose parts has a server on the list is given up after this share of its time.
+const UNSENT_SHARE: f64 = 0.45;
 /// A query trimmed of light parts keeps so many times the least weight that may be answered.
 const TRIM_RESERVE: f64 = 1.15;
 /// An all-or-nothing query whose slowest shard is expected to take this share of the aim is let in for sure,
@@ -520,7 +522,17 @@
         let in_part = class.floor < class.need && inside >= floor - ROUNDING && inside > 0.0;
         let due = now >= query.aim - margin && class.partial * inside / need >= class.late_share;
         let give_up = if class.late_share >= LATE_WORTH { query.deadline } else { query.aim } - margin;
-        let hopeless = query.blamed || 1.0 - lost < floor - ROUNDING;
+        // Guards against holding what no server on the list may take: past half of its time a query of which
+        // nothing has been sent is better refused, while its client has time to come back.
+        let nowhere = |p: &RequestId| {
+            self.parts.get(p).is_none_or(|part| {
+                part.tried.is_empty() && (0..self.set.reach).all(|j| self.cell(part.shard, j).is_empty())
+            })
+        };
+        let stuck = now - query.arrived >= UNSENT_SHARE * (query.deadline - query.arrived)
+            && !query.parts.is_empty()
+            && query.parts.iter().all(nowhere);
+        let hopeless = query.blamed || stuck || 1.0 - lost < floor - ROUNDING;
         if whole || (in_part && ((pending == 0) || due || now >= give_up || now > query.aim)) {
             let whole = whole && (!query.second_step || query.first_whole);
             actions.push(Action::Answer { query: id, whole });
@@ -652,6 +664,11 @@
         }
     }
 
+    /// The ready servers of the `j`th of the cells that hold a shard.
+    fn cell(&self, shard: u32, j: u32) -> &[ServerId] {
+        &self.cells[(shard.wrapping_add(j) % self.set.cells) as usize]
+    }
+
     fn ready(&self) -> f64 {
         self.cells.iter().map(Vec::len).sum::<usize>().max(1) as f64
     }
@@ -783,8 +800,7 @@
     }
 
     fn best(&self, now: Millis, part: &Part, class: usize) -> Option<(Rank, ServerId)> {
-        let holders = (0..self.set.reach.min(self.set.cells))
-            .flat_map(|j| &self.cells[(part.shard.wrapping_add(j) % self.set.cells) as usize]);
+        let holders = (0..self.set.reach.min(self.set.cells)).flat_map(|j| self.cell(part.shard, j));
         holders
             .filter(|sid| part.out == 0 || !part.tried.contains(sid))
             .filter_map(|&sid| Some((self.rank(now, sid, class)?, sid)))
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -22,6 +22,25 @@
     assert!(refused(&rig, 1), "{:?}", rig.answers(1));
 }
 
+#[test]
+fn a_query_of_which_nothing_can_be_sent_is_refused_before_half_its_time() {
+    let mut rig = Rig::new(settings(4, 2, 4), 0);
+    rig.query(1, 0, &[0, 1]);
+    rig.pass(1300.0);
+    assert!(rig.answers(1).is_empty(), "a list may still come");
+    rig.pass(195.0);
+    assert!(refused(&rig, 1), "{:?}", rig.answers(1));
+}
+
+#[test]
+fn a_query_of_which_a_part_was_sent_is_not_given_up_at_half_its_time() {
+    let mut rig = Rig::new(settings(4, 1, 4), 1);
+    rig.query(1, 0, &[0, 1]);
+    rig.pass(1495.0);
+    assert_eq!(rig.sent.len(), 1, "only one of the shards has a server");
+    assert!(rig.answers(1).is_empty(), "{:?}", rig.answers(1));
+}
+
 #[test]
 fn a_query_whose_parts_never_come_back_ends_once_before_its_deadline() {
     let mut rig = Rig::new(settings(4, 2, 4), 4);
