--- a/broker/tests/common/world.rs
+++ b/broker/tests/common/world.rs
@@ -59,6 +59,8 @@
     pub given_up: RefCell<Vec<String>>,
     /// Features of block 0 that a store gives on a page at the most, whatever the limit.
     pub store_page: Cell<usize>,
+    /// Whether discovery's watches say nothing more after their first line, not even that nothing changed.
+    pub mute: Cell<bool>,
     /// Whether discovery refuses watches.
     pub no_watch: Cell<bool>,
     /// How many descriptors the broker may hold.
@@ -109,6 +111,7 @@
             sent: RefCell::default(),
             given_up: RefCell::default(),
             store_page: Cell::new(usize::MAX),
+            mute: Cell::new(false),
             no_watch: Cell::new(false),
             sockets: Cell::new(1024),
             env: RefCell::default(),
@@ -249,6 +252,9 @@
         loop {
             let chunk = format!("{:x}\r\n{line}\r\n", line.len());
             stream.write(chunk.as_bytes(), WITHIN).await.ok()?;
+            if self.mute.get() {
+                return futures_lite::future::pending().await;
+            }
             let beat = async {
                 Timer::after(Duration::from_secs(2)).await;
                 "\n".to_owned()
--- a/broker/tests/native.rs
+++ b/broker/tests/native.rs
@@ -311,3 +311,19 @@
         assert_eq!(read(&mut stream).await.unwrap().status, 200);
     });
 }
+
+/// The machine behind a watch may vanish without a word; what it would have told counts as told 6 s later.
+#[test]
+fn a_watch_that_falls_silent_is_begun_again() {
+    run(2, |world| async move {
+        world.mute.set(true);
+        let broker = world.broker(world.settings(), None).await;
+        assert_eq!(broker.counters.watches.get(), 1);
+        world.mute.set(false);
+        until(|| broker.counters.watches.get() == 2 && broker.counters.lists.get() == 2).await;
+        world.drain(0, &broker).await;
+        let text = query("q1", "yard-compare", 2000, &[0, 1], "x");
+        assert_eq!(exchange(broker.platform, &text).await.unwrap().status, 200);
+        assert!(world.sent.borrow().iter().all(|sent| sent.store == 1));
+    });
+}
--- a/broker/tests/process.rs
+++ b/broker/tests/process.rs
@@ -4,19 +4,30 @@
 mod common;
 
 use std::io::{BufRead, BufReader, Read, Write};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
 use common::world::{listener, run};
 use serde_json::{json, Value};
 
-fn start(config: &Value, name: &str) -> Child {
+/// A configuration file that goes with the test.
+struct File(PathBuf);
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+fn start(config: &Value, name: &str) -> (Child, File) {
     let path = std::env::temp_dir().join(format!("gingerledge-test-{}-{name}.json", std::process::id()));
     std::fs::write(&path, config.to_string()).unwrap();
     let mut program = Command::new(env!("CARGO_BIN_EXE_gingerledge"));
     for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_LOG", "LB_OPERATOR"] {
         program.env_remove(key);
     }
-    program.env("LB_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap()
+    let child = program.env("LB_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap();
+    (child, File(path))
 }
 
 fn signal(child: &Child, name: &str) {
@@ -30,14 +41,16 @@
         let mut config = json!({ "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
             "settings": world.settings() });
         config["settings"]["categories"][0]["aim_ms"] = json!("soon");
-        let output = start(&config, "bad").wait_with_output().unwrap();
+        let (child, _file) = start(&config, "bad");
+        let output = child.wait_with_output().unwrap();
         assert_eq!(output.status.code(), Some(1));
         let said = String::from_utf8(output.stderr).unwrap();
         assert!(said.contains("settings.categories.0.aim_ms: expected a number"), "{said}");
         let taken = listener();
         config["settings"] = world.settings();
         config["listen"] = json!(taken.1.to_string());
-        let output = start(&config, "taken").wait_with_output().unwrap();
+        let (child, _file) = start(&config, "taken");
+        let output = child.wait_with_output().unwrap();
         assert_eq!(output.status.code(), Some(1));
         assert!(String::from_utf8(output.stderr).unwrap().contains("LB_LISTEN: can't listen"));
     });
@@ -49,7 +62,7 @@
     run(2, |world| async move {
         let config = json!({ "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
             "settings": world.settings() });
-        let mut child = start(&config, "memory");
+        let (mut child, _file) = start(&config, "memory");
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
         log.read_line(&mut line).unwrap();
@@ -87,7 +100,7 @@
     run(2, |world| async move {
         let config = json!({ "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
             "settings": world.settings() });
-        let mut child = start(&config, "good");
+        let (mut child, _file) = start(&config, "good");
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut until = |words: &str| {
             let mut line = String::new();
