Move GeoJSON out of the front, so that store and front meet only in the exchange

Seen: store/features.rs used front::features::page to look at a store's page, and config used the front's box and waits: the two sides knew each other. Boxes, ids and pages are now in geojson.rs, the waits in config; nothing in store, core, exchange or config names a front, and no front names a store. No change in what it does; all tests pass.

--- a/broker/src/config.rs
+++ b/broker/src/config.rs
@@ -13,7 +13,6 @@
 use stoatlane::Setup;
 
 use crate::clock::Millis;
-use crate::front::Waits;
 
 /// What is wrong with which key.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -37,6 +36,17 @@
 
 impl std::error::Error for Error {}
 
+/// How long clients may take: devices on poor links are slow, and stalled ones must not stay for ever.
+#[derive(Clone, Copy, Debug)]
+pub struct Waits {
+    /// A connection between requests is closed after so long.
+    pub idle: Duration,
+    /// A request's head, and then its body, come within so long.
+    pub read: Duration,
+    /// An answer is read within so long.
+    pub write: Duration,
+}
+
 /// Everything that the program is told at its start.
 #[derive(Debug)]
 pub struct Config {
--- a/broker/src/config/features.rs
+++ b/broker/src/config/features.rs
@@ -9,7 +9,7 @@
 
 use super::Error;
 use crate::clock::Millis;
-use crate::front::features::query::Bbox;
+use crate::geojson::Bbox;
 
 /// A link key shorter than this could be guessed.
 const KEY_LEAST: usize = 16;
--- a/broker/src/front/features/link.rs
+++ b/broker/src/front/features/link.rs
@@ -8,8 +8,8 @@
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 
-use super::page::Id;
 use super::query::Bad;
+use crate::geojson::Id;
 
 const MAC_LENGTH: usize = 16;
 /// No cursor is longer.
--- a/broker/src/front/features/mod.rs
+++ b/broker/src/front/features/mod.rs
@@ -4,7 +4,6 @@
 
 pub mod describe;
 pub mod link;
-pub mod page;
 pub mod query;
 
 use std::cell::Cell;
@@ -19,6 +18,7 @@
 use crate::config::features::{Collection, Features};
 use crate::core::{Ask, Final, Form, Question, Text};
 use crate::exchange::{Exchange, Untaken};
+use crate::geojson;
 use crate::http::{self, Head, BODY_MAX};
 
 /// Left of a page's bytes for its links and the rest round the features.
@@ -301,7 +301,7 @@
 impl Reader {
     fn reply(&self, values: &[(u32, Text)]) -> Reply {
         let Position { after, limit, .. } = &self.wanted.position;
-        let page = match page::page(values, after.as_ref(), *limit, BODY_MAX - FRAME) {
+        let page = match geojson::page(values, after.as_ref(), *limit, BODY_MAX - FRAME) {
             Ok(page) => page,
             Err(fault) => return problem(502, "Bad Gateway", &fault),
         };
@@ -315,7 +315,7 @@
         Reply { status: 200, headers: format!("Content-Type: {}\r\n", describe::GEOJSON), body }
     }
 
-    fn items(&self, page: page::Page) -> Reply {
+    fn items(&self, page: geojson::Page) -> Reply {
         let position = &self.wanted.position;
         let here = format!("{}/collections/{}", self.base, position.collection);
         let items = |cursor: &str| format!("{here}/items?cursor={cursor}");
@@ -358,7 +358,7 @@
     }
 
     /// A feature alone: its own text, with its links at the end.
-    fn single(&self, id: &str, page: &page::Page) -> Reply {
+    fn single(&self, id: &str, page: &geojson::Page) -> Reply {
         let Some(feature) = page.features.first() else {
             return problem(404, "Not Found", &format!("there is no feature `{id}`"));
         };
--- a/broker/src/front/features/query.rs
+++ b/broker/src/front/features/query.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 
 use crate::clock::Millis;
+use crate::geojson::Bbox;
 
 /// What is wrong with a request; its client reads it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,59 +16,6 @@
     }
 }
 
-/// A box on the globe, in degrees. Its west lies east of its east where it crosses the antimeridian.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Bbox {
-    west: f64,
-    south: f64,
-    east: f64,
-    north: f64,
-}
-
-impl Bbox {
-    /// A box from its west, south, east and north.
-    pub fn new([west, south, east, north]: [f64; 4]) -> Result<Self, String> {
-        if ![west, east].iter().all(|lon| (-180.0..=180.0).contains(lon)) {
-            return Err("longitudes go from -180 to 180".to_owned());
-        }
-        if ![south, north].iter().all(|lat| (-90.0..=90.0).contains(lat)) {
-            return Err("latitudes go from -90 to 90".to_owned());
-        }
-        if south > north {
-            return Err("its south lies north of its north".to_owned());
-        }
-        Ok(Self { west, south, east, north })
-    }
-
-    /// Its corners, as in GeoJSON.
-    pub fn corners(&self) -> [f64; 4] {
-        [self.west, self.south, self.east, self.north]
-    }
-
-    /// The spans of longitude that it covers, none of which crosses the antimeridian. That meridian has
-    /// two names, and what touches it under one touches it under the other.
-    fn spans(&self) -> Vec<(f64, f64)> {
-        let mut spans = match self.west <= self.east {
-            true => vec![(self.west, self.east)],
-            false => vec![(self.west, 180.0), (-180.0, self.east)],
-        };
-        if spans.iter().any(|span| span.1 == 180.0) {
-            spans.push((-180.0, -180.0));
-        }
-        if spans.iter().any(|span| span.0 == -180.0) {
-            spans.push((180.0, 180.0));
-        }
-        spans
-    }
-
-    /// Whether the two have a point in common; edges belong to a box.
-    pub fn intersects(&self, other: &Self) -> bool {
-        let (ours, theirs) = (self.spans(), other.spans());
-        let across = ours.iter().any(|a| theirs.iter().any(|b| a.0 <= b.1 && b.0 <= a.1));
-        across && self.south <= other.north && other.south <= self.north
-    }
-}
-
 /// Reads `bbox`: four numbers, or six with heights, which blocks do not have.
 pub fn bbox(text: &str) -> Result<Bbox, Bad> {
     let bad = |fault: &str| Bad(format!("bbox: {fault}"));
--- a/broker/src/front/mod.rs
+++ b/broker/src/front/mod.rs
@@ -15,22 +15,12 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 
+use crate::config::Waits;
 use crate::core::Final;
 use crate::counters::{count, Counters};
 use crate::exchange::Ticket;
 use crate::http::{self, Ending, Head, Kind, Stream};
 
-/// How long clients may take: devices on poor links are slow, and stalled ones must not stay for ever.
-#[derive(Clone, Copy, Debug)]
-pub struct Waits {
-    /// A connection between requests is closed after so long.
-    pub idle: Duration,
-    /// A request's head, and then its body, come within so long.
-    pub read: Duration,
-    /// An answer is read within so long.
-    pub write: Duration,
-}
-
 /// After a failed accept (no descriptor is left, say) the next is tried so much later.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
--- a/broker/src/front/features/page.rs
+++ b/broker/src/geojson.rs
@@ -1,6 +1,7 @@
-//! Puts a page together from what the blocks gave. Each gives its features after the position, in the
-//! order of their ids, up to the limit, and says with a next link of its own that it has more. The
-//! features themselves go on as the bytes that came.
+//! What both sides know of GeoJSON: boxes on the globe, features by their ids, and how a page is put
+//! together from what the blocks gave. Each block gives its features after a position, in the order of
+//! their ids, up to the limit, and says with a next link of its own that it has more. The features
+//! themselves go on as the bytes that came.
 
 use std::collections::BTreeMap;
 
@@ -12,6 +13,59 @@
 /// No feature id is longer.
 const ID_MAX: usize = 256;
 
+/// A box on the globe, in degrees. Its west lies east of its east where it crosses the antimeridian.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bbox {
+    west: f64,
+    south: f64,
+    east: f64,
+    north: f64,
+}
+
+impl Bbox {
+    /// A box from its west, south, east and north.
+    pub fn new([west, south, east, north]: [f64; 4]) -> Result<Self, String> {
+        if ![west, east].iter().all(|lon| (-180.0..=180.0).contains(lon)) {
+            return Err("longitudes go from -180 to 180".to_owned());
+        }
+        if ![south, north].iter().all(|lat| (-90.0..=90.0).contains(lat)) {
+            return Err("latitudes go from -90 to 90".to_owned());
+        }
+        if south > north {
+            return Err("its south lies north of its north".to_owned());
+        }
+        Ok(Self { west, south, east, north })
+    }
+
+    /// Its corners, as in GeoJSON.
+    pub fn corners(&self) -> [f64; 4] {
+        [self.west, self.south, self.east, self.north]
+    }
+
+    /// The spans of longitude that it covers, none of which crosses the antimeridian. That meridian has
+    /// two names, and what touches it under one touches it under the other.
+    fn spans(&self) -> Vec<(f64, f64)> {
+        let mut spans = match self.west <= self.east {
+            true => vec![(self.west, self.east)],
+            false => vec![(self.west, 180.0), (-180.0, self.east)],
+        };
+        if spans.iter().any(|span| span.1 == 180.0) {
+            spans.push((-180.0, -180.0));
+        }
+        if spans.iter().any(|span| span.0 == -180.0) {
+            spans.push((180.0, 180.0));
+        }
+        spans
+    }
+
+    /// Whether the two have a point in common; edges belong to a box.
+    pub fn intersects(&self, other: &Self) -> bool {
+        let (ours, theirs) = (self.spans(), other.spans());
+        let across = ours.iter().any(|a| theirs.iter().any(|b| a.0 <= b.1 && b.0 <= a.1));
+        across && self.south <= other.north && other.south <= self.north
+    }
+}
+
 /// A feature's id. Numbers come before texts.
 #[derive(Clone, Debug, Deserialize, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(untagged)]
--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod discovery;
 pub mod exchange;
 pub mod front;
+pub mod geojson;
 pub mod http;
 pub mod logger;
 pub mod service;
--- a/broker/src/store/features.rs
+++ b/broker/src/store/features.rs
@@ -11,7 +11,7 @@
 use super::Site;
 use crate::core::{Ended, Order, Served};
 use crate::counters::{count, Counters};
-use crate::front::features::page;
+use crate::geojson;
 use crate::http::{self, Ending, Kind, Stream};
 
 /// Connections kept for later requests.
@@ -73,7 +73,7 @@
             self.kept.borrow_mut().push((stream, Instant::now()));
         }
         match head.status {
-            200 if page::readable(&body) => {
+            200 if geojson::readable(&body) => {
                 let served = Some(Served { score: 0, value: body.into() });
                 Ended { outcome: Outcome::Success, served, report: Vec::new() }
             }
--- a/broker/tests/features.rs
+++ b/broker/tests/features.rs
@@ -130,7 +130,7 @@
 
 #[test]
 fn extents_touch_boxes_as_the_globe_has_it() {
-    use gingerledge::front::features::query::Bbox;
+    use gingerledge::geojson::Bbox;
     let touch = |a, b| {
         let (a, b) = (Bbox::new(a).unwrap(), Bbox::new(b).unwrap());
         assert_eq!(a.intersects(&b), b.intersects(&a));
--- a/broker/tests/parsers.rs
+++ b/broker/tests/parsers.rs
@@ -6,8 +6,9 @@
 use common::cuts::{cuts, garbage};
 use gingerledge::config::Config;
 use gingerledge::discovery::{self, Lines};
-use gingerledge::front::features::{link, page, query};
+use gingerledge::front::features::{link, query};
 use gingerledge::front::platform::{answer, question, Names};
+use gingerledge::geojson::{self, page, Id};
 use gingerledge::http::{parse_chunk, parse_head, Chunk, Fault, Framing, Kind, HEAD_MAX};
 use gingerledge::store::frame::{self, Frame};
 
@@ -250,7 +251,7 @@
         bbox: Some("1,2,3,4".to_owned()),
         datetime: None,
         limit: 5,
-        after: Some(page::Id::Text("y-7".to_owned())),
+        after: Some(Id::Text("y-7".to_owned())),
     };
     let cursor = link::seal(&position, b"a key of the operator").unwrap();
     assert_eq!(link::open(&cursor, b"a key of the operator").unwrap(), position);
@@ -264,12 +265,12 @@
 
 #[test]
 fn pages_of_garbage_are_refused() {
-    assert!(page::readable(PAGE));
-    garbage(PAGE, |bytes| drop(page::page(&[(0, bytes.into())], None, 10, 1000)));
+    assert!(geojson::readable(PAGE));
+    garbage(PAGE, |bytes| drop(page(&[(0, bytes.into())], None, 10, 1000)));
     let swapped = String::from_utf8(PAGE.to_vec()).unwrap().replace("\"a\"", "\"c\"");
-    assert!(!page::readable(swapped.as_bytes()), "out of order");
-    let after = page::Id::Text("a".to_owned());
-    assert!(page::page(&[(0, PAGE.into())], Some(&after), 10, 1000).is_err(), "not after the position");
+    assert!(!geojson::readable(swapped.as_bytes()), "out of order");
+    let after = Id::Text("a".to_owned());
+    assert!(page(&[(0, PAGE.into())], Some(&after), 10, 1000).is_err(), "not after the position");
 }
 
 #[test]
@@ -280,10 +281,10 @@
     let features: Vec<String> = (1..=3).map(|id| feature(id, 400)).collect();
     let value = format!(r#"{{"type":"FeatureCollection","features":[{}]}}"#, features.join(","));
     let values = [(0, value.as_bytes().into())];
-    let first = page::page(&values, None, 10, 1000).unwrap();
-    assert_eq!((first.features.len(), first.next), (2, Some(page::Id::Number(2))));
-    assert_eq!(page::page(&values, None, 10, 9000).unwrap().next, None);
-    assert!(page::page(&values, None, 10, 100).is_err(), "one that fits no page is no empty page");
+    let first = page(&values, None, 10, 1000).unwrap();
+    assert_eq!((first.features.len(), first.next), (2, Some(Id::Number(2))));
+    assert_eq!(page(&values, None, 10, 9000).unwrap().next, None);
+    assert!(page(&values, None, 10, 100).is_err(), "one that fits no page is no empty page");
 }
 
 #[test]
