Advise refused clients to come back after a part's usual latency

Changed: the advice is the usual latency of a part of the class, 100 ms at the least, the old figure at the most and while nothing is known.

--- a/src/aggregator.rs
+++ b/src/aggregator.rs
@@ -85,6 +85,8 @@
 const LOST_GAIN: f64 = 0.08;
 const LOST_MARGIN: f64 = 0.15;
 const LOST_FORGIVEN: f64 = 0.998;
+/// Advice to refused clients is no shorter.
+const RETRY_LEAST_MS: Millis = 100.0;
 /// The first wait before the list is asked for again, spread by seed.
 const ASK_AGAIN_MS: Millis = 1000.0;
 
@@ -572,7 +574,12 @@
         if unsafe_class && may_have_run {
             actions.push(Action::Fail { query: id });
         } else {
-            actions.push(Action::Refuse { query: id, retry_after_ms: self.set.max_retry_after_ms });
+            // Room comes as parts end: in about the usual latency of one. Longer advice would use up the
+            // aim of whoever follows it.
+            let usual = self.typical[query.class];
+            let most = self.set.max_retry_after_ms;
+            let retry_after_ms = if usual > 0.0 { usual.clamp(RETRY_LEAST_MS.min(most), most) } else { most };
+            actions.push(Action::Refuse { query: id, retry_after_ms });
         }
         query.parts.iter().for_each(|&part| self.withdraw(part, actions));
         self.forget(id);
