Read the configuration again on SIGHUP and follow a new discovery

Ruled out: a panic or a failed read of the file, as neither log has a line after "serving on".

Changed: SIGHUP reads and checks the whole file again (`Config::discovery_again`; the environment's LB_DISCOVERY is that of the start and must not hide the new one). `Discovery::follow` leaves the watch that stands and begins one at the new address at once, from no version, since versions may be others there and what is to be told counts as told 4 s later. A file that can't be used is logged with its key and changes nothing. The version known moves into `Discovery`, where it is reset with the address.

--- a/broker/src/config.rs
+++ b/broker/src/config.rs
@@ -176,6 +176,15 @@
             features,
         })
     }
+
+    /// Reads a configuration that took the place of the one at the start, and checks all of it; returns
+    /// where discovery is now. The environment can't have changed since, so for that the file alone counts.
+    pub fn discovery_again(
+        var: impl Fn(&str) -> Option<String>,
+        read: impl Fn(&str) -> std::io::Result<String>,
+    ) -> Result<SocketAddr, Error> {
+        Self::read(|key| var(key).filter(|_| key != "LB_DISCOVERY"), read).map(|config| config.discovery)
+    }
 }
 
 fn address((key, text): (String, String)) -> Result<SocketAddr, Error> {
--- a/broker/src/discovery.rs
+++ b/broker/src/discovery.rs
@@ -2,12 +2,14 @@
 //! had, the whole list is fetched once instead; the core is told of the failure and asks again, after
 //! a wait of its own.
 
+use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
+use futures_lite::future::or;
 use serde::Deserialize;
 use stoatlane::{Entry, ListKind, Status};
 
@@ -111,12 +113,15 @@
 
 /// Begins watches.
 pub struct Discovery {
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
+    /// The version known.
+    since: Cell<Option<u64>>,
     zones: std::collections::HashMap<String, u32>,
     exchange: Rc<Exchange>,
     stores: Rc<Stores>,
     counters: Rc<Counters>,
     asks: (Sender<()>, Receiver<()>),
+    moved: (Sender<()>, Receiver<()>),
 }
 
 impl Discovery {
@@ -128,7 +133,20 @@
         stores: Rc<Stores>,
         counters: Rc<Counters>,
     ) -> Rc<Self> {
-        Rc::new(Self { address, zones, exchange, stores, counters, asks: async_channel::bounded(1) })
+        let (asks, moved) = (async_channel::bounded(1), async_channel::bounded(1));
+        let (address, since) = (Cell::new(address), Cell::new(None));
+        Rc::new(Self { address, since, zones, exchange, stores, counters, asks, moved })
+    }
+
+    /// Follows discovery to another address. What stands with the old one is left at once: it closes its
+    /// watches soon, and what the new one has to tell counts as told 4 s from now.
+    pub fn follow(&self, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            log::info!("discovery: now at {address}");
+            // Its versions may be others there, so the whole list is asked for.
+            self.since.set(None);
+            let _ = self.moved.0.try_send(());
+        }
     }
 
     /// Asks for a watch; one that stands is kept.
@@ -138,6 +156,7 @@
 
     /// Tells the core of a list.
     pub fn tell(&self, list: &List, remembered: bool) {
+        self.since.set(Some(list.generation));
         let mut entries = Vec::with_capacity(list.instances.len());
         for instance in &list.instances {
             let Ok(address) = instance.host_port.parse() else {
@@ -170,23 +189,26 @@
         self.exchange.listed(kind, entries);
     }
 
-    /// Serves requests for a watch, one at a time. `since` is the version already known.
-    pub async fn run(self: Rc<Self>, mut since: Option<u64>) {
-        while self.asks.1.recv().await.is_ok() {
-            count(&self.counters.watches);
-            let before = since;
-            let Err(fault) = self.watch(&mut since).await;
-            log::info!("discovery: watch ended: {fault}");
-            count(&self.counters.list_failures);
-            if since == before {
-                // The watch told nothing: perhaps the whole list can be had.
-                match self.fetch().await {
-                    Ok(list) => {
-                        since = Some(list.generation);
-                        self.tell(&list, false);
-                    }
-                    Err(fault) => log::info!("discovery: list not fetched: {fault}"),
-                }
+    /// Waits until a watch is to be begun.
+    async fn wanted(&self) -> bool {
+        or(async { self.asks.1.recv().await.is_ok() }, self.moved()).await
+    }
+
+    async fn moved(&self) -> bool {
+        self.moved.1.recv().await.is_ok()
+    }
+
+    /// Serves requests for a watch, one at a time, and begins one of its own accord where discovery has
+    /// moved.
+    pub async fn run(self: Rc<Self>) {
+        while self.wanted().await {
+            let call = async {
+                self.call().await;
+                false
+            };
+            if or(call, self.moved()).await {
+                let _ = self.moved.0.try_send(());
+                continue;
             }
             // What was asked for meanwhile is answered by this failure.
             let _ = self.asks.1.try_recv();
@@ -194,11 +216,26 @@
         }
     }
 
+    /// Watches until the watch ends; if it told nothing, perhaps the whole list can be had.
+    async fn call(&self) {
+        count(&self.counters.watches);
+        let before = self.since.get();
+        let Err(fault) = self.watch().await;
+        log::info!("discovery: watch ended: {fault}");
+        count(&self.counters.list_failures);
+        if self.since.get() == before {
+            match self.fetch().await {
+                Ok(list) => self.tell(&list, false),
+                Err(fault) => log::info!("discovery: list not fetched: {fault}"),
+            }
+        }
+    }
+
     async fn get(&self, target: &str) -> Result<(Stream, http::Head), String> {
-        let socket = http::connect(self.address, CONNECT_WITHIN).await.map_err(|e| e.to_string())?;
+        let address = self.address.get();
+        let socket = http::connect(address, CONNECT_WITHIN).await.map_err(|e| e.to_string())?;
         let mut stream = Stream::new(socket);
-        let request =
-            format!("GET {target} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.address);
+        let request = format!("GET {target} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
         stream.write(request.as_bytes(), CONNECT_WITHIN).await.map_err(|e| e.to_string())?;
         let head = stream.head(Kind::Answer, HEAD_WITHIN).await.map_err(|e| format!("{e:?}"))?;
         match head.status {
@@ -214,8 +251,8 @@
     }
 
     /// Watches until the watch ends, which it always does with a fault.
-    async fn watch(&self, since: &mut Option<u64>) -> Result<std::convert::Infallible, String> {
-        let target = match since {
+    async fn watch(&self) -> Result<std::convert::Infallible, String> {
+        let target = match self.since.get() {
             Some(version) => format!("/v1/endpoints?follow=1&since={version}"),
             None => "/v1/endpoints?follow=1".to_owned(),
         };
@@ -232,7 +269,6 @@
                     continue;
                 }
                 let list = parse(&line).map_err(|fault| fault.to_string())?;
-                *since = Some(list.generation);
                 self.tell(&list, false);
             }
         }
--- a/broker/src/main.rs
+++ b/broker/src/main.rs
@@ -7,10 +7,11 @@
 
 fn main() -> ExitCode {
     let clock = Clock::new();
-    let config = Config::read(|key| std::env::var(key).ok(), |path| std::fs::read_to_string(path));
-    let ran = config.and_then(|config| {
+    let var = |key: &str| std::env::var(key).ok();
+    let read = |path: &str| std::fs::read_to_string(path);
+    let ran = Config::read(var, read).and_then(|config| {
         gingerledge::logger::start(&config.name, config.log, clock);
-        gingerledge::service::run(config, clock)
+        gingerledge::service::run(config, clock, || Config::discovery_again(var, read))
     });
     match ran {
         Ok(()) => ExitCode::SUCCESS,
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -34,14 +34,14 @@
 /// A connection is left to stand for this share of the time after which a store would close it.
 const IDLE_SHARE: f64 = 0.8;
 
-/// Runs the broker until it is told to stop.
-pub fn run(config: Config, clock: Clock) -> Result<(), Error> {
+/// Runs the broker until it is told to stop. `again` reads the configuration once more, on SIGHUP.
+pub fn run(config: Config, clock: Clock, again: impl Fn() -> Result<SocketAddr, Error>) -> Result<(), Error> {
     let executor = Rc::new(LocalExecutor::new());
     let serving = async {
-        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1])
+        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup])
             .map_err(|e| Error::new("signals", e.to_string()))?;
         let broker = Broker::start(config, clock, executor.clone())?;
-        broker.watch(signals).await;
+        broker.watch(signals, again).await;
         broker.stop().await;
         Ok(())
     };
@@ -57,6 +57,7 @@
     /// What it has counted.
     pub counters: Rc<Counters>,
     exchange: Rc<Exchange>,
+    discovery: Rc<Discovery>,
     gate: Rc<Gate>,
 }
 
@@ -86,11 +87,9 @@
         let stores = Stores::new(executor.clone(), exchange.clone(), counters.clone(), limits, grace, offers);
         let discovery =
             Discovery::new(config.discovery, setup.zones, exchange.clone(), stores.clone(), counters.clone());
-        let mut since = None;
         if let Some(known) = &config.known {
             let known = crate::discovery::parse(known.to_string().as_bytes());
             let known = known.map_err(|fault| Error::new("known", fault.to_string()))?;
-            since = Some(known.generation);
             discovery.tell(&known, true);
         }
 
@@ -121,16 +120,18 @@
             features = Some(at);
         }
         let core = Core::new(config.seed, settings, clock.now());
-        executor.spawn(discovery.clone().run(since)).detach();
-        executor.spawn(drive(core, clock, exchange.clone(), stores, discovery)).detach();
-        Ok(Self { platform, features, counters, exchange, gate })
+        executor.spawn(discovery.clone().run()).detach();
+        executor.spawn(drive(core, clock, exchange.clone(), stores, discovery.clone())).detach();
+        Ok(Self { platform, features, counters, exchange, discovery, gate })
     }
 
-    /// Prints the counters on SIGUSR1; returns on SIGTERM or SIGINT.
-    async fn watch(&self, mut signals: Signals) {
+    /// Prints the counters on SIGUSR1 and reads the configuration again on SIGHUP; returns on SIGTERM or
+    /// SIGINT.
+    async fn watch(&self, mut signals: Signals, again: impl Fn() -> Result<SocketAddr, Error>) {
         while let Some(signal) = signals.next().await {
             match signal {
                 Ok(Signal::Usr1) => log::info!("counters: {}", self.counters),
+                Ok(Signal::Hup) => self.reload(again()),
                 Ok(Signal::Term | Signal::Int) => return,
                 Ok(_) => {}
                 Err(e) => log::warn!("signals: {e}"),
@@ -138,6 +139,15 @@
         }
     }
 
+    /// Follows the discovery of a configuration that was read again; all other settings stay as they were
+    /// at the start. One that can't be used changes nothing.
+    pub fn reload(&self, again: Result<SocketAddr, Error>) {
+        match again {
+            Ok(discovery) => self.discovery.follow(discovery),
+            Err(error) => log::error!("configuration not read again: {error}; the old one stays"),
+        }
+    }
+
     /// Stops taking requests and finishes those taken.
     pub async fn stop(&self) {
         log::info!("stopping: {} queries open", self.exchange.open_queries());
--- a/broker/tests/common/world.rs
+++ b/broker/tests/common/world.rs
@@ -175,6 +175,17 @@
         })
     }
 
+    /// Discovery at one more address; gives that, and how many connections it has had there.
+    pub fn more_discovery(self: &Rc<Self>) -> (SocketAddr, Rc<Cell<usize>>) {
+        let ((listener, address), had) = (listener(), Rc::new(Cell::new(0)));
+        let (this, had_here) = (self.clone(), had.clone());
+        self.each(listener, move |socket| {
+            had_here.set(had_here.get() + 1);
+            this.clone().discover(socket)
+        });
+        (address, had)
+    }
+
     /// An operator's file; the stores named in `offering` speak the feature form.
     pub fn operator(&self, offering: &[usize]) -> String {
         let mut text = String::from(
--- a/broker/tests/config.rs
+++ b/broker/tests/config.rs
@@ -121,3 +121,20 @@
         assert_eq!(set.blocks.len(), 9);
     });
 }
+
+/// The environment is that of the start, and must not hide what the new file says.
+#[test]
+fn a_file_read_again_tells_where_discovery_is_now() {
+    run(4, |world| async move {
+        let mut given = config(&world);
+        let var = |key: &str| match key {
+            "LB_CONFIG" => Some("config".to_owned()),
+            "LB_DISCOVERY" => Some("127.0.0.1:1".to_owned()),
+            _ => None,
+        };
+        let again = |given: &Value| Config::discovery_again(var, |_| Ok(given.to_string()));
+        assert_eq!(again(&given).unwrap().to_string(), "127.0.0.1:8500");
+        given["discovery"] = json!("elsewhere");
+        assert!(again(&given).unwrap_err().to_string().starts_with("discovery: expected address:port"));
+    });
+}
--- a/broker/tests/native.rs
+++ b/broker/tests/native.rs
@@ -327,3 +327,28 @@
         assert!(world.sent.borrow().iter().all(|sent| sent.store == 1));
     });
 }
+
+/// What the new address has to tell counts as told 4 s after the configuration was replaced.
+#[test]
+fn discovery_is_followed_to_a_new_address_while_queries_go_on() {
+    run(2, |world| async move {
+        let broker = world.broker(world.settings(), None).await;
+        *world.mood.borrow_mut() = vec![Mood::Slow(300); 2];
+        let text = query("q1", "yard-compare", 2000, &[0, 1], "x");
+        let open = world.executor.spawn({
+            let at = broker.platform;
+            async move { exchange(at, &text).await.unwrap() }
+        });
+        until(|| broker.counters.attempts.get() == 2).await;
+        let (address, had) = world.more_discovery();
+        broker.reload(Ok(address));
+        until(|| had.get() == 1 && broker.counters.lists.get() == 2).await;
+        assert_eq!(open.await.status, 200);
+        world.drain(0, &broker).await;
+        let sent = world.sent.borrow().len();
+        let text = query("q2", "yard-compare", 2000, &[0, 1], "x");
+        assert_eq!(exchange(broker.platform, &text).await.unwrap().status, 200);
+        assert!(world.sent.borrow()[sent..].iter().all(|sent| sent.store == 1));
+        assert_eq!((had.get(), broker.counters.list_failures.get()), (1, 0));
+    });
+}
--- a/broker/tests/process.rs
+++ b/broker/tests/process.rs
@@ -120,3 +120,37 @@
         assert_eq!(child.wait().unwrap().code(), Some(0));
     });
 }
+
+/// Unhandled, the signal ends a process at once.
+#[test]
+fn it_follows_a_new_configuration_and_keeps_the_old_where_that_is_no_use() {
+    run(2, |world| async move {
+        let mut config = json!({ "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
+            "settings": world.settings() });
+        let (mut child, file) = start(&config, "again");
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut until = |words: &str| {
+            let mut line = String::new();
+            while !line.contains(words) {
+                line.clear();
+                assert!(log.read_line(&mut line).unwrap() > 0, "the log ended before `{words}`");
+            }
+        };
+        until("serving on 127.0.0.1:");
+        config["settings"]["limits"]["max_open"] = json!("many");
+        std::fs::write(&file.0, config.to_string()).unwrap();
+        signal(&child, "-HUP");
+        until("settings.limits.max_open: expected 2 to");
+        std::fs::write(&file.0, "{\"discovery").unwrap();
+        signal(&child, "-HUP");
+        until("LB_CONFIG: not JSON");
+        config["settings"] = world.settings();
+        config["discovery"] = json!("127.0.0.1:7");
+        std::fs::write(&file.0, config.to_string()).unwrap();
+        signal(&child, "-HUP");
+        until("now at 127.0.0.1:7");
+        signal(&child, "-TERM");
+        until("counters: ");
+        assert_eq!(child.wait().unwrap().code(), Some(0));
+    });
+}
