Take spoilt store answers as failures, not as stores that went down

A debug log of both brokers: 77 attempts ended `Broken`, 358 queries refused on one broker. Each spoilt answer ended its connection with `Broken` for all parts on it; the module takes a broken connection and then a success for a restart (`server.down`, then `since = now - wait` in `outcome`), counts the store as cold for its whole warm-up and lets next to nothing through (`cold_room`). The log of what came also showed that a third of what ended connections were good answers with a report such as `=,=` or `nan`, which `frame::report` faulted, and that answers under an unknown id were counted as late ones, so that their part waited until it was moved.

Changed: a link that ends by what the store sent reports `Failure` for what was written and `Void` for what was not; a report that can't be read is none; an id is late only if it ended on this link lately (a bounded memory), else spoilt; a begun answer must end within 100 ms, and a link with part of an answer in hand gets no new parts; bytes that belong to nobody end an idle link. For 30 s after a spoilt answer parts go to connections of their own, up to 6 a store and a quarter of the descriptors: the fewer on one, the fewer lost.

Without spoilt answers the links are as before. The three new tests fail without the change.

--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -31,6 +31,8 @@
 const SOCKETS_KEPT: usize = 256;
 /// More client connections than this are of no use to a broker of one core.
 const CLIENTS_MOST: usize = 512;
+/// Links to stores hold one in so many descriptors, unless more are needed.
+const LINKS_SHARE: usize = 4;
 /// A connection is left to stand for this share of the time after which a store would close it.
 const IDLE_SHARE: f64 = 0.8;
 
@@ -75,6 +77,7 @@
         let gate = Gate::new();
         let limits = Limits {
             streams: config.streams,
+            links: config.sockets / LINKS_SHARE,
             dial: millis(config.dial_timeout_ms),
             idle: millis(config.idle_ms * IDLE_SHARE),
         };
--- a/broker/src/store/frame.rs
+++ b/broker/src/store/frame.rs
@@ -103,8 +103,7 @@
         PROBE => Ok(Frame::Probed),
         LOAD => {
             let text = std::str::from_utf8(rest).map_err(|_| Fault("a report that is no text"))?;
-            let text = text.trim();
-            Ok(Frame::Loaded(if text == "bad" { Vec::new() } else { report(text)? }))
+            Ok(Frame::Loaded(report(text.trim())))
         }
         COMPLAINT => Ok(Frame::Complaint(rest)),
         _ => Err(Fault("an unknown letter")),
@@ -131,14 +130,12 @@
         "-" => 0,
         digits => digits.parse().map_err(|_| Fault("a score that is no whole number"))?,
     };
-    Ok(Frame::Answer { id, end, score, report: report(load)?, value: &value[1..] })
+    Ok(Frame::Answer { id, end, score, report: report(load), value: &value[1..] })
 }
 
-/// The figures of `util=0.61,queue=3`, in their order; none for `-`.
-fn report(text: &str) -> Result<Vec<f64>, Fault> {
-    if text == "-" {
-        return Ok(Vec::new());
-    }
+/// The figures of `util=0.61,queue=3`, in their order; none for `-`. A report that can't be read is none:
+/// the answer that it came with is good all the same.
+fn report(text: &str) -> Vec<f64> {
     let figure = |pair: &str| pair.split_once('=')?.1.parse().ok().filter(|v: &f64| v.is_finite());
-    text.split(',').map(|pair| figure(pair).ok_or(Fault("a report that can't be read"))).collect()
+    text.split(',').map(figure).collect::<Option<_>>().unwrap_or_default()
 }
--- a/broker/src/store/link.rs
+++ b/broker/src/store/link.rs
@@ -20,11 +20,19 @@
 
 /// A store that takes no byte of a frame for so long is stalled.
 const WRITE_WITHIN: Duration = Duration::from_secs(5);
+/// An answer is written in one go; the rest of one that has begun comes within this time, or never.
+const REST_WITHIN: Duration = Duration::from_millis(100);
+/// So many bytes of what can't be used are logged.
+const LOGGED: usize = 96;
+/// For each part that a link may carry, so many of those it carried last are remembered.
+const REMEMBERED: usize = 4;
 
 /// What a link needs to know of its surroundings.
 pub struct Limits {
     /// How many parts it carries at once.
     pub streams: usize,
+    /// How many links there may be, to all stores together, before parts have to share them.
+    pub links: usize,
     /// It has failed if it is not up by then.
     pub dial: Duration,
     /// It is closed before use once it has stood idle so long.
@@ -51,9 +59,30 @@
     counters: Rc<Counters>,
     flights: RefCell<HashMap<Rc<str>, Flight>>,
     queue: RefCell<VecDeque<Outgoing>>,
+    /// Parts that ended here lately: an answer to one of them is late or a second copy, no more.
+    ended: RefCell<VecDeque<Rc<str>>>,
     wake: (Sender<()>, Receiver<()>),
     used: Cell<Instant>,
     closing: Cell<bool>,
+    /// Part of an answer has come, and the rest not yet.
+    partial: Cell<bool>,
+}
+
+/// Why a link ended.
+struct Ending {
+    /// The store sent what it should not have: its parts may have run, but it did not break.
+    spoilt: bool,
+    why: String,
+}
+
+impl Ending {
+    fn broke(why: impl Into<String>) -> Self {
+        Self { spoilt: false, why: why.into() }
+    }
+
+    fn spoilt(why: impl ToString) -> Self {
+        Self { spoilt: true, why: why.to_string() }
+    }
 }
 
 impl Link {
@@ -64,16 +93,20 @@
             counters,
             flights: RefCell::default(),
             queue: RefCell::default(),
+            ended: RefCell::default(),
             wake: async_channel::bounded(1),
             used: Cell::new(Instant::now()),
             closing: Cell::new(false),
+            partial: Cell::new(false),
         })
     }
 
     /// Whether it can carry one more part now. One that has stood idle for nearly as long as the store
-    /// bears is not used: a call that crosses the store's close would end as a reset.
+    /// bears is not used: a call that crosses the store's close would end as a reset. Nor is one in the
+    /// midst of an answer: if that never ends, the next answer would be taken for its rest.
     pub fn has_room(&self, limits: &Limits) -> bool {
         !self.closing.get()
+            && !self.partial.get()
             && self.flights.borrow().len() < limits.streams
             && (!self.idle() || self.used.get().elapsed() < limits.idle)
     }
@@ -83,6 +116,11 @@
         self.flights.borrow().is_empty() && self.queue.borrow().is_empty()
     }
 
+    /// How many parts it carries.
+    pub fn load(&self) -> usize {
+        self.flights.borrow().len()
+    }
+
     /// Takes no more parts; closes once it carries nothing.
     pub fn retire(&self) {
         self.closing.set(true);
@@ -125,33 +163,53 @@
     }
 
     /// Forgets a part that is no longer waited for.
-    pub fn forget(&self, id: &Rc<str>) {
+    pub fn forget(&self, id: &Rc<str>, limits: &Limits) {
         self.flights.borrow_mut().remove(id);
+        self.remember(id.clone(), limits);
         self.used.set(Instant::now());
         self.wake();
     }
 
-    /// Opens the connection and serves it until it ends.
-    pub async fn run(self: Rc<Self>, limits: Rc<Limits>) {
+    fn remember(&self, id: Rc<str>, limits: &Limits) {
+        let mut ended = self.ended.borrow_mut();
+        if ended.len() >= limits.streams.saturating_mul(REMEMBERED) {
+            ended.pop_front();
+        }
+        ended.push_back(id);
+    }
+
+    /// Opens the connection and serves it until it ends; true if the store sent what it should not have.
+    pub async fn run(self: Rc<Self>, limits: Rc<Limits>) -> bool {
         count(&self.counters.dials);
-        let why = match http::connect(self.site.address.get(), limits.dial).await {
+        let ending = match http::connect(self.site.address.get(), limits.dial).await {
             Ok(socket) => {
                 let _ = socket.get_ref().set_nodelay(true);
-                futures_lite::future::or(self.read(&socket), self.write(&socket, &limits)).await
+                futures_lite::future::or(self.read(&socket, &limits), self.write(&socket, &limits)).await
             }
-            Err(e) => format!("not opened: {e}"),
+            Err(e) => Ending::broke(format!("not opened: {e}")),
         };
-        log::debug!("{}: connection ended: {why}", self.site.name);
+        log::debug!("{}: connection ended: {}", self.site.name, ending.why);
+        if ending.spoilt {
+            count(&self.counters.bad_frames);
+        }
         self.closing.set(true);
         self.queue.borrow_mut().clear();
         let flights = std::mem::take(&mut *self.flights.borrow_mut());
         for flight in flights.into_values() {
-            let outcome = if flight.written { Outcome::Broken } else { Outcome::Unreachable };
+            // Guards against taking a store that answers, if badly, for one that went down and is cold when
+            // it comes back: that is what a break tells the module.
+            let outcome = match (flight.written, ending.spoilt) {
+                (true, true) => Outcome::Failure,
+                (true, false) => Outcome::Broken,
+                (false, true) => Outcome::Void,
+                (false, false) => Outcome::Unreachable,
+            };
             let _ = flight.ended.try_send(outcome.into());
         }
+        ending.spoilt
     }
 
-    async fn write(&self, socket: &Async<TcpStream>, limits: &Limits) -> String {
+    async fn write(&self, socket: &Async<TcpStream>, limits: &Limits) -> Ending {
         loop {
             // Bound first: a guard held over the write would lock out whoever queues meanwhile.
             let next = self.queue.borrow_mut().pop_front();
@@ -164,7 +222,7 @@
                     continue;
                 }
                 if let Err(e) = http::write_all(socket, &out.bytes, WRITE_WITHIN).await {
-                    return format!("writing: {e}");
+                    return Ending::broke(format!("writing: {e}"));
                 }
                 if let Some(id) = out.id {
                     self.flights.borrow_mut().entry(id).and_modify(|flight| flight.written = true);
@@ -172,7 +230,7 @@
                 continue;
             }
             if self.idle() && (self.closing.get() || self.used.get().elapsed() >= limits.idle) {
-                return "idle".to_owned();
+                return Ending::broke("idle");
             }
             let idle = async {
                 Timer::after(limits.idle).await;
@@ -184,43 +242,62 @@
         }
     }
 
-    async fn read(&self, mut socket: &Async<TcpStream>) -> String {
+    async fn read(&self, mut socket: &Async<TcpStream>, limits: &Limits) -> Ending {
         let (mut buffer, mut piece) = (Vec::new(), [0; 4096]);
         loop {
-            match socket.read(&mut piece).await {
-                Ok(0) => return "closed by the store".to_owned(),
-                Ok(n) => buffer.extend_from_slice(&piece[..n]),
-                Err(e) => return format!("reading: {e}"),
+            let read = async { Some(socket.read(&mut piece).await) };
+            let late = async {
+                match self.partial.get() {
+                    true => drop(Timer::after(REST_WITHIN).await),
+                    false => futures_lite::future::pending().await,
+                }
+                None
+            };
+            match futures_lite::future::or(read, late).await {
+                None => return Ending::spoilt("an answer without its end"),
+                Some(Ok(0)) => return Ending::broke("closed by the store"),
+                Some(Ok(n)) => buffer.extend_from_slice(&piece[..n]),
+                Some(Err(e)) => return Ending::broke(format!("reading: {e}")),
             }
             let mut at = 0;
             loop {
-                match frame::split(&buffer[at..]) {
-                    Ok(None) => break,
-                    Ok(Some((letter, rest, length))) => {
-                        if let Err(fault) = self.take(letter, rest) {
-                            count(&self.counters.bad_frames);
-                            return fault;
-                        }
-                        at += length;
-                    }
+                let taken = frame::split(&buffer[at..]).map_err(|fault| fault.to_string());
+                let taken = taken.and_then(|frame| match frame {
+                    Some((letter, rest, length)) => self.take(letter, rest, limits).map(|()| length),
+                    None => Ok(0),
+                });
+                match taken {
+                    Ok(0) => break,
+                    Ok(length) => at += length,
                     Err(fault) => {
-                        count(&self.counters.bad_frames);
-                        return fault.to_string();
+                        log::debug!("{}: unusable: {}", self.site.name, start(&buffer[at..]));
+                        return Ending::spoilt(fault);
                     }
                 }
             }
             buffer.drain(..at);
+            self.partial.set(!buffer.is_empty());
+            // Guards against noise that looks like the beginning of an answer: nobody waits for one.
+            if self.partial.get() && self.flights.borrow().is_empty() {
+                log::debug!("{}: left over: {}", self.site.name, start(&buffer));
+                return Ending::spoilt("more than belongs to an answer");
+            }
         }
     }
 
-    fn take(&self, letter: u8, rest: &[u8]) -> Result<(), String> {
+    fn take(&self, letter: u8, rest: &[u8], limits: &Limits) -> Result<(), String> {
         match frame::parse(letter, rest).map_err(|fault| fault.to_string())? {
             Frame::Answer { id, end, score, report, value } => {
                 self.used.set(Instant::now());
-                let Some(flight) = self.flights.borrow_mut().remove(id) else {
+                let Some((id, flight)) = self.flights.borrow_mut().remove_entry(id) else {
+                    // Guards against an answer that bears another's id: who waits for it waits in vain.
+                    if !self.ended.borrow().iter().any(|ended| **ended == *id) {
+                        return Err("an answer to a part that was not asked for".to_owned());
+                    }
                     count(&self.counters.late_answers);
                     return Ok(());
                 };
+                self.remember(id, limits);
                 let outcome = match end {
                     End::Good => Outcome::Success,
                     End::Bad => Outcome::Failure,
@@ -234,9 +311,12 @@
                 Ok(())
             }
             Frame::Probed | Frame::Loaded(_) => Ok(()),
-            Frame::Complaint(words) => {
-                Err(format!("the store complains: {}", String::from_utf8_lossy(words)))
-            }
+            Frame::Complaint(words) => Err(format!("the store complains: {}", start(words))),
         }
     }
 }
+
+/// The first bytes of what came, for the log.
+fn start(bytes: &[u8]) -> std::slice::EscapeAscii<'_> {
+    bytes[..bytes.len().min(LOGGED)].escape_ascii()
+}
--- a/broker/src/store/mod.rs
+++ b/broker/src/store/mod.rs
@@ -29,6 +29,10 @@
 /// out at once could reach its store before this one learns of it. Both are waited for so long: twice
 /// the longest way between zones and a little more.
 const GIVING_UP: Duration = Duration::from_millis(8);
+/// After a spoilt answer, from any store, parts share no connections for so long where others can be had,
+/// up to so many for a store: the next one then takes no more parts down with it.
+const SPOILT_MEMORY: Duration = Duration::from_secs(30);
+const LINKS_APART: usize = 6;
 /// Nothing is written to a store so much before the grace after its drain ends.
 const DRAIN_MARGIN: Duration = Duration::from_millis(200);
 
@@ -64,6 +68,9 @@
     /// Stores that offer the feature form, and where.
     offers: HashMap<String, SocketAddr>,
     stops: RefCell<HashMap<AttemptId, Sender<()>>>,
+    /// Links open, and when one ended by a spoilt answer.
+    links: Cell<usize>,
+    spoilt: Cell<Option<Instant>>,
 }
 
 impl Stores {
@@ -86,6 +93,8 @@
             names: RefCell::default(),
             offers,
             stops: RefCell::default(),
+            links: Cell::new(0),
+            spoilt: Cell::new(None),
         })
     }
 
@@ -170,7 +179,7 @@
         }
     }
 
-    async fn attempt(&self, order: Order, stopped: Receiver<()>) -> Ended {
+    async fn attempt(self: &Rc<Self>, order: Order, stopped: Receiver<()>) -> Ended {
         let Some(site) = self.sites.borrow().get(order.server as usize).cloned() else {
             return Outcome::Void.into();
         };
@@ -204,7 +213,7 @@
         };
         let last = async { ended.recv().await.unwrap_or(outcome.into()) };
         let ended = or(last, settled).await;
-        link.forget(&id);
+        link.forget(&id, &self.limits);
         ended
     }
 
@@ -229,17 +238,32 @@
     }
 
     /// A connection with room for one more part; a new one where none has.
-    fn link(&self, site: &Rc<Site>) -> Rc<Link> {
+    fn link(self: &Rc<Self>, site: &Rc<Site>) -> Rc<Link> {
         let mut links = site.links.borrow_mut();
-        if let Some(link) = links.iter().find(|link| link.has_room(&self.limits)) {
-            return link.clone();
+        let mut room = links.iter().filter(|link| link.has_room(&self.limits));
+        let apart = self.spoilt.get().is_some_and(|at| at.elapsed() < SPOILT_MEMORY);
+        if !apart {
+            if let Some(link) = room.next() {
+                return link.clone();
+            }
+        } else if let Some(link) = room.min_by_key(|link| link.load()) {
+            let more = links.len() < LINKS_APART && self.links.get() < self.limits.links;
+            if link.load() == 0 || !more {
+                return link.clone();
+            }
+        }
+        if !apart {
+            links.iter().filter(|link| link.idle()).for_each(|link| link.retire());
         }
-        links.iter().filter(|link| link.idle()).for_each(|link| link.retire());
         let link = Link::new(site.clone(), self.counters.clone());
         links.push(link.clone());
-        let (site, running, limits) = (site.clone(), link.clone(), self.limits.clone());
+        self.links.set(self.links.get() + 1);
+        let (this, site, running) = (self.clone(), site.clone(), link.clone());
         let run = async move {
-            running.clone().run(limits).await;
+            if running.clone().run(this.limits.clone()).await {
+                this.spoilt.set(Some(Instant::now()));
+            }
+            this.links.set(this.links.get() - 1);
             site.links.borrow_mut().retain(|link| !Rc::ptr_eq(link, &running));
         };
         self.executor.spawn(run).detach();
--- a/broker/tests/common/world.rs
+++ b/broker/tests/common/world.rs
@@ -35,6 +35,18 @@
     Full,
     /// Sends what is no frame, or no feature collection.
     Garbage,
+    /// Sends the beginning of an answer and never the rest.
+    Half,
+    /// Sends an answer that bears an id nobody asked for.
+    WrongId,
+    /// Serves, with a load report that can't be read.
+    BadReport,
+    /// Serves, with a second copy of the answer behind it.
+    Twice,
+    /// Serves, with noise behind it.
+    Noise,
+    /// Serves, with what looks like the beginning of another answer behind it.
+    Beginning,
     /// Closes the connection once a part has come.
     Resets,
     /// Serves after so many milliseconds.
@@ -315,6 +327,14 @@
     async fn answer_frame(&self, sent: Sent, socket: &Async<std::net::TcpStream>) -> Option<()> {
         let mood = self.mood.borrow()[sent.store];
         let (end, value) = match mood {
+            Mood::Half => {
+                let frame = frame::frame(frame::ANSWER, format!("{} good 1 -\nv", sent.id).as_bytes());
+                return http::write_all(socket, &frame[..frame.len() - 1], WITHIN).await.ok();
+            }
+            Mood::WrongId => {
+                let frame = frame::frame(frame::ANSWER, b"ffff.0 good 1 -\nv");
+                return http::write_all(socket, &frame, WITHIN).await.ok();
+            }
             Mood::Silent | Mood::Resets => return None,
             Mood::Errs => ("bad", String::new()),
             Mood::Full => ("later", String::new()),
@@ -322,15 +342,25 @@
                 let frame = frame::frame(frame::ANSWER, b"no line at all");
                 return http::write_all(socket, &frame, WITHIN).await.ok();
             }
-            Mood::Serves => ("good", self.value(&sent)),
+            Mood::Serves | Mood::BadReport | Mood::Twice | Mood::Noise | Mood::Beginning => {
+                ("good", self.value(&sent))
+            }
             Mood::Slow(ms) => {
                 Timer::after(Duration::from_millis(ms)).await;
                 ("good", self.value(&sent))
             }
         };
         // Scores fall with the shard, so that a test knows where a second step goes.
-        let line = format!("{} {end} {} -\n{value}", sent.id, 1000 - sent.shard);
-        http::write_all(socket, &frame::frame(frame::ANSWER, line.as_bytes()), WITHIN).await.ok()
+        let report = if mood == Mood::BadReport { "=,=" } else { "-" };
+        let line = format!("{} {end} {} {report}\n{value}", sent.id, 1000 - sent.shard);
+        let mut bytes = frame::frame(frame::ANSWER, line.as_bytes());
+        match mood {
+            Mood::Twice => bytes.extend(bytes.clone()),
+            Mood::Noise => bytes.extend_from_slice(b"\xff\xff\xff\xff noise"),
+            Mood::Beginning => bytes.extend_from_slice(b"\x20\0\0\0q12"),
+            _ => {}
+        }
+        http::write_all(socket, &bytes, WITHIN).await.ok()
     }
 
     fn value(&self, sent: &Sent) -> String {
@@ -358,11 +388,11 @@
                 Mood::Errs => (500, String::new()),
                 Mood::Full => (503, String::new()),
                 Mood::Garbage => (200, "{\"type\":\"Feature".to_owned()),
-                Mood::Serves => (200, self.value(&sent)),
                 Mood::Slow(ms) => {
                     Timer::after(Duration::from_millis(ms)).await;
                     (200, self.value(&sent))
                 }
+                _ => (200, self.value(&sent)),
             };
             let bytes = http::answer(status, "Content-Type: application/geo+json\r\n", body.as_bytes(), true);
             stream.write(&bytes, WITHIN).await.ok()?;
--- a/broker/tests/native.rs
+++ b/broker/tests/native.rs
@@ -64,6 +64,75 @@
     }
 }
 
+/// A break would tell the module that the store went down, and is cold when it answers again.
+#[test]
+fn a_spoilt_answer_is_a_failure_at_once_and_no_break() {
+    for mood in [Mood::Garbage, Mood::WrongId, Mood::Half] {
+        run(2, |world| async move {
+            *world.mood.borrow_mut() = vec![mood; 2];
+            let broker = world.broker(world.settings(), None).await;
+            let text = query("q1", "harvest-entry", 2900, &[0], "x");
+            assert_eq!(exchange(broker.platform, &text).await.unwrap().status, 504, "{mood:?}");
+            let counted = &broker.counters;
+            assert_eq!((counted.errors.get(), counted.bad_frames.get()), (1, 1), "{mood:?}");
+            assert_eq!((counted.broken.get(), counted.withdrawn.get()), (0, 0), "{mood:?}");
+        });
+    }
+}
+
+#[test]
+fn a_good_answer_is_served_whatever_comes_with_it() {
+    for (mood, spoilt) in [(Mood::BadReport, 0), (Mood::Twice, 0), (Mood::Noise, 6), (Mood::Beginning, 6)] {
+        run(2, |world| async move {
+            *world.mood.borrow_mut() = vec![mood; 2];
+            let broker = world.broker(world.settings(), None).await;
+            for n in 0..3 {
+                let text = query(&format!("q{n}"), "harvest-entry", 2900, &[0, 1], "x");
+                let got = exchange(broker.platform, &text).await.unwrap();
+                let expected = json!({ "total": true, "answers": [
+                    { "range": 0, "blob": "v0-false" }, { "range": 1, "blob": "v1-false" }] });
+                assert_eq!((got.status, got.json()), (200, expected), "{mood:?}");
+            }
+            until(|| broker.counters.bad_frames.get() == spoilt).await;
+            assert_eq!((broker.counters.served.get(), broker.counters.attempts.get()), (6, 6), "{mood:?}");
+        });
+    }
+}
+
+/// A spoilt answer takes all parts on its connection with it.
+#[test]
+fn once_an_answer_was_spoilt_parts_share_no_connections() {
+    run(2, |world| async move {
+        let broker = world.broker(world.settings(), None).await;
+        let ask = |id: &str| {
+            let (at, text) = (broker.platform, query(id, "yard-compare", 2400, &[0, 1], "x"));
+            world.executor.spawn(async move { exchange(at, &text).await.unwrap().status })
+        };
+        // Two queries at once, with a part of each at either store.
+        let both = |name: &'static str| {
+            *world.mood.borrow_mut() = vec![Mood::Slow(50); 2];
+            let (one, other, dials) = (ask(name), ask(&format!("{name}-2")), broker.counters.dials.get());
+            async move { (one.await, other.await, dials) }
+        };
+        assert_eq!(both("q1").await, (200, 200, 0));
+        assert_eq!(broker.counters.dials.get(), 2);
+        *world.mood.borrow_mut() = vec![Mood::Garbage, Mood::Serves];
+        assert_eq!(ask("q2").await, 200);
+        world.mood.borrow_mut()[0] = Mood::Serves;
+        // The store is kept out for a moment, and then tried with one part.
+        let calls = |store| world.sent.borrow().iter().filter(|sent| sent.store == store).count();
+        let (before, mut n) = (calls(0), 3);
+        while calls(0) < before + 2 {
+            Timer::after(Duration::from_millis(100)).await;
+            assert_eq!(ask(&format!("q{n}")).await, 200);
+            n += 1;
+        }
+        let (one, other, dials) = both("q-last").await;
+        assert_eq!((one, other), (200, 200));
+        assert!(broker.counters.dials.get() > dials, "the second part has a connection of its own");
+    });
+}
+
 #[test]
 fn an_unsafe_part_that_may_have_run_is_neither_sent_again_nor_refused() {
     for mood in [Mood::Errs, Mood::Garbage, Mood::Resets] {
