Count holds and memory of pace in aims, and keep late stores in

Aims are scaled on sockets (300 ms, a part 15 ms), and the holds were 250 ms to 4 s, the memory of pace 6 s. Each part that was moved at half its aim put its store out, though that had just answered others. A second probe: 29 times in 60 s a store was taken for restarted (`down`), always after one single failed connection, and counted as cold.

Lines at fault in `outcome`: `HOLD_MS`, `HOLD_MAX_MS`, `PACE_MEMORY_MS` fixed; a withdrawn or timed-out attempt always a fault; `down` set by one failure. Now they count in shortest aims; an attempt that ends late is no fault where the server has served another since it was sent (its pace still counts it as slow); `down` takes two failures in a row, each after the hold of the one before.

--- a/src/aggregator.rs
+++ b/src/aggregator.rs
@@ -14,14 +14,16 @@
 /// Upkeep runs every so many turns while a query is open; final answers go out so many turns early.
 const TICK_TURNS: f64 = 2.0;
 const MARGIN_TURNS: f64 = 3.0;
+/// The shortest aim where the settings state none.
+const AIM_MS: Millis = 1000.0;
 /// Weights may fall short of a share by rounding.
 const ROUNDING: f64 = 5e-5;
 /// How fast the usual latency of a class, and a server's own pace against it, follow new samples.
 const TYPICAL_GAIN: f64 = 0.04;
 const PACE_GAIN: f64 = 0.25;
-/// A pace with no new sample returns to the usual with this time constant, so it is tried again; where a
-/// server is seldom sampled, with so many times the usual time between samples.
-const PACE_MEMORY_MS: Millis = 6000.0;
+/// A pace with no new sample returns to the usual with a time constant of so many times the shortest aim, so
+/// it is tried again; where a server is seldom sampled, of so many times the usual time between samples.
+const PACE_MEMORY_AIMS: f64 = 5.0;
 const PACE_MEMORY_GAPS: f64 = 2.0;
 const GAP_GAIN: f64 = 0.01;
 /// A late part goes only to a server of whose last sample so much is remembered.
@@ -31,9 +33,13 @@
 /// From this pace on, a server's count is multiplied by its pace; the tie-break tells so many steps apart.
 const SLOW: f64 = 1.75;
 const PACE_STEPS: f64 = 2.0;
-/// The first and longest time that a failing server is kept out.
-const HOLD_MS: Millis = 250.0;
-const HOLD_MAX_MS: Millis = 4000.0;
+/// The first and longest time that a failing server is kept out, in shortest aims: in absolute terms, where
+/// aims are short, one late part would keep a server out for as long as whole queries may last, and its
+/// neighbours on the ring would drown in its load.
+const HOLD_AIMS: f64 = 0.2;
+const HOLD_MAX_AIMS: f64 = 3.0;
+/// So many failures in a row, each after the hold of the one before, show that a process went down.
+const DOWN_AFTER: u32 = 2;
 /// Among distrusted replicas, fewer failures in a row come first, up to so many.
 const DISTRUST_LEVELS: u32 = 3;
 /// A second copy goes out after so many usual latencies, at the latest after this share of the aim.
@@ -85,8 +91,8 @@
 const LOST_GAIN: f64 = 0.08;
 const LOST_MARGIN: f64 = 0.15;
 const LOST_FORGIVEN: f64 = 0.998;
-/// Advice to refused clients is no shorter.
-const RETRY_LEAST_MS: Millis = 100.0;
+/// Advice to refused clients is no shorter, in shortest aims.
+const RETRY_LEAST_AIMS: f64 = 0.08;
 /// The first wait before the list is asked for again, spread by seed.
 const ASK_AGAIN_MS: Millis = 1000.0;
 
@@ -123,6 +129,8 @@
     faults: Vec<Fault>,
     pace: f64,
     sampled: Millis,
+    /// When it last served a part.
+    served: Millis,
     /// Refused or lost connections since its last success.
     down: bool,
     cold_sends: VecDeque<Millis>,
@@ -217,6 +225,8 @@
     typical: Vec<f64>,
     light: Vec<f64>,
     density: Vec<f64>,
+    /// The shortest aim of any class: the scale of all that is remembered of servers.
+    aim: Millis,
     /// Each tenant's tokens for queries within its share, and when they were last counted.
     quotas: Vec<(f64, Millis)>,
     limit: Limit,
@@ -262,6 +272,8 @@
             class.need = if class.need > 0.0 { class.need.min(1.0) } else { 1.0 };
             class.floor = if class.floor > 0.0 { class.floor.min(class.need) } else { class.need };
         }
+        let aims = set.classes.iter().map(|class| class.aim_ms).filter(|aim| *aim > 0.0);
+        let aim = aims.fold(f64::INFINITY, f64::min);
         let quota = |t: &Tenant| (t.quota_per_s / f64::from(set.aggregators), now);
         let mut new = Self {
             quotas: set.tenants.iter().map(quota).collect(),
@@ -274,6 +286,7 @@
             typical: vec![0.0; set.classes.len()],
             light: vec![0.0; set.classes.len()],
             density: vec![0.0; set.classes.len()],
+            aim: if aim.is_finite() { aim } else { AIM_MS },
             limit: Limit { parts: f64::MAX, changed: now, cut_at: now, counted: now, ..Limit::default() },
             taken: VecDeque::new(),
             extras: VecDeque::new(),
@@ -379,6 +392,7 @@
                 faults: faults.clone(),
                 pace: 1.0,
                 sampled: f64::NEG_INFINITY,
+                served: f64::NEG_INFINITY,
                 since: f64::NEG_INFINITY,
                 ..Server::default()
             });
@@ -425,8 +439,13 @@
             let process = self.set.classes.len();
             let of = if outcome == Outcome::Failure { class.unwrap_or(process) } else { process };
             let served = outcome == Outcome::Success;
+            // Guards against a herd: a server that answers, if too late, is slow and no worse. Kept out, it
+            // stands idle while its load drowns the next replica, which is then late and kept out itself.
+            let slow = matches!(outcome, Outcome::Withdrawn | Outcome::TimedOut);
+            let answers = slow && server.served > now - wait;
             let usual = class.map_or(0.0, |class| self.typical[class]);
             if let (true, Some(class)) = (served, class) {
+                server.served = now;
                 if server.down {
                     // It was down and answers: a restart that the list has not told yet.
                     server.down = false;
@@ -440,15 +459,18 @@
                 }
                 let light = &mut self.light[class];
                 *light += if wait < *light { 0.1 } else { 0.01 } * (wait - *light);
-            } else if !served && outcome != Outcome::Void {
-                server.down |= matches!(outcome, Outcome::Unreachable | Outcome::Broken);
+            } else if !served && !answers && outcome != Outcome::Void {
                 let fault = &mut server.faults[of];
                 // Failures within a hold are of sends before it, and say nothing new.
                 if now >= fault.until {
                     fault.count = (fault.count + 1).min(8);
-                    let hold = HOLD_MS * f64::from(1u32 << (fault.count - 1));
-                    fault.until = now + hold.min(HOLD_MAX_MS);
+                    let hold = HOLD_AIMS * f64::from(1u32 << (fault.count - 1));
+                    fault.until = now + hold.min(HOLD_MAX_AIMS) * self.aim;
                 }
+                // A single connection may break or fail to open while the process goes on; taken for a
+                // restart, it would leave a warm server's load to the others for all its warm-up.
+                let connection = matches!(outcome, Outcome::Unreachable | Outcome::Broken);
+                server.down |= connection && fault.count >= DOWN_AFTER;
             }
             let ended = served || outcome == Outcome::TimedOut || outcome == Outcome::Withdrawn;
             if let (true, Some(class)) = (ended, class) {
@@ -457,7 +479,8 @@
                 let pace = wait / typical.max(0.1);
                 if served || (outcome == Outcome::Withdrawn && pace > server.pace) {
                     server.pace += PACE_GAIN * (pace.min(20.0) - server.pace);
-                    self.gap += GAP_GAIN * ((now - server.sampled).min(10.0 * PACE_MEMORY_MS) - self.gap);
+                    let longest = 10.0 * PACE_MEMORY_AIMS * self.aim;
+                    self.gap += GAP_GAIN * ((now - server.sampled).min(longest) - self.gap);
                     server.sampled = now;
                 }
                 let less = if served { 1.0 - TYPICAL_GAIN } else { 1.0 };
@@ -578,7 +601,8 @@
             // aim of whoever follows it.
             let usual = self.typical[query.class];
             let most = self.set.max_retry_after_ms;
-            let retry_after_ms = if usual > 0.0 { usual.clamp(RETRY_LEAST_MS.min(most), most) } else { most };
+            let retry_after_ms =
+                if usual > 0.0 { usual.clamp((RETRY_LEAST_AIMS * self.aim).min(most), most) } else { most };
             actions.push(Action::Refuse { query: id, retry_after_ms });
         }
         query.parts.iter().for_each(|&part| self.withdraw(part, actions));
@@ -767,7 +791,7 @@
     }
 
     fn kept(&self, now: Millis, server: &Server) -> f64 {
-        (-(now - server.sampled) / (PACE_MEMORY_GAPS * self.gap).max(PACE_MEMORY_MS)).exp()
+        (-(now - server.sampled) / (PACE_MEMORY_GAPS * self.gap).max(PACE_MEMORY_AIMS * self.aim)).exp()
     }
 
     /// How a server's latency compares with the usual. Silence counts: a server whose oldest part has
