Bound clients, bodies and stores by the limits, and let go who asks nothing

Changed: a request is due 2.5 s after its first byte, the first after connecting; idle connections go after 2.5 s. Clients may hold half of the descriptors; those that never asked make room first, half-sent first requests included. Bodies over 4 KiB share an eighth of the memory, and a 503 with Retry-After is the answer past that. The eighth bad request ends its connection, and 50 ms pass before the next is read. Stores removed from the list are let go, their numbers never used again; links of a store that drains close once idle. Frames are 65 KiB at most, since a longer value fits no answer. At most 256 KiB are read and dropped after an answer.

The process test, run on the code before, hung on its unanswered clients for as long as it was let; it has a time-out of its own now.

--- a/broker/src/config.rs
+++ b/broker/src/config.rs
@@ -41,7 +41,7 @@
 pub struct Waits {
     /// A connection between requests is closed after so long.
     pub idle: Duration,
-    /// A request's head, and then its body, come within so long.
+    /// A request comes within so long of its first byte; the first one, of the connection.
     pub read: Duration,
     /// An answer is read within so long.
     pub write: Duration,
@@ -60,6 +60,8 @@
     pub seed: u64,
     /// How many file descriptors the process may hold.
     pub sockets: usize,
+    /// How much memory it may use, in MB.
+    pub memory_mb: usize,
     /// The list as this broker last had it, in discovery's form.
     pub known: Option<Value>,
     /// What the decisions go by, and the names of classes, tenants and zones.
@@ -83,6 +85,10 @@
 /// Longest advice given to refused clients where the settings name none.
 const RETRY_AFTER_MS: Millis = 1000.0;
 const LEAST_SOCKETS: usize = 64;
+const LEAST_MEMORY_MB: usize = 16;
+/// Stalled and hostile clients are let go this soon, and connections between requests.
+const READ_MS: u64 = 2500;
+const IDLE_MS: u64 = 2500;
 const WAIT_MOST_MS: u64 = 3_600_000;
 
 impl Config {
@@ -128,13 +134,15 @@
             setup.settings.max_retry_after_ms =
                 number(&pairs, "limits.max_retry_after_ms", RETRY_AFTER_MS, 1.0, 60_000.0)?;
         }
-        let sockets = json.get("limits").and_then(|limits| limits.get("sockets"));
-        let sockets = match sockets {
-            None => 1024,
-            Some(n) => n.as_u64().map(|n| n as usize).filter(|n| *n >= LEAST_SOCKETS).ok_or_else(|| {
-                Error::new("limits.sockets", format!("expected at least {LEAST_SOCKETS}, found `{n}`"))
-            })?,
+        let limit = |key: &str, absent: usize, least: usize| match json.get("limits").and_then(|l| l.get(key))
+        {
+            None => Ok(absent),
+            Some(n) => n.as_f64().map(|n| n as usize).filter(|n| *n >= least).ok_or_else(|| {
+                Error::new(format!("limits.{key}"), format!("expected at least {least}, found `{n}`"))
+            }),
         };
+        let sockets = limit("sockets", 1024, LEAST_SOCKETS)?;
+        let memory_mb = limit("memory_mb", 192, LEAST_MEMORY_MB)?;
         let log = match var("LB_LOG") {
             None => LevelFilter::Info,
             Some(level) => level
@@ -151,8 +159,8 @@
                 .ok_or_else(|| Error::new(key, format!("expected 1 to {WAIT_MOST_MS}, found `{text}`"))),
         };
         let waits = Waits {
-            idle: wait("LB_IDLE_MS", 90_000)?,
-            read: wait("LB_READ_MS", 10_000)?,
+            idle: wait("LB_IDLE_MS", IDLE_MS)?,
+            read: wait("LB_READ_MS", READ_MS)?,
             write: wait("LB_WRITE_MS", 10_000)?,
         };
         let features = match var("LB_OPERATOR") {
@@ -165,6 +173,7 @@
             discovery,
             seed,
             sockets,
+            memory_mb,
             known: json.get("known").filter(|known| !known.is_null()).cloned(),
             max_open: number(&pairs, "limits.max_open", 200.0, 2.0, 100_000.0)? as usize,
             streams: number(&pairs, "limits.streams_per_conn", 32.0, 1.0, 100_000.0)? as usize,
--- a/broker/src/discovery.rs
+++ b/broker/src/discovery.rs
@@ -163,9 +163,14 @@
                 log::warn!("discovery: `{}` is no address", instance.host_port);
                 continue;
             };
-            let ready = instance.lifecycle == Lifecycle::Up;
+            let server = match instance.lifecycle {
+                Lifecycle::Removed => self.stores.remove(&instance.instance_id),
+                state => Some(self.stores.note(&instance.instance_id, address, state == Lifecycle::Up)),
+            };
+            // Of one that was never known there is nothing to tell.
+            let Some(server) = server else { continue };
             entries.push(Entry {
-                server: self.stores.note(&instance.instance_id, address, ready),
+                server,
                 since: instance.started_at_ms,
                 zone: self.zones.get(&instance.zone).copied().unwrap_or(u32::MAX),
                 cell: instance.cell,
--- a/broker/src/front/mod.rs
+++ b/broker/src/front/mod.rs
@@ -9,7 +9,7 @@
 use std::future::Future;
 use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -106,6 +106,71 @@
     Reply(Reply),
 }
 
+/// A client that sends bad requests is read again so much later, and closed after so many.
+const BAD_PAUSE: Duration = Duration::from_millis(50);
+const BAD_MOST: u32 = 8;
+/// A request this long is like any other; the memory for longer ones is bounded.
+const USUAL_BODY: usize = 4096;
+
+/// Connections on which no request is open, the one that has waited longest first: they make room when too
+/// many are open, those that never asked before those that did.
+#[derive(Debug, Default)]
+struct Spare {
+    fresh: VecDeque<Sender<()>>,
+    kept: VecDeque<Sender<()>>,
+}
+
+impl Spare {
+    fn make_room(&mut self) -> bool {
+        let longest = self.fresh.pop_front().or_else(|| self.kept.pop_front());
+        longest.is_some_and(|wake| wake.try_send(()).is_ok())
+    }
+
+    fn forget(&mut self, wake: &Sender<()>) {
+        self.fresh.retain(|other| !other.same_channel(wake));
+        self.kept.retain(|other| !other.same_channel(wake));
+    }
+}
+
+/// Memory for a long body; given back when dropped.
+struct Held<'a> {
+    all: &'a Cell<usize>,
+    size: usize,
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.all.set(self.all.get() - self.size);
+    }
+}
+
+/// A request that has come whole.
+struct Whole<'a> {
+    head: Head,
+    body: Vec<u8>,
+    _held: Held<'a>,
+}
+
+/// Why there is no request.
+enum NoRequest {
+    /// The connection is to be closed.
+    Over,
+    /// It can't be read.
+    Fault(http::Fault),
+    /// There is no room for it now.
+    NoRoom,
+}
+
+impl From<Ending> for NoRequest {
+    fn from(ending: Ending) -> Self {
+        match ending {
+            Ending::Fault(fault) => Self::Fault(fault),
+            Ending::Stalled => Self::Fault(http::Fault::Stalled),
+            Ending::Closed | Ending::Cut => Self::Over,
+        }
+    }
+}
+
 /// Serves connections from a listener until the gate closes.
 pub struct Server<S> {
     service: S,
@@ -114,10 +179,13 @@
     executor: Rc<LocalExecutor<'static>>,
     waits: Waits,
     most: usize,
+    bodies: usize,
+    held: Cell<usize>,
+    spare: RefCell<Spare>,
 }
 
 impl<S: Service + 'static> Server<S> {
-    /// A server for a front that may have `most` connections open.
+    /// A server for a front that may have `most` connections open, and `bodies` bytes of long bodies.
     pub fn new(
         service: S,
         gate: &Rc<Gate>,
@@ -125,16 +193,16 @@
         executor: &Rc<LocalExecutor<'static>>,
         waits: Waits,
         most: usize,
+        bodies: usize,
     ) -> Rc<Self> {
         let (gate, counters, executor) = (gate.clone(), counters.clone(), executor.clone());
-        Rc::new(Self { service, gate, counters, executor, waits, most })
+        let (held, spare) = (Cell::new(0), RefCell::default());
+        Rc::new(Self { service, gate, counters, executor, waits, most, bodies, held, spare })
     }
 
     /// Accepts and serves.
     pub async fn run(self: Rc<Self>, listener: Async<TcpListener>) {
         let open = Rc::new(Cell::new(0usize));
-        // Those between requests, the longest so first: they make room when too many are open.
-        let idle: Rc<RefCell<VecDeque<Sender<()>>>> = Rc::default();
         loop {
             let accept = async { Some(listener.accept().await) };
             let closed = async {
@@ -151,16 +219,17 @@
                 }
             };
             count(&self.counters.connections);
-            let shed = open.get() >= self.most && !Self::make_room(&idle);
+            let shed = open.get() >= self.most && !self.spare.borrow_mut().make_room();
             if open.get() >= self.most + self.most / 8 {
                 count(&self.counters.connections_shed);
                 continue;
             }
-            let (this, open, idle) = (self.clone(), open.clone(), idle.clone());
+            // Counted before its task runs: many may be accepted in one go.
+            open.set(open.get() + 1);
+            self.gate.connections.set(self.gate.connections.get() + 1);
+            let (this, open) = (self.clone(), open.clone());
             let task = async move {
-                open.set(open.get() + 1);
-                this.gate.connections.set(this.gate.connections.get() + 1);
-                this.serve(Stream::new(socket), shed, &idle).await;
+                this.serve(Stream::new(socket), shed).await;
                 open.set(open.get() - 1);
                 this.gate.connections.set(this.gate.connections.get() - 1);
             };
@@ -168,43 +237,96 @@
         }
     }
 
-    fn make_room(idle: &RefCell<VecDeque<Sender<()>>>) -> bool {
-        let longest = idle.borrow_mut().pop_front();
-        longest.is_some_and(|wake| wake.try_send(()).is_ok())
-    }
-
-    /// Waits for the first byte of a request; false if the connection is to be closed instead.
-    async fn first(&self, stream: &mut Stream, idle: &RefCell<VecDeque<Sender<()>>>) -> bool {
-        if stream.begun() {
-            return true;
-        }
+    /// Reads the next request of a connection; the first one by `first_by`, however little of it comes.
+    async fn next(&self, stream: &mut Stream, first_by: Option<Instant>) -> Result<Whole<'_>, NoRequest> {
         let (wake, woken) = async_channel::bounded(1);
-        idle.borrow_mut().push_back(wake.clone());
-        let first = async { stream.first(self.waits.idle).await.is_ok() };
+        match first_by {
+            Some(_) => self.spare.borrow_mut().fresh.push_back(wake.clone()),
+            None => self.spare.borrow_mut().kept.push_back(wake.clone()),
+        }
         let out = async {
             let _ = woken.recv().await;
-            false
         };
-        let closed = async {
-            self.gate.closed().await;
-            false
+        let request = self.await_next(stream, first_by, &wake);
+        let request = either(request, async {
+            out.await;
+            Err(NoRequest::Over)
+        });
+        let request = request.await;
+        self.spare.borrow_mut().forget(&wake);
+        request
+    }
+
+    async fn await_next(
+        &self,
+        stream: &mut Stream,
+        first_by: Option<Instant>,
+        wake: &Sender<()>,
+    ) -> Result<Whole<'_>, NoRequest> {
+        if !stream.begun() {
+            let within = first_by.map_or(self.waits.idle, |by| by.saturating_duration_since(Instant::now()));
+            let first = async { stream.first(within).await.is_ok() };
+            let closed = async {
+                self.gate.closed().await;
+                false
+            };
+            if !either(first, closed).await {
+                return Err(NoRequest::Over);
+            }
+        }
+        if first_by.is_none() {
+            // A request has begun on a connection that has been of use: it is let finish.
+            self.spare.borrow_mut().forget(wake);
+        }
+        let by = first_by.unwrap_or_else(|| Instant::now() + self.waits.read);
+        let left = || by.saturating_duration_since(Instant::now());
+        let head = stream.head(Kind::Request, left()).await?;
+        let size = match head.framing {
+            http::Framing::Length(length) if length <= USUAL_BODY => 0,
+            http::Framing::Length(length) => length,
+            http::Framing::Chunked | http::Framing::Close => http::BODY_MAX,
         };
-        let begun = either(first, either(out, closed)).await;
-        idle.borrow_mut().retain(|other| !other.same_channel(&wake));
-        begun
+        if self.held.get() + size > self.bodies {
+            return Err(NoRequest::NoRoom);
+        }
+        self.held.set(self.held.get() + size);
+        let held = Held { all: &self.held, size };
+        if head.expects && head.framing != http::Framing::Length(0) {
+            let _ = stream.write(b"HTTP/1.1 100 Continue\r\n\r\n", left()).await;
+        }
+        let body = stream.body(head.framing, left()).await?;
+        count(&self.counters.requests);
+        Ok(Whole { head, body, _held: held })
     }
 
-    async fn serve(&self, mut stream: Stream, shed: bool, idle: &RefCell<VecDeque<Sender<()>>>) {
-        while self.first(&mut stream, idle).await {
-            let (reply, keep_alive) = match self.request(&mut stream, shed).await {
-                Ok(served) => served,
-                Err(Some(fault)) => {
+    async fn serve(&self, mut stream: Stream, shed: bool) {
+        let (mut first_by, mut bad) = (Some(Instant::now() + self.waits.read), 0);
+        loop {
+            let request = match self.next(&mut stream, first_by.take()).await {
+                Ok(_) if shed => Err(NoRequest::NoRoom),
+                request => request,
+            };
+            let (reply, keep_alive) = match request {
+                Err(NoRequest::NoRoom) => {
+                    count(&self.counters.connections_shed);
+                    (self.service.shed(), false)
+                }
+                Ok(whole) => match self.answer(&mut stream, whole).await {
+                    Some(answer) => answer,
+                    // The client has closed: nobody waits, and dropping the ticket tells the core.
+                    None => return,
+                },
+                Err(NoRequest::Fault(fault)) => {
                     count(&self.counters.bad_requests);
                     (self.service.unreadable(fault), false)
                 }
-                Err(None) => return,
+                Err(NoRequest::Over) => return,
             };
-            let keep_alive = keep_alive && !self.gate.draining() && !shed;
+            // Guards against a client that sends the same again the moment it is turned away: it would
+            // have the thread to itself.
+            let unfit = (400..500).contains(&reply.status) && reply.status != 429;
+            bad += u32::from(unfit);
+            let keep_alive = keep_alive && !self.gate.draining() && bad < BAD_MOST;
             let bytes = http::answer(reply.status, &reply.headers, &reply.body, keep_alive);
             if let Err(e) = stream.write(&bytes, self.waits.write).await {
                 count(&self.counters.unwritten);
@@ -215,33 +337,22 @@
                 stream.finish().await;
                 return;
             }
+            if unfit {
+                Timer::after(BAD_PAUSE).await;
+            }
         }
     }
 
-    /// Reads a request and waits for its answer. `Err` ends the connection, with a reply if there is
-    /// a fault to tell of.
-    async fn request(&self, stream: &mut Stream, shed: bool) -> Result<(Reply, bool), Option<http::Fault>> {
-        let fault = |ending| match ending {
-            Ending::Fault(fault) => Some(fault),
-            Ending::Stalled => Some(http::Fault::Stalled),
-            Ending::Closed | Ending::Cut => None,
-        };
-        let head = stream.head(Kind::Request, self.waits.read).await.map_err(fault)?;
-        if head.expects && head.framing != http::Framing::Length(0) {
-            let _ = stream.write(b"HTTP/1.1 100 Continue\r\n\r\n", self.waits.write).await;
-        }
-        let body = stream.body(head.framing, self.waits.read).await.map_err(fault)?;
-        count(&self.counters.requests);
-        if shed {
-            count(&self.counters.connections_shed);
-            return Ok((self.service.shed(), false));
-        }
+    /// Waits for a request's answer; `None` if its client has left. Also tells whether the connection may
+    /// carry another.
+    async fn answer(&self, stream: &mut Stream, request: Whole<'_>) -> Option<(Reply, bool)> {
+        let Whole { head, body, _held } = request;
         let (ticket, replier) = match self.service.accept(&head, body) {
             Accepted::Reply(reply) => {
                 if (400..500).contains(&reply.status) && reply.status != 429 {
                     count(&self.counters.bad_requests);
                 }
-                return Ok((reply, head.keep_alive));
+                return Some((reply, head.keep_alive));
             }
             Accepted::Query(ticket, replier) => (ticket, replier),
         };
@@ -250,11 +361,7 @@
             stream.left().await;
             None
         };
-        match either(answer, left).await {
-            Some(answer) => Ok((replier(answer), head.keep_alive)),
-            // The client has closed: nobody waits, and dropping the ticket tells the core.
-            None => Err(None),
-        }
+        Some((replier(either(answer, left).await?), head.keep_alive))
     }
 }
 
--- a/broker/src/http.rs
+++ b/broker/src/http.rs
@@ -16,6 +16,8 @@
 /// No body is longer.
 pub const BODY_MAX: usize = 64 * 1024;
 const HEADERS_MAX: usize = 64;
+/// So much that comes after the last answer is read and dropped.
+const DROPPED_MOST: usize = 4 * BODY_MAX;
 /// No line that names a chunk's length is longer, extensions included.
 const CHUNK_LINE_MAX: usize = 256;
 
@@ -339,6 +341,8 @@
                     self.more_before(until).await?;
                 }
                 body.extend(self.buffer.drain(..length));
+                // Guards against a connection that keeps the room of its longest body for good.
+                self.buffer.shrink_to(HEAD_MAX);
             }
             Framing::Chunked => {
                 while let Some(chunk) = self.chunk_before(until).await? {
@@ -407,7 +411,10 @@
     pub async fn finish(mut self) {
         if self.socket.get_ref().shutdown(std::net::Shutdown::Write).is_ok() {
             let until = Instant::now() + Duration::from_millis(250);
-            while let Ok(()) = self.more_before(until).await {
+            let mut dropped = 0;
+            // No more than that: who sends without end would have it all read.
+            while let (Ok(()), true) = (self.more_before(until).await, dropped < DROPPED_MOST) {
+                dropped += self.buffer.len();
                 self.buffer.clear();
             }
         }
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -27,10 +27,13 @@
 /// What was taken has ended after so long, whatever its time-out: no class waits longer.
 const FINISH_WITHIN: Duration = Duration::from_secs(15);
 const FINISH_CHECK: Duration = Duration::from_millis(10);
-/// Descriptors kept for stores, discovery, signals and standard streams.
-const SOCKETS_KEPT: usize = 256;
+/// Clients may hold one in so many descriptors: the platform's hold a third at most for their requests, and
+/// those who only stand about are the first to go. Stores, discovery and the process itself need the rest.
+const CLIENTS_SHARE: usize = 2;
 /// More client connections than this are of no use to a broker of one core.
 const CLIENTS_MOST: usize = 512;
+/// One part in so many of the memory may be held by requests longer than usual, at each front.
+const BODIES_SHARE: usize = 8;
 /// Links to stores hold one in so many descriptors, unless more are needed.
 const LINKS_SHARE: usize = 4;
 /// A connection is left to stand for this share of the time after which a store would close it.
@@ -97,13 +100,14 @@
         }
 
         let feature_clients = set.as_ref().map_or(0, |set| set.connections);
-        let clients = config.sockets.saturating_sub(SOCKETS_KEPT + feature_clients);
+        let clients = (config.sockets / CLIENTS_SHARE).saturating_sub(feature_clients);
+        let bodies = (config.memory_mb << 20) / BODIES_SHARE;
         let (listener, platform) = listen("LB_LISTEN", config.listen)?;
         let names = Names { classes: setup.classes, tenants: setup.tenants, shards: settings.shards };
         let front = Platform { exchange: exchange.clone(), names, clock, gate: gate.clone(), full_retry_ms };
         let waits = config.waits;
         let most = clients.clamp(16, CLIENTS_MOST);
-        let server = Server::new(front, &gate, &counters, &executor, waits, most);
+        let server = Server::new(front, &gate, &counters, &executor, waits, most, bodies);
         executor.spawn(server.run(listener)).detach();
         log::info!("serving on {platform}");
         let mut features = None;
@@ -117,7 +121,7 @@
                 clock,
                 full_retry_ms,
             };
-            let server = Server::new(front, &gate, &counters, &executor, waits, feature_clients);
+            let server = Server::new(front, &gate, &counters, &executor, waits, feature_clients, bodies);
             executor.spawn(server.run(listener)).detach();
             log::info!("serving features on {at}");
             features = Some(at);
--- a/broker/src/store/frame.rs
+++ b/broker/src/store/frame.rs
@@ -3,10 +3,12 @@
 
 use std::fmt;
 
-/// No frame is longer.
-pub const FRAME_MAX: usize = 128 * 1024;
+use crate::http::BODY_MAX;
+
 /// No line inside a frame is longer.
 const LINE_MAX: usize = 1024;
+/// No frame is longer: a longer value would fit no client's answer.
+pub const FRAME_MAX: usize = BODY_MAX + LINE_MAX;
 
 /// A call for one part.
 pub const CALL: u8 = b'm';
--- a/broker/src/store/mod.rs
+++ b/broker/src/store/mod.rs
@@ -7,7 +7,7 @@
 pub mod link;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -63,8 +63,11 @@
     counters: Rc<Counters>,
     limits: Rc<Limits>,
     grace: Duration,
-    sites: RefCell<Vec<Rc<Site>>>,
+    /// Those on the list. What is removed lives on only in its links, until they have ended.
+    sites: RefCell<BTreeMap<ServerId, Rc<Site>>>,
     names: RefCell<HashMap<String, ServerId>>,
+    /// The numbers given so far; none is used again.
+    numbered: Cell<ServerId>,
     /// Stores that offer the feature form, and where.
     offers: HashMap<String, SocketAddr>,
     stops: RefCell<HashMap<AttemptId, Sender<()>>>,
@@ -91,6 +94,7 @@
             grace: drain_grace.saturating_sub(DRAIN_MARGIN),
             sites: RefCell::default(),
             names: RefCell::default(),
+            numbered: Cell::new(0),
             offers,
             stops: RefCell::default(),
             links: Cell::new(0),
@@ -102,17 +106,19 @@
     pub fn note(&self, name: &str, address: SocketAddr, ready: bool) -> ServerId {
         let mut sites = self.sites.borrow_mut();
         let id = *self.names.borrow_mut().entry(name.to_owned()).or_insert_with(|| {
-            sites.push(Rc::new(Site {
+            let id = self.numbered.replace(self.numbered.get() + 1);
+            let site = Rc::new(Site {
                 name: name.to_owned(),
                 address: Cell::new(address),
                 drained: Cell::new(None),
                 grace: self.grace,
                 links: RefCell::default(),
                 features: self.offers.get(name).map(|at| features::Driver::new(*at, &self.limits)),
-            }));
-            sites.len() as ServerId - 1
+            });
+            sites.insert(id, site);
+            id
         });
-        if let Some(site) = sites.get(id as usize) {
+        if let Some(site) = sites.get(&id) {
             if site.address.replace(address) != address {
                 site.links.borrow().iter().for_each(|link| link.retire());
             }
@@ -121,23 +127,33 @@
         id
     }
 
-    /// Notes that every store not among these is gone.
+    /// Lets a store go that is gone; returns the number that it had. Guards against keeping all the stores
+    /// of a long day, which are replaced by others with other names again and again.
+    pub fn remove(&self, name: &str) -> Option<ServerId> {
+        let id = self.names.borrow_mut().remove(name)?;
+        if let Some(site) = self.sites.borrow_mut().remove(&id) {
+            set_ready(&site, false);
+        }
+        Some(id)
+    }
+
+    /// Lets every store go that is not among these.
     pub fn keep(&self, listed: &[ServerId]) {
-        for (id, site) in (0..).zip(self.sites.borrow().iter()) {
-            if !listed.contains(&id) {
-                set_ready(site, false);
-            }
+        let gone = |(id, site): (&ServerId, &Rc<Site>)| (!listed.contains(id)).then(|| site.name.clone());
+        let gone: Vec<String> = self.sites.borrow().iter().filter_map(gone).collect();
+        for name in gone {
+            self.remove(&name);
         }
     }
 
-    /// The name of a store.
-    pub fn name(&self, server: ServerId) -> String {
-        self.sites.borrow().get(server as usize).map_or_else(String::new, |site| site.name.clone())
+    /// How many stores are known.
+    pub fn known(&self) -> usize {
+        self.sites.borrow().len()
     }
 
     /// Closes the idle connections to a store.
     pub fn release(&self, server: ServerId) {
-        if let Some(site) = self.sites.borrow().get(server as usize) {
+        if let Some(site) = self.sites.borrow().get(&server) {
             site.links.borrow().iter().filter(|link| link.idle()).for_each(|link| link.retire());
         }
     }
@@ -180,7 +196,7 @@
     }
 
     async fn attempt(self: &Rc<Self>, order: Order, stopped: Receiver<()>) -> Ended {
-        let Some(site) = self.sites.borrow().get(order.server as usize).cloned() else {
+        let Some(site) = self.sites.borrow().get(&order.server).cloned() else {
             return Outcome::Void.into();
         };
         let patience = millis(order.patience_ms);
@@ -274,7 +290,11 @@
 fn set_ready(site: &Site, ready: bool) {
     match (ready, site.drained.get()) {
         (true, _) => site.drained.set(None),
-        (false, None) => site.drained.set(Some(Instant::now())),
+        (false, None) => {
+            site.drained.set(Some(Instant::now()));
+            // Each closes once it carries nothing.
+            site.links.borrow().iter().for_each(|link| link.retire());
+        }
         (false, Some(_)) => {}
     }
 }
--- a/broker/tests/config.rs
+++ b/broker/tests/config.rs
@@ -54,6 +54,7 @@
             ("/seed", json!("xyz"), "seed"),
             ("/settings", Value::Null, "settings.replicas_of_me"),
             ("/limits/sockets", json!(3), "limits.sockets"),
+            ("/limits/memory_mb", json!("much"), "limits.memory_mb"),
             ("/settings/limits/max_open", json!(0), "settings.limits.max_open"),
             ("/settings/limits/streams_per_conn", json!("many"), "settings.limits.streams_per_conn"),
             ("/settings/limits/parallel_tries", json!("maybe"), "settings.limits.parallel_tries"),
--- a/broker/tests/core.rs
+++ b/broker/tests/core.rs
@@ -2,13 +2,18 @@
 #![allow(clippy::unwrap_used)]
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use gingerledge::clock::Clock;
 use gingerledge::core::{
     Ask, AttemptId, Command, Core, Ended, Final, Form, Happening, Order, Question, Served,
 };
 use gingerledge::counters::Counters;
+use gingerledge::discovery::{self, Discovery};
 use gingerledge::exchange::{Exchange, Untaken};
+use gingerledge::store::link::Limits;
+use gingerledge::store::Stores;
+use serde_json::json;
 use stoatlane::{Class, Entry, ListKind, Outcome, Settings};
 
 fn core(class: Class) -> Core {
@@ -157,3 +162,33 @@
     assert_eq!(counters.clients_gone.get(), 1);
     ask("a", &[0, 1, 2]).unwrap();
 }
+
+/// A store that is replaced never comes back under its name, and days are long.
+#[test]
+fn stores_that_are_gone_are_let_go() {
+    let counters = Rc::new(Counters::default());
+    let exchange = Exchange::new(Clock::new(), counters.clone(), 100);
+    let second = Duration::from_secs(1);
+    let limits = Limits { streams: 4, links: 8, dial: second, idle: second };
+    let executor = Rc::new(async_executor::LocalExecutor::new());
+    let stores =
+        Stores::new(executor, exchange.clone(), counters.clone(), limits, second, Default::default());
+    let at = ([127, 0, 0, 1], 9).into();
+    let discovery = Discovery::new(at, Default::default(), exchange, stores.clone(), counters);
+    let list = |reset: bool, entries: &[(usize, &str)]| {
+        let entry = |(n, state): &(usize, &str)| json!({ "instanceId": format!("s-{n}"), "hostPort": "127.0.0.1:9", "cell": 0, "lifecycle": state });
+        let all: Vec<_> = entries.iter().map(entry).collect();
+        let text = json!({ "generation": 1, "reset": reset, "instances": all }).to_string();
+        discovery.tell(&discovery::parse(text.as_bytes()).unwrap(), false);
+    };
+    list(true, &[(0, "up"), (1, "up")]);
+    for n in 2..100 {
+        list(false, &[(n - 2, "draining")]);
+        list(false, &[(n - 2, "removed"), (n, "up")]);
+        assert_eq!(stores.known(), 2);
+    }
+    // One that was never known; then a whole list without one that was.
+    list(false, &[(1000, "removed")]);
+    list(true, &[(99, "up")]);
+    assert_eq!(stores.known(), 1);
+}
--- a/broker/tests/native.rs
+++ b/broker/tests/native.rs
@@ -313,21 +313,65 @@
     });
 }
 
+async fn connect(at: std::net::SocketAddr) -> Stream {
+    Stream::new(Async::<std::net::TcpStream>::connect(at).await.unwrap())
+}
+
+const LONG: Duration = Duration::from_secs(30);
+
+/// Clients may hold half of 64 descriptors.
 #[test]
-fn too_many_connections_close_the_idle_ones_first() {
+fn too_many_connections_close_those_that_never_asked_first() {
     run(2, |world| async move {
-        // 256 of them are kept for stores and discovery.
-        world.sockets.set(256 + 20);
+        world.sockets.set(64);
+        world.env.borrow_mut().extend([("LB_IDLE_MS", "60000"), ("LB_READ_MS", "60000")]);
         let broker = world.broker(world.settings(), None).await;
-        let mut idle = Vec::new();
-        for _ in 0..25 {
-            idle.push(Stream::new(Async::<std::net::TcpStream>::connect(broker.platform).await.unwrap()));
+        let mut kept = connect(broker.platform).await;
+        kept.write(&query("q1", "yard-compare", 2000, &[0], "x"), LONG).await.unwrap();
+        assert_eq!(read(&mut kept).await.unwrap().status, 200);
+        let mut others = Vec::new();
+        for n in 0..40u64 {
+            let mut other = connect(broker.platform).await;
+            if n % 2 == 1 {
+                other.write(b"POST /yard-compare HTTP/1.1\r\nContent-Le", LONG).await.unwrap();
+            }
+            others.push(other);
+            until(|| broker.counters.connections.get() == n + 2).await;
         }
-        until(|| broker.counters.connections.get() == 25).await;
-        let got = exchange(broker.platform, &query("q1", "yard-compare", 2000, &[0], "x")).await.unwrap();
+        let got = exchange(broker.platform, &query("q2", "yard-compare", 2000, &[0], "x")).await.unwrap();
         assert_eq!((got.status, broker.counters.connections_shed.get()), (200, 0));
-        assert!(read(&mut idle[0]).await.is_none(), "the one idle longest made room");
-        drop(idle);
+        for gone in &mut others[..2] {
+            assert!(read(gone).await.is_none(), "those that waited longest made room");
+        }
+        kept.write(&query("q3", "yard-compare", 2000, &[0], "x"), LONG).await.unwrap();
+        assert_eq!(read(&mut kept).await.unwrap().status, 200, "a connection that has been of use is kept");
+    });
+}
+
+#[test]
+fn who_connects_and_says_nothing_is_let_go_as_soon_as_who_stalls() {
+    run(2, |world| async move {
+        world.env.borrow_mut().extend([("LB_IDLE_MS", "600000"), ("LB_READ_MS", "150")]);
+        let broker = world.broker(world.settings(), None).await;
+        assert!(read(&mut connect(broker.platform).await).await.is_none());
+        let mut stalled = connect(broker.platform).await;
+        stalled.write(b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nx", LONG).await.unwrap();
+        assert_eq!(read(&mut stalled).await.unwrap().status, 408);
+    });
+}
+
+#[test]
+fn who_sends_the_same_again_when_turned_away_is_closed_in_the_end() {
+    run(2, |world| async move {
+        let broker = world.broker(world.settings(), None).await;
+        let bad = query("q1", "no-such-class", 2000, &[0], "x");
+        let mut stream = connect(broker.platform).await;
+        let mut answers = 0;
+        while stream.write(&bad, LONG).await.is_ok() && read(&mut stream).await.is_some() {
+            answers += 1;
+            assert!(answers < 20, "it goes on and on");
+        }
+        assert_eq!((answers, broker.counters.bad_requests.get()), (8, 8));
     });
 }
 
--- a/broker/tests/process.rs
+++ b/broker/tests/process.rs
@@ -61,7 +61,7 @@
 fn half_sent_bodies_on_every_connection_stay_within_its_memory() {
     run(2, |world| async move {
         let config = json!({ "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
-            "settings": world.settings() });
+            "limits": { "memory_mb": 32, "sockets": 1024 }, "settings": world.settings() });
         let (mut child, _file) = start(&config, "memory");
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
@@ -70,25 +70,27 @@
         let mut text = b"POST /yard-compare HTTP/1.1\r\nContent-Length: 65536\r\n\r\n".to_vec();
         text.extend(vec![b'x'; 65_000]);
         let mut clients = Vec::new();
-        for _ in 0..512 {
+        for _ in 0..500 {
             let mut client = std::net::TcpStream::connect(&at).unwrap();
-            client.write_all(&text).unwrap();
+            client.set_read_timeout(Some(std::time::Duration::from_secs(20))).unwrap();
+            client.set_write_timeout(Some(std::time::Duration::from_secs(20))).unwrap();
+            // Some are turned away in the midst of it.
+            let _ = client.write_all(&text);
             clients.push(client);
         }
-        let memory = |what: &str| -> u64 {
-            let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap();
-            let line = status.lines().find_map(|line| line.strip_prefix(what)).unwrap();
-            line.trim().trim_end_matches(" kB").parse().unwrap()
-        };
-        // All of it has been read once so much is held.
-        let mut checks = 0;
-        while memory("VmRSS:") < 512 * 60 {
-            checks += 1;
-            assert!(checks < 2000, "the bodies are not read");
-            std::thread::sleep(std::time::Duration::from_millis(5));
+        // Each is told, be it that there is no room (503) or that the rest did not come (408), or closed.
+        let mut told = [0, 0];
+        for client in &mut clients {
+            let mut answer = Vec::new();
+            let _ = client.read_to_end(&mut answer);
+            told[0] += usize::from(answer.starts_with(b"HTTP/1.1 503 "));
+            told[1] += usize::from(answer.starts_with(b"HTTP/1.1 408 "));
         }
-        let kib = memory("VmHWM:");
-        assert!(kib < 192 * 1024, "{kib} KiB");
+        assert!(told[0] > 0 && told[1] > 0, "{told:?}");
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        let kib: u64 = line.trim().trim_end_matches(" kB").parse().unwrap();
+        assert!(kib < 24 * 1024, "{kib} KiB");
         drop(clients);
         signal(&child, "-TERM");
         assert_eq!(child.wait().unwrap().code(), Some(0));
--- a/src/aggregator.rs
+++ b/src/aggregator.rs
@@ -407,6 +407,8 @@
                 server.down = false;
             }
         }
+        // What is gone is let go: days are long, and whoever replaces a server has another id.
+        self.servers.retain(|_, server| server.status != Status::Gone || !server.outs.is_empty());
         self.cells.iter_mut().for_each(Vec::clear);
         for (&id, server) in &self.servers {
             if server.status == Status::Ready {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -282,6 +282,24 @@
     }
 }
 
+/// Days are long, and a server that is replaced never comes back under its id.
+#[test]
+fn servers_that_are_gone_are_let_go() {
+    let mut rig = Rig::new(settings(1, 1, 1), 1);
+    let mut held = Vec::new();
+    for server in 1..200 {
+        let from = rig.sent.len();
+        rig.query(u64::from(server), 0, &[0]);
+        let gone = Entry { server: server - 1, status: Status::Gone, ..Entry::default() };
+        rig.list(ListKind::Changes, vec![Entry { cell: 0, ..ready(server) }, gone]);
+        rig.turn();
+        rig.now += 100.0;
+        rig.end_from(from, Outcome::Success);
+        held.push(format!("{:?}", rig.aggregator).len());
+    }
+    assert!(held[198] < 2 * held[9], "{} grows to {}", held[9], held[198]);
+}
+
 // Honest: what an answer may claim.
 
 fn partial() -> Rig {
