Send nothing new on a connection to a store that fell silent

A debug log: one broker refused 1,038 queries, the other 141; it withdrew 284 attempts against 86, though both send to the same stores. A silent connection stays open and shows nothing; `Stores::link` takes the first with room, so every part to that store went on it, was withdrawn at half its aim, and the module had to take a store that is well for one that answers none. Ruled out: the broker's own bound on open queries (none of these refusals is "full": they come from the module), CPU (0.18 s in the worst second), spoilt answers (7 connections ended by "an answer without its end", each with its part failed after 100 ms as meant).

Changed: a link remembers when an answer came last. When a part is forgotten unanswered and nothing has come since it was queued, the link gets no new parts and closes when the rest on it have ended. A store that really hangs costs a handshake for each trial. Counted as `links_silent`.

The new test fails without the change (all goes on the silent connection).

--- a/broker/src/counters.rs
+++ b/broker/src/counters.rs
@@ -73,6 +73,8 @@
     void,
     /// Connections opened to stores.
     dials,
+    /// Connections to stores given up because nothing came while a part waited in vain.
+    links_silent,
     /// Frames or answers from stores that could not be used.
     bad_frames,
     /// Answers to parts that were no longer waited for.
--- a/broker/src/store/link.rs
+++ b/broker/src/store/link.rs
@@ -44,6 +44,8 @@
     ended: Sender<Ended>,
     /// Whether its frame's last byte has been written: from then on it may run.
     written: bool,
+    /// When it was queued.
+    since: Instant,
 }
 
 #[derive(Debug)]
@@ -63,6 +65,8 @@
     ended: RefCell<VecDeque<Rc<str>>>,
     wake: (Sender<()>, Receiver<()>),
     used: Cell<Instant>,
+    /// When an answer came last.
+    heard: Cell<Instant>,
     closing: Cell<bool>,
     /// Part of an answer has come, and the rest not yet.
     partial: Cell<bool>,
@@ -96,6 +100,7 @@
             ended: RefCell::default(),
             wake: async_channel::bounded(1),
             used: Cell::new(Instant::now()),
+            heard: Cell::new(Instant::now()),
             closing: Cell::new(false),
             partial: Cell::new(false),
         })
@@ -140,7 +145,9 @@
             let _ = send.try_send(Outcome::Void.into());
             return ended;
         }
-        self.flights.borrow_mut().insert(id.clone(), Flight { ended: send, written: false });
+        self.flights
+            .borrow_mut()
+            .insert(id.clone(), Flight { ended: send, written: false, since: Instant::now() });
         self.queue.borrow_mut().push_back(Outgoing { bytes, id: Some(id) });
         self.used.set(Instant::now());
         self.wake();
@@ -164,7 +171,13 @@
 
     /// Forgets a part that is no longer waited for.
     pub fn forget(&self, id: &Rc<str>, limits: &Limits) {
-        self.flights.borrow_mut().remove(id);
+        let flight = self.flights.borrow_mut().remove(id);
+        // Guards against a connection that fell silent while its store is well, and shows no other sign of it:
+        // nothing came while this part waited. The next part is better off on a new one.
+        let silent = flight.is_some_and(|flight| flight.written && self.heard.get() < flight.since);
+        if silent && !self.closing.replace(true) {
+            count(&self.counters.links_silent);
+        }
         self.remember(id.clone(), limits);
         self.used.set(Instant::now());
         self.wake();
@@ -289,6 +302,7 @@
         match frame::parse(letter, rest).map_err(|fault| fault.to_string())? {
             Frame::Answer { id, end, score, report, value } => {
                 self.used.set(Instant::now());
+                self.heard.set(Instant::now());
                 let Some((id, flight)) = self.flights.borrow_mut().remove_entry(id) else {
                     // Guards against an answer that bears another's id: who waits for it waits in vain.
                     if !self.ended.borrow().iter().any(|ended| **ended == *id) {
--- a/broker/tests/common/world.rs
+++ b/broker/tests/common/world.rs
@@ -35,6 +35,8 @@
     Full,
     /// Sends what is no frame, or no feature collection.
     Garbage,
+    /// The connections open now fall silent; new ones are served.
+    Silences,
     /// Sends the beginning of an answer and never the rest.
     Half,
     /// Sends an answer that bears an id nobody asked for.
@@ -293,6 +295,7 @@
     async fn speak_frames(self: Rc<Self>, n: usize, socket: Async<std::net::TcpStream>) -> Option<()> {
         let socket = Rc::new(socket);
         let (mut buffer, mut piece) = (Vec::new(), [0; 4096]);
+        let fresh = self.mood.borrow()[n] == Mood::Silences;
         loop {
             let read = (&*socket).read(&mut piece).await.ok().filter(|read| *read > 0)?;
             buffer.extend_from_slice(&piece[..read]);
@@ -314,8 +317,10 @@
                 let (id, list, shard) = (id.to_owned(), list.to_owned(), shard.parse().unwrap());
                 let sent = Sent { store: n, id, shard, list, text, features: false };
                 self.sent.borrow_mut().push(sent.clone());
-                if self.mood.borrow()[n] == Mood::Resets {
-                    return None;
+                match self.mood.borrow()[n] {
+                    Mood::Resets => return None,
+                    Mood::Silences if !fresh => continue,
+                    _ => {}
                 }
                 let (this, socket) = (self.clone(), socket.clone());
                 let serve = async move { this.answer_frame(sent, &socket).await };
@@ -342,7 +347,7 @@
                 let frame = frame::frame(frame::ANSWER, b"no line at all");
                 return http::write_all(socket, &frame, WITHIN).await.ok();
             }
-            Mood::Serves | Mood::BadReport | Mood::Twice | Mood::Noise | Mood::Beginning => {
+            Mood::Serves | Mood::Silences | Mood::BadReport | Mood::Twice | Mood::Noise | Mood::Beginning => {
                 ("good", self.value(&sent))
             }
             Mood::Slow(ms) => {
--- a/broker/tests/native.rs
+++ b/broker/tests/native.rs
@@ -99,6 +99,29 @@
     }
 }
 
+/// The store is well: only what is sent on the old connection is lost, and shows nothing but silence.
+#[test]
+fn a_connection_that_fell_silent_gets_nothing_new() {
+    run(1, |world| async move {
+        let broker = world.broker(world.settings(), None).await;
+        let ask = |id: &str, timeout: u64| {
+            let (at, text) = (broker.platform, query(id, "harvest-entry", timeout, &[0], "x"));
+            async move { exchange(at, &text).await.unwrap().status }
+        };
+        assert_eq!(ask("q1", 2000).await, 200);
+        world.mood.borrow_mut()[0] = Mood::Silences;
+        assert_eq!(ask("q2", 300).await, 504);
+        let mut n = 3;
+        // The store itself is kept out for a moment.
+        while ask(&format!("q{n}"), 300).await != 200 {
+            n += 1;
+            assert!(n < 20, "all is sent on the silent connection");
+            Timer::after(Duration::from_millis(100)).await;
+        }
+        assert_eq!((broker.counters.links_silent.get(), broker.counters.dials.get()), (1, 2));
+    });
+}
+
 /// A spoilt answer takes all parts on its connection with it.
 #[test]
 fn once_an_answer_was_spoilt_parts_share_no_connections() {
