Add the operators' door, and drain the broker through one state machine

Ruled out: the connections themselves; with the SIGTERM path alone they were closed in time.

- lifecycle: serving, draining, leaving; takes the place of front::Gate, whose two flags could not go back.
- admin: the door, with 16 connections of its own; the oldest without a whole call makes room.
- Answers of a broker that drains end their connections; idle ones are closed 1 s after the call.

--- /dev/null
+++ b/broker/src/admin.rs
@@ -0,0 +1,159 @@
+//! The operators' door: HTTP/1.1, one call to a connection. It reads a call, makes a [`Call`] of it and
+//! passes that on; a 2xx means that it is done.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::future::or;
+
+use crate::counters::{count, Counters};
+use crate::http::{self, Ending, Fault, Head, Kind, Stream};
+use crate::lifecycle::Lifecycle;
+
+/// So many connections may be open; past that the oldest without a whole call makes room. They are apart from
+/// the clients', so that neither keeps the other out.
+const CONNECTIONS: usize = 16;
+/// A call comes whole within this time.
+const CALL_WITHIN: Duration = Duration::from_millis(2000);
+const WRITE_WITHIN: Duration = Duration::from_millis(1000);
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process can serve.
+    Ready,
+    /// To drain the broker.
+    Drain,
+    /// To end the drain.
+    Undrain,
+}
+
+/// A status and a few words.
+pub type Reply = (u16, String);
+
+/// Makes a call of a request, or says what is wrong with it.
+pub fn call(head: &Head, body: &[u8]) -> Result<Call, Reply> {
+    let (method, call) = match head.path() {
+        "/ready" => ("GET", Call::Ready),
+        "/drain" => ("PUT", Call::Drain),
+        "/undrain" => ("PUT", Call::Undrain),
+        path => return Err((404, format!("no such path: {path}"))),
+    };
+    if head.method != method {
+        return Err((405, format!("{} takes {method}", head.path())));
+    }
+    if !body.is_empty() {
+        return Err((400, format!("{} takes no body", head.path())));
+    }
+    Ok(call)
+}
+
+/// The door.
+pub struct Door {
+    lifecycle: Rc<Lifecycle>,
+    counters: Rc<Counters>,
+    executor: Rc<LocalExecutor<'static>>,
+    /// Connections without a whole call, the oldest first.
+    waiting: RefCell<VecDeque<Sender<()>>>,
+}
+
+impl Door {
+    /// A door to this broker.
+    pub fn new(
+        lifecycle: &Rc<Lifecycle>,
+        counters: &Rc<Counters>,
+        executor: &Rc<LocalExecutor<'static>>,
+    ) -> Rc<Self> {
+        let (lifecycle, counters, executor) = (lifecycle.clone(), counters.clone(), executor.clone());
+        Rc::new(Self { lifecycle, counters, executor, waiting: RefCell::default() })
+    }
+
+    /// Accepts and serves, for as long as the process runs.
+    pub async fn run(self: Rc<Self>, listener: Async<TcpListener>) {
+        let open = Rc::new(());
+        loop {
+            let socket = match listener.accept().await {
+                Ok((socket, _)) => socket,
+                Err(e) => {
+                    log::warn!("operators' door: {e}");
+                    Timer::after(ACCEPT_AGAIN).await;
+                    continue;
+                }
+            };
+            if Rc::strong_count(&open) > 2 * CONNECTIONS {
+                // All of these have been answered, and their callers don't close.
+                continue;
+            }
+            if Rc::strong_count(&open) > CONNECTIONS {
+                // Guards against callers that hold a connection without a call: they never hold up one.
+                if let Some(oldest) = self.waiting.borrow_mut().pop_front() {
+                    let _ = oldest.try_send(());
+                }
+            }
+            let (this, held) = (self.clone(), open.clone());
+            let (leave, left) = async_channel::bounded(1);
+            self.waiting.borrow_mut().push_back(leave.clone());
+            let serve = async move {
+                let mut stream = Stream::new(socket);
+                let read = async { Some(this.read(&mut stream).await) };
+                let crowded = async {
+                    let _ = left.recv().await;
+                    None
+                };
+                let call = or(read, crowded).await;
+                this.waiting.borrow_mut().retain(|other| !other.same_channel(&leave));
+                if let Some(Some(call)) = call {
+                    let (status, words) = call.map_or_else(|no| no, |call| this.carry_out(call));
+                    log::debug!("operators' door: {status} {words}");
+                    count(&this.counters.admin_calls);
+                    let text = "Content-Type: text/plain; charset=utf-8\r\n";
+                    let bytes = http::answer(status, text, format!("{words}\n").as_bytes(), false);
+                    if stream.write(&bytes, WRITE_WITHIN).await.is_ok() {
+                        stream.finish().await;
+                    }
+                }
+                drop(held);
+            };
+            self.executor.spawn(serve).detach();
+        }
+    }
+
+    /// Reads a call; nothing if the caller has closed.
+    async fn read(&self, stream: &mut Stream) -> Option<Result<Call, Reply>> {
+        let by = Instant::now() + CALL_WITHIN;
+        let left = || by.saturating_duration_since(Instant::now());
+        let request = async {
+            let head = stream.head(Kind::Request, left()).await?;
+            let body = stream.body(head.framing, left()).await?;
+            Ok((head, body))
+        };
+        let fault = match request.await {
+            Ok((head, body)) => return Some(call(&head, &body)),
+            Err(Ending::Closed | Ending::Cut) => return None,
+            Err(Ending::Stalled) => Fault::Stalled,
+            Err(Ending::Fault(fault)) => fault,
+        };
+        Some(Err((fault.status(), fault.to_string())))
+    }
+
+    fn carry_out(&self, call: Call) -> Reply {
+        let yes = |words: &str| (200, words.to_owned());
+        match call {
+            Call::Ready if self.lifecycle.ready() => yes("ready"),
+            Call::Ready => (503, format!("not ready: {:?}", self.lifecycle.phase())),
+            Call::Drain => {
+                self.lifecycle.drain();
+                yes("draining")
+            }
+            Call::Undrain if self.lifecycle.undrain() => yes("serving"),
+            Call::Undrain => (409, "about to end".to_owned()),
+        }
+    }
+}
--- a/broker/src/config.rs
+++ b/broker/src/config.rs
@@ -54,6 +54,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub admin: Option<SocketAddr>,
     /// Where discovery listens.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -115,6 +117,11 @@
         let (_, name) = told("LB_NAME", "name")?;
         let listen = address(told("LB_LISTEN", "listen")?)?;
         let discovery = address(told("LB_DISCOVERY", "discovery")?)?;
+        let admin = match (var("LB_ADMIN_ADDR"), json.get("admin_addr")) {
+            (Some(text), _) => Some(address(("LB_ADMIN_ADDR".to_owned(), text))?),
+            (None, None | Some(Value::Null)) => None,
+            (None, Some(given)) => Some(address(("admin_addr".to_owned(), plain(given)))?),
+        };
         let seed = match json.get("seed") {
             None => 0,
             Some(Value::Number(n)) => n.as_u64().ok_or_else(|| Error::new("seed", "not a whole number"))?,
@@ -170,6 +177,7 @@
         Ok(Self {
             name,
             listen,
+            admin,
             discovery,
             seed,
             sockets,
--- a/broker/src/counters.rs
+++ b/broker/src/counters.rs
@@ -35,6 +35,8 @@
     requests,
     /// Requests answered with a 4xx before they became a query.
     bad_requests,
+    /// Calls of operators answered.
+    admin_calls,
     /// Queries handed to the core.
     queries,
     /// Queries turned away because the broker held as many as it may.
--- a/broker/src/front/mod.rs
+++ b/broker/src/front/mod.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use async_channel::{Receiver, Sender};
+use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 
@@ -20,53 +20,11 @@
 use crate::counters::{count, Counters};
 use crate::exchange::Ticket;
 use crate::http::{self, Ending, Head, Kind, Stream};
+use crate::lifecycle::Lifecycle;
 
 /// After a failed accept (no descriptor is left, say) the next is tried so much later.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
-/// Whether requests are still taken; shared by all fronts.
-#[derive(Debug)]
-pub struct Gate {
-    draining: Cell<bool>,
-    close: RefCell<Option<Sender<()>>>,
-    closed: Receiver<()>,
-    connections: Cell<usize>,
-}
-
-impl Gate {
-    /// An open gate.
-    pub fn new() -> Rc<Self> {
-        let (close, closed) = async_channel::bounded(1);
-        let close = RefCell::new(Some(close));
-        Rc::new(Self { draining: Cell::new(false), close, closed, connections: Cell::new(0) })
-    }
-
-    /// From now on every answer ends its connection, and the broker says that it is not ready.
-    pub fn drain(&self) {
-        self.draining.set(true);
-    }
-
-    /// Whether it drains.
-    pub fn draining(&self) -> bool {
-        self.draining.get()
-    }
-
-    /// Takes no more connections and closes those between requests.
-    pub fn close(&self) {
-        self.close.borrow_mut().take();
-    }
-
-    /// Resolves once it is closed.
-    pub async fn closed(&self) {
-        let _ = self.closed.recv().await;
-    }
-
-    /// Client connections that are open.
-    pub fn connections(&self) -> usize {
-        self.connections.get()
-    }
-}
-
 /// An answer, or what ends the connection instead of one.
 pub struct Reply {
     /// The status.
@@ -171,10 +129,10 @@
     }
 }
 
-/// Serves connections from a listener until the gate closes.
+/// Serves connections from a listener until the broker leaves.
 pub struct Server<S> {
     service: S,
-    gate: Rc<Gate>,
+    lifecycle: Rc<Lifecycle>,
     counters: Rc<Counters>,
     executor: Rc<LocalExecutor<'static>>,
     waits: Waits,
@@ -188,16 +146,16 @@
     /// A server for a front that may have `most` connections open, and `bodies` bytes of long bodies.
     pub fn new(
         service: S,
-        gate: &Rc<Gate>,
+        lifecycle: &Rc<Lifecycle>,
         counters: &Rc<Counters>,
         executor: &Rc<LocalExecutor<'static>>,
         waits: Waits,
         most: usize,
         bodies: usize,
     ) -> Rc<Self> {
-        let (gate, counters, executor) = (gate.clone(), counters.clone(), executor.clone());
+        let (lifecycle, counters, executor) = (lifecycle.clone(), counters.clone(), executor.clone());
         let (held, spare) = (Cell::new(0), RefCell::default());
-        Rc::new(Self { service, gate, counters, executor, waits, most, bodies, held, spare })
+        Rc::new(Self { service, lifecycle, counters, executor, waits, most, bodies, held, spare })
     }
 
     /// Accepts and serves.
@@ -206,7 +164,7 @@
         loop {
             let accept = async { Some(listener.accept().await) };
             let closed = async {
-                self.gate.closed().await;
+                self.lifecycle.accepting_over().await;
                 None
             };
             let socket = match futures_lite::future::or(accept, closed).await {
@@ -226,12 +184,11 @@
             }
             // Counted before its task runs: many may be accepted in one go.
             open.set(open.get() + 1);
-            self.gate.connections.set(self.gate.connections.get() + 1);
-            let (this, open) = (self.clone(), open.clone());
+            let (this, open, connection) = (self.clone(), open.clone(), self.lifecycle.connection());
             let task = async move {
                 this.serve(Stream::new(socket), shed).await;
                 open.set(open.get() - 1);
-                this.gate.connections.set(this.gate.connections.get() - 1);
+                drop(connection);
             };
             self.executor.spawn(task).detach();
         }
@@ -264,10 +221,11 @@
         wake: &Sender<()>,
     ) -> Result<Whole<'_>, NoRequest> {
         if !stream.begun() {
+            let accepted = first_by.and_then(|by| by.checked_sub(self.waits.read));
             let within = first_by.map_or(self.waits.idle, |by| by.saturating_duration_since(Instant::now()));
             let first = async { stream.first(within).await.is_ok() };
             let closed = async {
-                self.gate.closed().await;
+                self.lifecycle.idle_over(accepted).await;
                 false
             };
             if !either(first, closed).await {
@@ -326,7 +284,7 @@
             // have the thread to itself.
             let unfit = (400..500).contains(&reply.status) && reply.status != 429;
             bad += u32::from(unfit);
-            let keep_alive = keep_alive && !self.gate.draining() && bad < BAD_MOST;
+            let keep_alive = keep_alive && !self.lifecycle.closing() && bad < BAD_MOST;
             let bytes = http::answer(reply.status, &reply.headers, &reply.body, keep_alive);
             if let Err(e) = stream.write(&bytes, self.waits.write).await {
                 count(&self.counters.unwritten);
--- a/broker/src/front/platform.rs
+++ b/broker/src/front/platform.rs
@@ -6,11 +6,12 @@
 use serde::Deserialize;
 use stoatlane::Millis;
 
-use super::{Accepted, Gate, Reply, Service};
+use super::{Accepted, Reply, Service};
 use crate::clock::Clock;
 use crate::core::{Ask, Final, Form, Question, Text};
 use crate::exchange::{Exchange, Untaken};
 use crate::http::{self, Head, BODY_MAX};
+use crate::lifecycle::Lifecycle;
 
 /// No client waits longer.
 const TIMEOUT_MAX_MS: u64 = 600_000;
@@ -169,7 +170,7 @@
     /// The time.
     pub clock: Clock,
     /// Whether the broker is ready.
-    pub gate: Rc<Gate>,
+    pub lifecycle: Rc<Lifecycle>,
     /// Advice where the broker holds all that it may.
     pub full_retry_ms: Millis,
 }
@@ -177,7 +178,7 @@
 impl Service for Platform {
     fn accept(&self, head: &Head, body: Vec<u8>) -> Accepted {
         let reply = match (head.method.as_str(), head.path()) {
-            ("GET" | "HEAD", "/ready") if self.gate.draining() => Reply::text(503, "draining"),
+            ("GET" | "HEAD", "/ready") if !self.lifecycle.ready() => Reply::text(503, "not ready"),
             ("GET" | "HEAD", "/ready" | "/health") => Reply::text(200, "ok"),
             ("POST", _) => match question(head, &body, &self.names, self.clock.now()) {
                 Err(Bad { status, what }) => Reply::text(status, &what),
--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -2,6 +2,7 @@
 //! in, has the decision module `stoatlane` place their parts on reading stores, and gives each query
 //! exactly one final answer. `ARCHITECTURE.md` tells the life of a request.
 
+pub mod admin;
 pub mod clock;
 pub mod config;
 pub mod core;
@@ -11,6 +12,7 @@
 pub mod front;
 pub mod geojson;
 pub mod http;
+pub mod lifecycle;
 pub mod logger;
 pub mod service;
 pub mod store;
--- /dev/null
+++ b/broker/src/lifecycle.rs
@@ -0,0 +1,160 @@
+//! Whether the broker takes requests: one state machine behind `/ready` at both doors, the calls to drain,
+//! and SIGTERM.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use event_listener::Event;
+use futures_lite::future::or;
+
+/// The front asks `/ready` ten times a second and stops 0.2 s after a no. So long after a drain began nobody
+/// sends anything new, and connections without a request are closed.
+const DRAIN_QUIET: Duration = Duration::from_millis(1000);
+/// A connection that comes during a drain has so long for its request.
+const LATE_COMER: Duration = Duration::from_millis(1000);
+/// After SIGTERM new connections keep coming for up to 0.4 s, and are served. What comes later than 0.7 s may
+/// be cut off by SIGKILL, so connections without a request are closed before.
+const LEAVE_QUIET: Duration = Duration::from_millis(500);
+
+/// What the broker is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It takes requests.
+    Serving,
+    /// Told to drain: what comes is still served, and every answer ends its connection.
+    Draining {
+        /// From when on.
+        since: Instant,
+    },
+    /// Told to end.
+    Leaving {
+        /// From when on.
+        since: Instant,
+    },
+}
+
+/// The state machine; shared by all doors.
+#[derive(Debug)]
+pub struct Lifecycle {
+    phase: Cell<Phase>,
+    changed: Event,
+    connections: Cell<usize>,
+}
+
+/// A client's connection; counted until dropped.
+#[derive(Debug)]
+pub struct Connection(Rc<Lifecycle>);
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
+impl Lifecycle {
+    /// One that serves.
+    pub fn new() -> Rc<Self> {
+        let (phase, connections) = (Cell::new(Phase::Serving), Cell::new(0));
+        Rc::new(Self { phase, changed: Event::new(), connections })
+    }
+
+    /// What the broker is doing.
+    pub fn phase(&self) -> Phase {
+        self.phase.get()
+    }
+
+    /// The answer to `/ready`.
+    pub fn ready(&self) -> bool {
+        self.phase() == Phase::Serving
+    }
+
+    /// Whether answers end their connections.
+    pub fn closing(&self) -> bool {
+        self.phase() != Phase::Serving
+    }
+
+    fn enter(&self, phase: Phase) {
+        let before = self.phase.replace(phase);
+        log::info!("{phase:?} after {before:?}");
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Begins a drain; one that has begun goes on, and who leaves has drained already.
+    pub fn drain(&self) {
+        if self.phase() == Phase::Serving {
+            self.enter(Phase::Draining { since: Instant::now() });
+        }
+    }
+
+    /// Ends a drain; false if the broker is about to end.
+    pub fn undrain(&self) -> bool {
+        match self.phase() {
+            Phase::Serving => true,
+            Phase::Draining { .. } => {
+                self.enter(Phase::Serving);
+                true
+            }
+            Phase::Leaving { .. } => false,
+        }
+    }
+
+    /// The broker is about to end.
+    pub fn leave(&self) {
+        if !matches!(self.phase(), Phase::Leaving { .. }) {
+            self.enter(Phase::Leaving { since: Instant::now() });
+        }
+    }
+
+    /// Resolves once a connection without a request is to be closed; `accepted` is when it came, for one that
+    /// has not carried any.
+    pub async fn idle_over(&self, accepted: Option<Instant>) {
+        self.reached(|phase| match phase {
+            Phase::Serving => None,
+            Phase::Draining { since } => {
+                let quiet = since + DRAIN_QUIET;
+                Some(accepted.map_or(quiet, |at| quiet.max(at + LATE_COMER)))
+            }
+            Phase::Leaving { since } => Some(since + LEAVE_QUIET),
+        })
+        .await
+    }
+
+    /// Resolves once no more connections are to be accepted.
+    pub async fn accepting_over(&self) {
+        self.reached(|phase| match phase {
+            Phase::Serving | Phase::Draining { .. } => None,
+            Phase::Leaving { since } => Some(since + LEAVE_QUIET),
+        })
+        .await
+    }
+
+    /// Waits for the time that the phase names, and begins anew whenever the phase changes.
+    async fn reached(&self, at: impl Fn(Phase) -> Option<Instant>) {
+        loop {
+            let changed = self.changed.listen();
+            match at(self.phase()) {
+                None => changed.await,
+                Some(at) if at <= Instant::now() => return,
+                Some(at) => {
+                    let late = async {
+                        Timer::at(at).await;
+                    };
+                    or(changed, late).await;
+                }
+            }
+        }
+    }
+
+    /// Counts a client's connection.
+    pub fn connection(self: &Rc<Self>) -> Connection {
+        self.connections.set(self.connections.get() + 1);
+        Connection(self.clone())
+    }
+
+    /// Client connections that are open.
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
+}
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -10,6 +10,7 @@
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 
+use crate::admin::Door;
 use crate::clock::{millis, Clock, Millis};
 use crate::config::{Config, Error};
 use crate::core::{Command, Core};
@@ -18,12 +19,11 @@
 use crate::exchange::Exchange;
 use crate::front::features::Front;
 use crate::front::platform::{Names, Platform};
-use crate::front::{Gate, Server};
+use crate::front::Server;
+use crate::lifecycle::Lifecycle;
 use crate::store::link::Limits;
 use crate::store::Stores;
 
-/// After SIGTERM new connections keep coming for up to 0.4 s, and are served.
-const STILL_COMING: Duration = Duration::from_millis(500);
 /// What was taken has ended after so long, whatever its time-out: no class waits longer.
 const FINISH_WITHIN: Duration = Duration::from_secs(15);
 const FINISH_CHECK: Duration = Duration::from_millis(10);
@@ -59,11 +59,13 @@
     pub platform: SocketAddr,
     /// Where the feature front's clients connect, if it is set up.
     pub features: Option<SocketAddr>,
+    /// Where operators call, if there is such a door.
+    pub admin: Option<SocketAddr>,
     /// What it has counted.
     pub counters: Rc<Counters>,
     exchange: Rc<Exchange>,
     discovery: Rc<Discovery>,
-    gate: Rc<Gate>,
+    lifecycle: Rc<Lifecycle>,
 }
 
 fn listen(key: &str, at: SocketAddr) -> Result<(Async<TcpListener>, SocketAddr), Error> {
@@ -77,7 +79,7 @@
     pub fn start(config: Config, clock: Clock, executor: Rc<LocalExecutor<'static>>) -> Result<Self, Error> {
         let counters = Rc::new(Counters::default());
         let exchange = Exchange::new(clock, counters.clone(), config.max_open);
-        let gate = Gate::new();
+        let lifecycle = Lifecycle::new();
         let limits = Limits {
             streams: config.streams,
             links: config.sockets / LINKS_SHARE,
@@ -104,10 +106,11 @@
         let bodies = (config.memory_mb << 20) / BODIES_SHARE;
         let (listener, platform) = listen("LB_LISTEN", config.listen)?;
         let names = Names { classes: setup.classes, tenants: setup.tenants, shards: settings.shards };
-        let front = Platform { exchange: exchange.clone(), names, clock, gate: gate.clone(), full_retry_ms };
+        let (shared, lifecycle_shown) = (exchange.clone(), lifecycle.clone());
+        let front = Platform { exchange: shared, names, clock, lifecycle: lifecycle_shown, full_retry_ms };
         let waits = config.waits;
         let most = clients.clamp(16, CLIENTS_MOST);
-        let server = Server::new(front, &gate, &counters, &executor, waits, most, bodies);
+        let server = Server::new(front, &lifecycle, &counters, &executor, waits, most, bodies);
         executor.spawn(server.run(listener)).detach();
         log::info!("serving on {platform}");
         let mut features = None;
@@ -121,15 +124,22 @@
                 clock,
                 full_retry_ms,
             };
-            let server = Server::new(front, &gate, &counters, &executor, waits, feature_clients, bodies);
+            let server = Server::new(front, &lifecycle, &counters, &executor, waits, feature_clients, bodies);
             executor.spawn(server.run(listener)).detach();
             log::info!("serving features on {at}");
             features = Some(at);
         }
+        let mut admin = None;
+        if let Some(at) = config.admin {
+            let (listener, at) = listen("LB_ADMIN_ADDR", at)?;
+            executor.spawn(Door::new(&lifecycle, &counters, &executor).run(listener)).detach();
+            log::info!("operators' door at {at}");
+            admin = Some(at);
+        }
         let core = Core::new(config.seed, settings, clock.now());
         executor.spawn(discovery.clone().run()).detach();
         executor.spawn(drive(core, clock, exchange.clone(), stores, discovery.clone())).detach();
-        Ok(Self { platform, features, counters, exchange, discovery, gate })
+        Ok(Self { platform, features, admin, counters, exchange, discovery, lifecycle })
     }
 
     /// Prints the counters on SIGUSR1 and reads the configuration again on SIGHUP; returns on SIGTERM or
@@ -158,11 +168,10 @@
     /// Stops taking requests and finishes those taken.
     pub async fn stop(&self) {
         log::info!("stopping: {} queries open", self.exchange.open_queries());
-        self.gate.drain();
-        Timer::after(STILL_COMING).await;
-        self.gate.close();
+        self.lifecycle.leave();
+        self.lifecycle.accepting_over().await;
         let until = Instant::now() + FINISH_WITHIN;
-        while self.gate.connections() > 0 && Instant::now() < until {
+        while self.lifecycle.connections() > 0 && Instant::now() < until {
             Timer::after(FINISH_CHECK).await;
         }
         log::info!("counters: {}", self.counters);
--- a/broker/tests/common/world.rs
+++ b/broker/tests/common/world.rs
@@ -493,6 +493,13 @@
     exchange(at, text.as_bytes()).await.unwrap()
 }
 
+/// A call at the operators' door; gives its status.
+pub async fn put(at: Option<SocketAddr>, path: &str, body: &str) -> u16 {
+    let length = body.len();
+    let text = format!("PUT {path} HTTP/1.1\r\nHost: test\r\nContent-Length: {length}\r\n\r\n{body}");
+    exchange(at.unwrap(), text.as_bytes()).await.unwrap().status
+}
+
 /// A query's text on the platform's protocol.
 pub fn query(id: &str, class: &str, timeout: u64, shards: &[u32], predicate: &str) -> Vec<u8> {
     let portion = 1.0 / shards.len() as f64;
--- a/broker/tests/parsers.rs
+++ b/broker/tests/parsers.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use common::cuts::{cuts, garbage};
+use gingerledge::admin;
 use gingerledge::config::Config;
 use gingerledge::discovery::{self, Lines};
 use gingerledge::front::features::{link, query};
@@ -45,6 +46,23 @@
     }
 }
 
+#[test]
+fn operators_calls_are_read_whatever_comes() {
+    let text: &[u8] = b"PUT /drain HTTP/1.1\r\nHost: broker\r\nContent-Length: 0\r\n\r\n";
+    let read = |bytes: &[u8]| parse_head(bytes, Kind::Request).ok().flatten();
+    cuts(text, |pieces| grow(pieces, |bytes| read(bytes).map(|(head, at)| (admin::call(&head, b""), at))));
+    garbage(text, |bytes| drop(read(bytes).map(|(head, at)| admin::call(&head, &bytes[at..]))));
+    let status = |line: &str, body: &[u8]| {
+        let (head, _) = read(format!("{line} HTTP/1.1\r\n\r\n").as_bytes()).unwrap();
+        admin::call(&head, body).map_err(|(status, _)| status)
+    };
+    assert_eq!(status("GET /ready", b""), Ok(admin::Call::Ready));
+    assert_eq!(status("PUT /undrain", b""), Ok(admin::Call::Undrain));
+    assert_eq!(status("PUT /nowhere", b""), Err(404));
+    assert_eq!(status("GET /drain", b""), Err(405));
+    assert_eq!(status("PUT /drain", b"now"), Err(400));
+}
+
 #[test]
 fn framing_that_could_hide_a_second_request_is_refused() {
     let fault = |headers: &str| {
