Upgrade beside the old process: adopt its listener and share the limits

- handover::inherited duplicates the descriptor in safe code and checks it; service::Broker::start uses it.
- handover::Presence: two locked files tell each process of the other; Server, Exchange and Stores halve their room while there are two, and the module counts every aggregator twice (Event::Aggregators) while both serve.
- Ready only once discovery has told its list (1 s where the configuration names stores).
- Told to leave beside a successor, the old process stops accepting at once; its connections are still answered.
- The feature front's address may be listened on by both; what waits there is taken before it closes.

--- a/broker/src/admin.rs
+++ b/broker/src/admin.rs
@@ -147,7 +147,7 @@
         let yes = |words: &str| (200, words.to_owned());
         match call {
             Call::Ready if self.lifecycle.ready() => yes("ready"),
-            Call::Ready => (503, format!("not ready: {:?}", self.lifecycle.phase())),
+            Call::Ready => (503, format!("not ready; {}", self.lifecycle.phase())),
             Call::Drain => {
                 self.lifecycle.drain();
                 yes("draining")
--- a/broker/src/config.rs
+++ b/broker/src/config.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use log::LevelFilter;
@@ -56,6 +57,10 @@
     pub listen: SocketAddr,
     /// Where operators call, if anywhere.
     pub admin: Option<SocketAddr>,
+    /// The descriptor on which the platform listens already, if it does.
+    pub listener: Option<i32>,
+    /// The only folder that may be written to.
+    pub state_dir: Option<PathBuf>,
     /// Where discovery listens.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -91,6 +96,8 @@
 /// Stalled and hostile clients are let go this soon, and connections between requests.
 const READ_MS: u64 = 2500;
 const IDLE_MS: u64 = 2500;
+/// Descriptors have numbers below this.
+const FD_END: i32 = 1 << 20;
 const WAIT_MOST_MS: u64 = 3_600_000;
 
 impl Config {
@@ -122,6 +129,16 @@
             (None, None | Some(Value::Null)) => None,
             (None, Some(given)) => Some(address(("admin_addr".to_owned(), plain(given)))?),
         };
+        let listener = match var("LB_FD") {
+            None => None,
+            Some(text) => Some(
+                text.parse()
+                    .ok()
+                    .filter(|fd| (0..FD_END).contains(fd))
+                    .ok_or_else(|| Error::new("LB_FD", format!("expected a descriptor, found `{text}`")))?,
+            ),
+        };
+        let state_dir = var("TMPDIR").filter(|path| !path.is_empty()).map(PathBuf::from);
         let seed = match json.get("seed") {
             None => 0,
             Some(Value::Number(n)) => n.as_u64().ok_or_else(|| Error::new("seed", "not a whole number"))?,
@@ -178,6 +195,8 @@
             name,
             listen,
             admin,
+            listener,
+            state_dir,
             discovery,
             seed,
             sockets,
--- a/broker/src/core/mod.rs
+++ b/broker/src/core/mod.rs
@@ -121,6 +121,8 @@
     Ended(AttemptId, Ended),
     /// Discovery has told something.
     Listed(ListKind, Vec<Entry>),
+    /// How many processes share this broker's part of everything.
+    Shared(u32),
 }
 
 /// The first step that a part of the second rests on.
@@ -198,6 +200,7 @@
 pub struct Core {
     aggregator: Aggregator,
     follow_up: Vec<u32>,
+    aggregators: u32,
     max_attempts: u32,
     parallel: bool,
     queries: BTreeMap<QueryId, Query>,
@@ -212,6 +215,7 @@
     pub fn new(seed: u64, settings: Settings, now: Millis) -> Self {
         Self {
             follow_up: settings.classes.iter().map(|class| class.follow_up).collect(),
+            aggregators: settings.aggregators.max(1),
             max_attempts: settings.max_attempts.max(1),
             parallel: settings.parallel,
             aggregator: Aggregator::new(seed, settings, now),
@@ -276,6 +280,13 @@
             Happening::Listed(kind, entries) => {
                 self.aggregator.handle(now, Event::List { kind, entries }, actions);
             }
+            Happening::Shared(processes) => {
+                self.aggregator.handle(
+                    now,
+                    Event::Aggregators { count: self.aggregators * processes },
+                    actions,
+                );
+            }
         }
     }
 
--- a/broker/src/discovery.rs
+++ b/broker/src/discovery.rs
@@ -2,7 +2,7 @@
 //! had, the whole list is fetched once instead; the core is told of the failure and asks again, after
 //! a wait of its own.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -122,6 +122,8 @@
     counters: Rc<Counters>,
     asks: (Sender<()>, Receiver<()>),
     moved: (Sender<()>, Receiver<()>),
+    /// Closed once discovery itself has told its list.
+    told: (RefCell<Option<Sender<()>>>, Receiver<()>),
 }
 
 impl Discovery {
@@ -135,7 +137,9 @@
     ) -> Rc<Self> {
         let (asks, moved) = (async_channel::bounded(1), async_channel::bounded(1));
         let (address, since) = (Cell::new(address), Cell::new(None));
-        Rc::new(Self { address, since, zones, exchange, stores, counters, asks, moved })
+        let (telling, told) = async_channel::bounded(1);
+        let told = (RefCell::new(Some(telling)), told);
+        Rc::new(Self { address, since, zones, exchange, stores, counters, asks, moved, told })
     }
 
     /// Follows discovery to another address. What stands with the old one is left at once: it closes its
@@ -154,6 +158,16 @@
         let _ = self.asks.0.try_send(());
     }
 
+    /// Resolves once discovery has told its list.
+    pub async fn told(&self) {
+        let _ = self.told.1.recv().await;
+    }
+
+    /// Whether any list names a store.
+    pub fn known(&self) -> bool {
+        self.stores.known() > 0
+    }
+
     /// Tells the core of a list.
     pub fn tell(&self, list: &List, remembered: bool) {
         self.since.set(Some(list.generation));
@@ -192,6 +206,9 @@
         }
         count(&self.counters.lists);
         self.exchange.listed(kind, entries);
+        if !remembered {
+            self.told.0.borrow_mut().take();
+        }
     }
 
     /// Waits until a watch is to be begun.
--- a/broker/src/exchange.rs
+++ b/broker/src/exchange.rs
@@ -13,6 +13,7 @@
 use crate::clock::Clock;
 use crate::core::{AttemptId, Ended, Final, Happening, QueryId, Question};
 use crate::counters::{count, Counters};
+use crate::handover::Presence;
 
 /// A query that could not be taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,13 +42,14 @@
     /// Queries and parts open, and how many may be.
     open: Cell<usize>,
     max_open: usize,
+    presence: Rc<Presence>,
     next: Cell<QueryId>,
     wake: (Sender<()>, Receiver<()>),
 }
 
 impl Exchange {
-    /// An exchange that holds at most `max_open` queries and parts.
-    pub fn new(clock: Clock, counters: Rc<Counters>, max_open: usize) -> Rc<Self> {
+    /// An exchange that holds at most `max_open` queries and parts, together with any other process.
+    pub fn new(clock: Clock, counters: Rc<Counters>, max_open: usize, presence: Rc<Presence>) -> Rc<Self> {
         Rc::new(Self {
             clock,
             counters,
@@ -56,6 +58,7 @@
             names: RefCell::default(),
             open: Cell::new(0),
             max_open,
+            presence,
             next: Cell::new(0),
             wake: async_channel::bounded(1),
         })
@@ -67,7 +70,7 @@
         if self.names.borrow().contains_key(&question.name) {
             return Err(Untaken::Duplicate);
         }
-        if self.open.get() + size > self.max_open {
+        if self.open.get() + size > self.max_open / self.presence.processes() {
             count(&self.counters.queries_full);
             return Err(Untaken::Full);
         }
@@ -94,6 +97,11 @@
         self.tell(Happening::Listed(kind, entries));
     }
 
+    /// How many processes share this broker's part.
+    pub fn shared(&self, processes: u32) {
+        self.tell(Happening::Shared(processes));
+    }
+
     fn tell(&self, happening: Happening) {
         self.happened.borrow_mut().push_back(happening);
         // A full channel means that the core is to be woken anyway.
--- a/broker/src/front/mod.rs
+++ b/broker/src/front/mod.rs
@@ -19,6 +19,7 @@
 use crate::core::Final;
 use crate::counters::{count, Counters};
 use crate::exchange::Ticket;
+use crate::handover::{Other, Presence};
 use crate::http::{self, Ending, Head, Kind, Stream};
 use crate::lifecycle::Lifecycle;
 
@@ -133,6 +134,7 @@
 pub struct Server<S> {
     service: S,
     lifecycle: Rc<Lifecycle>,
+    presence: Rc<Presence>,
     counters: Rc<Counters>,
     executor: Rc<LocalExecutor<'static>>,
     waits: Waits,
@@ -146,20 +148,26 @@
     /// A server for a front that may have `most` connections open, and `bodies` bytes of long bodies.
     pub fn new(
         service: S,
-        lifecycle: &Rc<Lifecycle>,
+        (lifecycle, presence): (&Rc<Lifecycle>, &Rc<Presence>),
         counters: &Rc<Counters>,
         executor: &Rc<LocalExecutor<'static>>,
         waits: Waits,
         most: usize,
         bodies: usize,
     ) -> Rc<Self> {
-        let (lifecycle, counters, executor) = (lifecycle.clone(), counters.clone(), executor.clone());
+        let (lifecycle, presence) = (lifecycle.clone(), presence.clone());
+        let (counters, executor) = (counters.clone(), executor.clone());
         let (held, spare) = (Cell::new(0), RefCell::default());
-        Rc::new(Self { service, lifecycle, counters, executor, waits, most, bodies, held, spare })
+        Rc::new(Self { service, lifecycle, presence, counters, executor, waits, most, bodies, held, spare })
     }
 
-    /// Accepts and serves.
-    pub async fn run(self: Rc<Self>, listener: Async<TcpListener>) {
+    /// Accepts and serves. Where the listener is this process's own, what waits there when the broker leaves is
+    /// taken too: it would be turned back when the listener closes.
+    pub async fn run(self: Rc<Self>, listener: Async<TcpListener>, own: bool) {
+        // Whoever waits where another process serves as well is left to it until this one can.
+        if self.presence.other() != Other::None {
+            self.lifecycle.able().await;
+        }
         let open = Rc::new(Cell::new(0usize));
         loop {
             let accept = async { Some(listener.accept().await) };
@@ -167,7 +175,13 @@
                 self.lifecycle.accepting_over().await;
                 None
             };
-            let socket = match futures_lite::future::or(accept, closed).await {
+            let taken = match futures_lite::future::or(closed, accept).await {
+                None if own => {
+                    listener.get_ref().accept().ok().map(|(socket, at)| Async::new(socket).map(|s| (s, at)))
+                }
+                taken => taken,
+            };
+            let socket = match taken {
                 None => return,
                 Some(Ok((socket, _))) => socket,
                 Some(Err(e)) => {
@@ -177,8 +191,9 @@
                 }
             };
             count(&self.counters.connections);
-            let shed = open.get() >= self.most && !self.spare.borrow_mut().make_room();
-            if open.get() >= self.most + self.most / 8 {
+            let most = self.most / self.presence.processes();
+            let shed = open.get() >= most && !self.spare.borrow_mut().make_room();
+            if open.get() >= most + most / 8 {
                 count(&self.counters.connections_shed);
                 continue;
             }
@@ -244,7 +259,7 @@
             http::Framing::Length(length) => length,
             http::Framing::Chunked | http::Framing::Close => http::BODY_MAX,
         };
-        if self.held.get() + size > self.bodies {
+        if self.held.get() + size > self.bodies / self.presence.processes() {
             return Err(NoRequest::NoRoom);
         }
         self.held.set(self.held.get() + size);
--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod exchange;
 pub mod front;
 pub mod geojson;
+pub mod handover;
 pub mod http;
 pub mod lifecycle;
 pub mod logger;
--- a/broker/src/lifecycle.rs
+++ b/broker/src/lifecycle.rs
@@ -2,6 +2,7 @@
 //! and SIGTERM.
 
 use std::cell::Cell;
+use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -32,13 +33,28 @@
     Leaving {
         /// From when on.
         since: Instant,
+        /// Whether another process accepts from the same listener.
+        succeeded: bool,
     },
 }
 
+impl fmt::Display for Phase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Serving => "serving",
+            Self::Draining { .. } => "draining",
+            Self::Leaving { succeeded: false, .. } => "leaving",
+            Self::Leaving { succeeded: true, .. } => "leaving to a successor",
+        })
+    }
+}
+
 /// The state machine; shared by all doors.
 #[derive(Debug)]
 pub struct Lifecycle {
     phase: Cell<Phase>,
+    /// Whether it knows enough to serve; from then on for good.
+    able: Cell<bool>,
     changed: Event,
     connections: Cell<usize>,
 }
@@ -54,10 +70,10 @@
 }
 
 impl Lifecycle {
-    /// One that serves.
+    /// One that serves as soon as it is able to.
     pub fn new() -> Rc<Self> {
-        let (phase, connections) = (Cell::new(Phase::Serving), Cell::new(0));
-        Rc::new(Self { phase, changed: Event::new(), connections })
+        let (phase, able, connections) = (Cell::new(Phase::Serving), Cell::new(false), Cell::new(0));
+        Rc::new(Self { phase, able, changed: Event::new(), connections })
     }
 
     /// What the broker is doing.
@@ -67,7 +83,21 @@
 
     /// The answer to `/ready`.
     pub fn ready(&self) -> bool {
-        self.phase() == Phase::Serving
+        self.able.get() && self.phase() == Phase::Serving
+    }
+
+    /// From now on it can serve.
+    pub fn set_able(&self) {
+        if !self.able.replace(true) {
+            log::info!("ready");
+            self.changed.notify(usize::MAX);
+        }
+    }
+
+    /// Resolves once it can serve, or has been told to end.
+    pub async fn able(&self) {
+        let told = |phase| matches!(phase, Phase::Leaving { .. });
+        self.reached(|phase| (self.able.get() || told(phase)).then(Instant::now)).await
     }
 
     /// Whether answers end their connections.
@@ -77,7 +107,7 @@
 
     fn enter(&self, phase: Phase) {
         let before = self.phase.replace(phase);
-        log::info!("{phase:?} after {before:?}");
+        log::info!("{phase}, after {before}");
         self.changed.notify(usize::MAX);
     }
 
@@ -100,10 +130,10 @@
         }
     }
 
-    /// The broker is about to end.
-    pub fn leave(&self) {
+    /// The broker is about to end; `succeeded` says whether another process goes on at the same listener.
+    pub fn leave(&self, succeeded: bool) {
         if !matches!(self.phase(), Phase::Leaving { .. }) {
-            self.enter(Phase::Leaving { since: Instant::now() });
+            self.enter(Phase::Leaving { since: Instant::now(), succeeded });
         }
     }
 
@@ -116,7 +146,7 @@
                 let quiet = since + DRAIN_QUIET;
                 Some(accepted.map_or(quiet, |at| quiet.max(at + LATE_COMER)))
             }
-            Phase::Leaving { since } => Some(since + LEAVE_QUIET),
+            Phase::Leaving { since, .. } => Some(since + LEAVE_QUIET),
         })
         .await
     }
@@ -125,7 +155,9 @@
     pub async fn accepting_over(&self) {
         self.reached(|phase| match phase {
             Phase::Serving | Phase::Draining { .. } => None,
-            Phase::Leaving { since } => Some(since + LEAVE_QUIET),
+            // What waits at a shared listener is the successor's from now on.
+            Phase::Leaving { since, succeeded: true } => Some(since),
+            Phase::Leaving { since, succeeded: false } => Some(since + LEAVE_QUIET),
         })
         .await
     }
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -1,6 +1,7 @@
 //! Puts the parts together and runs them on one thread: fronts, core, stores and discovery.
 
 use std::cell::Cell;
+use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -20,6 +21,7 @@
 use crate::front::features::Front;
 use crate::front::platform::{Names, Platform};
 use crate::front::Server;
+use crate::handover::{self, Other, Presence};
 use crate::lifecycle::Lifecycle;
 use crate::store::link::Limits;
 use crate::store::Stores;
@@ -39,6 +41,9 @@
 /// A connection is left to stand for this share of the time after which a store would close it.
 const IDLE_SHARE: f64 = 0.8;
 
+/// Discovery may be down at the start: the list in the configuration will do from so long on.
+const KNOWN_AFTER: Duration = Duration::from_millis(1000);
+
 /// Runs the broker until it is told to stop. `again` reads the configuration once more, on SIGHUP.
 pub fn run(config: Config, clock: Clock, again: impl Fn() -> Result<SocketAddr, Error>) -> Result<(), Error> {
     let executor = Rc::new(LocalExecutor::new());
@@ -66,10 +71,15 @@
     exchange: Rc<Exchange>,
     discovery: Rc<Discovery>,
     lifecycle: Rc<Lifecycle>,
+    presence: Rc<Presence>,
 }
 
-fn listen(key: &str, at: SocketAddr) -> Result<(Async<TcpListener>, SocketAddr), Error> {
-    let bound = Async::<TcpListener>::bind(at);
+fn listen(
+    key: &str,
+    at: SocketAddr,
+    bind: fn(SocketAddr) -> io::Result<TcpListener>,
+) -> Result<(Async<TcpListener>, SocketAddr), Error> {
+    let bound = bind(at).and_then(Async::new);
     let bound = bound.and_then(|listener| listener.get_ref().local_addr().map(|at| (listener, at)));
     bound.map_err(|e| Error::new(key, format!("can't listen on {at}: {e}")))
 }
@@ -78,7 +88,8 @@
     /// Starts one on this executor.
     pub fn start(config: Config, clock: Clock, executor: Rc<LocalExecutor<'static>>) -> Result<Self, Error> {
         let counters = Rc::new(Counters::default());
-        let exchange = Exchange::new(clock, counters.clone(), config.max_open);
+        let presence = Presence::take(config.state_dir.as_deref(), config.listen);
+        let exchange = Exchange::new(clock, counters.clone(), config.max_open, presence.clone());
         let lifecycle = Lifecycle::new();
         let limits = Limits {
             streams: config.streams,
@@ -92,7 +103,15 @@
         let grace = millis(settings.drain_grace_ms);
         let set = config.features.map(Rc::new);
         let offers = set.as_ref().map(|set| set.stores.clone()).unwrap_or_default();
-        let stores = Stores::new(executor.clone(), exchange.clone(), counters.clone(), limits, grace, offers);
+        let stores = Stores::new(
+            executor.clone(),
+            exchange.clone(),
+            counters.clone(),
+            limits,
+            presence.clone(),
+            grace,
+            offers,
+        );
         let discovery =
             Discovery::new(config.discovery, setup.zones, exchange.clone(), stores.clone(), counters.clone());
         if let Some(known) = &config.known {
@@ -104,18 +123,26 @@
         let feature_clients = set.as_ref().map_or(0, |set| set.connections);
         let clients = (config.sockets / CLIENTS_SHARE).saturating_sub(feature_clients);
         let bodies = (config.memory_mb << 20) / BODIES_SHARE;
-        let (listener, platform) = listen("LB_LISTEN", config.listen)?;
+        let (listener, platform) = match config.listener {
+            None => listen("LB_LISTEN", config.listen, TcpListener::bind)?,
+            Some(fd) => {
+                let taken = handover::inherited(fd, config.listen).map_err(|e| Error::new("LB_FD", e))?;
+                let taken = Async::new(taken).map_err(|e| Error::new("LB_FD", e.to_string()))?;
+                (taken, config.listen)
+            }
+        };
+        let inherited = config.listener.is_some();
         let names = Names { classes: setup.classes, tenants: setup.tenants, shards: settings.shards };
         let (shared, lifecycle_shown) = (exchange.clone(), lifecycle.clone());
         let front = Platform { exchange: shared, names, clock, lifecycle: lifecycle_shown, full_retry_ms };
         let waits = config.waits;
         let most = clients.clamp(16, CLIENTS_MOST);
-        let server = Server::new(front, &lifecycle, &counters, &executor, waits, most, bodies);
-        executor.spawn(server.run(listener)).detach();
+        let server = Server::new(front, (&lifecycle, &presence), &counters, &executor, waits, most, bodies);
+        executor.spawn(server.run(listener, !inherited)).detach();
         log::info!("serving on {platform}");
         let mut features = None;
         if let Some(set) = set {
-            let (listener, at) = listen("listen", set.listen)?;
+            let (listener, at) = listen("listen", set.listen, handover::listen_beside)?;
             let front = Front {
                 base: set.base_url.clone().unwrap_or_else(|| format!("http://{at}")).into(),
                 named: Cell::new(first_name(config.seed, clock.now())),
@@ -124,22 +151,35 @@
                 clock,
                 full_retry_ms,
             };
-            let server = Server::new(front, &lifecycle, &counters, &executor, waits, feature_clients, bodies);
-            executor.spawn(server.run(listener)).detach();
+            let server = Server::new(
+                front,
+                (&lifecycle, &presence),
+                &counters,
+                &executor,
+                waits,
+                feature_clients,
+                bodies,
+            );
+            executor.spawn(server.run(listener, true)).detach();
             log::info!("serving features on {at}");
             features = Some(at);
         }
         let mut admin = None;
         if let Some(at) = config.admin {
-            let (listener, at) = listen("LB_ADMIN_ADDR", at)?;
+            let (listener, at) = listen("LB_ADMIN_ADDR", at, TcpListener::bind)?;
             executor.spawn(Door::new(&lifecycle, &counters, &executor).run(listener)).detach();
             log::info!("operators' door at {at}");
             admin = Some(at);
         }
         let core = Core::new(config.seed, settings, clock.now());
         executor.spawn(discovery.clone().run()).detach();
+        executor.spawn(become_able(lifecycle.clone(), discovery.clone())).detach();
+        let sharing = exchange.clone();
+        let share = move |other| sharing.shared(if other == Other::Serves { 2 } else { 1 });
+        share(presence.other());
+        executor.spawn(presence.clone().watch(share)).detach();
         executor.spawn(drive(core, clock, exchange.clone(), stores, discovery.clone())).detach();
-        Ok(Self { platform, features, admin, counters, exchange, discovery, lifecycle })
+        Ok(Self { platform, features, admin, counters, exchange, discovery, lifecycle, presence })
     }
 
     /// Prints the counters on SIGUSR1 and reads the configuration again on SIGHUP; returns on SIGTERM or
@@ -168,7 +208,9 @@
     /// Stops taking requests and finishes those taken.
     pub async fn stop(&self) {
         log::info!("stopping: {} queries open", self.exchange.open_queries());
-        self.lifecycle.leave();
+        let succeeded = self.presence.look() == Other::Serves;
+        self.presence.leave();
+        self.lifecycle.leave(succeeded);
         self.lifecycle.accepting_over().await;
         let until = Instant::now() + FINISH_WITHIN;
         while self.lifecycle.connections() > 0 && Instant::now() < until {
@@ -178,9 +220,22 @@
     }
 }
 
-/// Queries of the feature front are named from here on: apart at each broker and after each start.
+/// Waits until discovery has told its list, or for long enough where another one is known.
+async fn become_able(lifecycle: Rc<Lifecycle>, discovery: Rc<Discovery>) {
+    let fallback = async {
+        match discovery.known() {
+            true => drop(Timer::after(KNOWN_AFTER).await),
+            false => futures_lite::future::pending().await,
+        }
+    };
+    futures_lite::future::or(discovery.told(), fallback).await;
+    lifecycle.set_able();
+}
+
+/// Queries of the feature front are named from here on: apart at each broker, after each start, and in each of
+/// two processes.
 fn first_name(seed: u64, now: Millis) -> u64 {
-    seed.rotate_left(17) ^ now.to_bits()
+    seed.rotate_left(17) ^ now.to_bits() ^ u64::from(std::process::id()).rotate_left(40)
 }
 
 /// Plays the core's turns: one whenever something has happened or is due.
--- a/broker/src/store/mod.rs
+++ b/broker/src/store/mod.rs
@@ -23,6 +23,7 @@
 use crate::core::{AttemptId, Ended, Form, Order};
 use crate::counters::{count, Counters};
 use crate::exchange::Exchange;
+use crate::handover::Presence;
 use link::{Limits, Link};
 
 /// After an attempt has been given up, its answer may still be under way, and another attempt that goes
@@ -62,6 +63,7 @@
     exchange: Rc<Exchange>,
     counters: Rc<Counters>,
     limits: Rc<Limits>,
+    presence: Rc<Presence>,
     grace: Duration,
     /// Those on the list. What is removed lives on only in its links, until they have ended.
     sites: RefCell<BTreeMap<ServerId, Rc<Site>>>,
@@ -83,6 +85,7 @@
         exchange: Rc<Exchange>,
         counters: Rc<Counters>,
         limits: Limits,
+        presence: Rc<Presence>,
         drain_grace: Duration,
         offers: HashMap<String, SocketAddr>,
     ) -> Rc<Self> {
@@ -91,6 +94,7 @@
             exchange,
             counters,
             limits: Rc::new(limits),
+            presence,
             grace: drain_grace.saturating_sub(DRAIN_MARGIN),
             sites: RefCell::default(),
             names: RefCell::default(),
@@ -263,7 +267,8 @@
                 return link.clone();
             }
         } else if let Some(link) = room.min_by_key(|link| link.load()) {
-            let more = links.len() < LINKS_APART && self.links.get() < self.limits.links;
+            let more =
+                links.len() < LINKS_APART && self.links.get() < self.limits.links / self.presence.processes();
             if link.load() == 0 || !more {
                 return link.clone();
             }
--- a/broker/tests/common/world.rs
+++ b/broker/tests/common/world.rs
@@ -84,7 +84,7 @@
     pub yards: Vec<Value>,
     frames: Vec<SocketAddr>,
     features: Vec<SocketAddr>,
-    discovery: SocketAddr,
+    pub discovery: SocketAddr,
     states: RefCell<Vec<&'static str>>,
     watchers: RefCell<Vec<Sender<()>>>,
     generation: Cell<u64>,
--- a/broker/tests/core.rs
+++ b/broker/tests/core.rs
@@ -11,6 +11,7 @@
 use gingerledge::counters::Counters;
 use gingerledge::discovery::{self, Discovery};
 use gingerledge::exchange::{Exchange, Untaken};
+use gingerledge::handover::Presence;
 use gingerledge::store::link::Limits;
 use gingerledge::store::Stores;
 use serde_json::json;
@@ -124,9 +125,14 @@
     assert!(finals(&core.turn(2000.0, [])).is_empty());
 }
 
+/// A process that knows of no other.
+fn alone() -> Rc<Presence> {
+    Presence::take(None, ([127, 0, 0, 1], 0).into())
+}
+
 fn exchange() -> (Rc<Exchange>, Rc<Counters>, Clock) {
     let (clock, counters) = (Clock::new(), Rc::new(Counters::default()));
-    (Exchange::new(clock, counters.clone(), 4), counters, clock)
+    (Exchange::new(clock, counters.clone(), 4, alone()), counters, clock)
 }
 
 #[test]
@@ -167,12 +173,19 @@
 #[test]
 fn stores_that_are_gone_are_let_go() {
     let counters = Rc::new(Counters::default());
-    let exchange = Exchange::new(Clock::new(), counters.clone(), 100);
+    let exchange = Exchange::new(Clock::new(), counters.clone(), 100, alone());
     let second = Duration::from_secs(1);
     let limits = Limits { streams: 4, links: 8, dial: second, idle: second };
     let executor = Rc::new(async_executor::LocalExecutor::new());
-    let stores =
-        Stores::new(executor, exchange.clone(), counters.clone(), limits, second, Default::default());
+    let stores = Stores::new(
+        executor,
+        exchange.clone(),
+        counters.clone(),
+        limits,
+        alone(),
+        second,
+        Default::default(),
+    );
     let at = ([127, 0, 0, 1], 9).into();
     let discovery = Discovery::new(at, Default::default(), exchange, stores.clone(), counters);
     let list = |reset: bool, entries: &[(usize, &str)]| {
--- a/broker/tests/process.rs
+++ b/broker/tests/process.rs
@@ -23,7 +23,9 @@
     let path = std::env::temp_dir().join(format!("gingerledge-test-{}-{name}.json", std::process::id()));
     std::fs::write(&path, config.to_string()).unwrap();
     let mut program = Command::new(env!("CARGO_BIN_EXE_gingerledge"));
-    for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_LOG", "LB_OPERATOR"] {
+    for key in
+        ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_LOG", "LB_OPERATOR", "LB_ADMIN_ADDR", "LB_FD", "TMPDIR"]
+    {
         program.env_remove(key);
     }
     let child = program.env("LB_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap();
--- a/src/aggregator.rs
+++ b/src/aggregator.rs
@@ -347,6 +347,7 @@
             }
             Event::ProbeResult { .. } => {}
             Event::Timer { .. } => self.timer_at = None,
+            Event::Aggregators { count } => self.set.aggregators = count.max(1),
             Event::ClientGone { query } => self.forget(query),
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -280,6 +280,11 @@
         /// As given in [`Action::Timer`].
         token: u64,
     },
+    /// There are so many aggregators now: two processes of one host count twice while both serve.
+    Aggregators {
+        /// How many.
+        count: u32,
+    },
     /// The client of a query has left.
     ClientGone {
         /// The query.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -217,6 +217,24 @@
     assert!(rig.sent.len() > 5, "the window slid on");
 }
 
+/// Two processes of one host send to it while one takes over from the other.
+#[test]
+fn more_aggregators_leave_a_smaller_share_of_a_cold_server() {
+    let sends = |count| {
+        let mut rig = Rig::new(settings(1, 1, 1), 1);
+        rig.query(1, 0, &[0]);
+        rig.now += 100.0;
+        rig.end_from(0, Outcome::Success);
+        rig.pass(2100.0);
+        rig.event(Event::Aggregators { count });
+        rig.list(ListKind::Changes, vec![Entry { since: rig.now - 2000.0, ..ready(0) }]);
+        (2..12).for_each(|id| drop(rig.query(id, 0, &[0])));
+        rig.sent.len() - 1
+    };
+    // 2 x 0.36 of one processor over 2 s is 14 parts of 100 ms: 4 for one of three, 2 for one of six.
+    assert_eq!((sends(3), sends(6)), (4, 2));
+}
+
 #[test]
 fn all_aggregators_together_spare_a_cold_server_at_any_number_of_them() {
     for aggregators in [3, 25, 85] {
