Share discovery's calls by the fleet's size, and be ready at once with a known list

Ruled out: a discovery that is down.

At fault: Aggregator::list asked again after 0.5 to 1.5 s whatever the number of brokers, and Discovery::call followed each 503 with a fetch. Also become_able: a restarted broker with a known list was not ready for 1 s.

--- a/broker/src/discovery.rs
+++ b/broker/src/discovery.rs
@@ -29,6 +29,8 @@
 /// An empty line comes every 2 s: after so long without one the watch is dead, though its connection
 /// may not show it. What it would have told counts as told 6 s later.
 const SILENCE: Duration = Duration::from_millis(4500);
+/// What a call ends with that had to wait too long.
+const BUSY: &str = "status 503";
 /// No line of a watch is longer.
 const LINE_MAX: usize = 256 * 1024;
 /// No list has more entries.
@@ -145,6 +147,8 @@
     /// What it told last of each store, and those that were taken out by hand.
     listed: RefCell<BTreeMap<String, Instance>>,
     rotation: Rc<Rotation>,
+    /// Whether the next call that is refused is to be followed by one for the list.
+    list_next: Cell<bool>,
     /// Closed once discovery itself has told its list.
     told: (RefCell<Option<Sender<()>>>, Receiver<()>),
 }
@@ -174,6 +178,7 @@
             moved,
             listed: RefCell::default(),
             rotation,
+            list_next: Cell::new(false),
             told,
         })
     }
@@ -342,6 +347,11 @@
         let Err(fault) = self.watch().await;
         log::info!("discovery: watch ended: {fault}");
         count(&self.counters.list_failures);
+        // A 503 says that too many call: one more call at once would only add to them. The next time it is the
+        // list that is asked for, in case that watches are what it refuses.
+        if fault == BUSY && !self.list_next.replace(!self.list_next.get()) {
+            return;
+        }
         if self.since.get() == before {
             match self.fetch().await {
                 Ok(list) => self.tell(&list, false),
@@ -359,6 +369,7 @@
         let head = stream.head(Kind::Answer, HEAD_WITHIN).await.map_err(|e| format!("{e:?}"))?;
         match head.status {
             200 => Ok((stream, head)),
+            503 => Err(BUSY.to_owned()),
             status => Err(format!("status {status}")),
         }
     }
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -181,7 +181,8 @@
         }
         let core = Core::new(config.seed, settings, clock.now());
         executor.spawn(discovery.clone().run()).detach();
-        executor.spawn(become_able(lifecycle.clone(), discovery.clone())).detach();
+        let beside = presence.other() != Other::None;
+        executor.spawn(become_able(lifecycle.clone(), discovery.clone(), beside)).detach();
         executor.spawn(follow_rotation(discovery.clone())).detach();
         let sharing = exchange.clone();
         let share = move |other| sharing.shared(if other == Other::Serves { 2 } else { 1 });
@@ -237,11 +238,13 @@
     }
 }
 
-/// Waits until discovery has told its list, or for long enough where another one is known.
-async fn become_able(lifecycle: Rc<Lifecycle>, discovery: Rc<Discovery>) {
+/// Waits until discovery has told its list. Where an older one is known that will do: at once where no other
+/// process serves meanwhile, and beside one after a while.
+async fn become_able(lifecycle: Rc<Lifecycle>, discovery: Rc<Discovery>, beside: bool) {
     let fallback = async {
         match discovery.known() {
-            true => drop(Timer::after(KNOWN_AFTER).await),
+            true if beside => drop(Timer::after(KNOWN_AFTER).await),
+            true => {}
             false => futures_lite::future::pending().await,
         }
     };
--- a/src/aggregator.rs
+++ b/src/aggregator.rs
@@ -93,8 +93,10 @@
 const LOST_FORGIVEN: f64 = 0.998;
 /// Advice to refused clients is no shorter, in shortest aims.
 const RETRY_LEAST_AIMS: f64 = 0.08;
-/// The first wait before the list is asked for again, spread by seed.
+/// The first wait before the list is asked for again, spread by seed. Many aggregators share the service:
+/// past so many, waits double with each failure until all together ask as often as so few would.
 const ASK_AGAIN_MS: Millis = 1000.0;
+const ASKING: f64 = 4.0;
 
 /// One attempt that a server has not ended yet.
 #[derive(Debug)]
@@ -240,6 +242,8 @@
     timer_at: Option<Millis>,
     /// When to subscribe next; none while a subscription stands or needs none.
     ask_at: Option<Millis>,
+    /// Calls for the list that failed in a row.
+    unheard: u32,
 }
 
 fn drop_until(times: &mut VecDeque<Millis>, end: Millis) {
@@ -295,12 +299,18 @@
             gap: 0.0,
             timer_at: None,
             ask_at: None,
+            unheard: 0,
             set,
         };
-        new.ask_at = new.set.subscribe.then_some(now + new.spread() * ASK_AGAIN_MS / 4.0);
+        new.ask_at = new.set.subscribe.then_some(now + new.spread() * new.asking() * ASK_AGAIN_MS / 4.0);
         new
     }
 
+    /// How many times as many aggregators as `ASKING` share the service that lists servers.
+    fn asking(&self) -> f64 {
+        (f64::from(self.set.aggregators) / ASKING).max(1.0)
+    }
+
     fn spread(&mut self) -> f64 {
         self.random = mix(self.random);
         unit(self.random)
@@ -377,11 +387,14 @@
     /// using the grace. One listed with a new start begins anew: cold, and not suspected.
     fn list(&mut self, now: Millis, kind: ListKind, entries: Vec<Entry>) {
         if kind == ListKind::Failed {
-            let wait = ASK_AGAIN_MS * (0.5 + self.spread());
+            self.unheard += 1;
+            let longer = f64::from(1u32 << (self.unheard - 1).min(16)).min(self.asking());
+            let wait = ASK_AGAIN_MS * (0.5 + self.spread()) * longer;
             self.ask_at = self.set.subscribe.then_some(now + wait);
             return;
         }
         if kind != ListKind::Remembered {
+            self.unheard = 0;
             self.ask_at = None;
         }
         if kind != ListKind::Changes {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -196,6 +196,30 @@
     assert_eq!(rig.sent.len(), 1);
 }
 
+/// Each of them asks so much less often that all together ask no more than a few would.
+#[test]
+fn many_aggregators_share_the_service_that_lists_servers() {
+    let asks = |aggregators| {
+        let mut set = settings(2, 2, 2);
+        (set.subscribe, set.aggregators) = (true, aggregators);
+        let mut rig = Rig::new(set, 0);
+        let mut asked = 0;
+        rig.list(ListKind::Failed, Vec::new());
+        for _ in 0..400 {
+            rig.pass(100.0);
+            let all = rig.actions.iter().filter(|a| **a == Action::Subscribe).count();
+            if all > asked {
+                asked = all;
+                rig.list(ListKind::Failed, Vec::new());
+            }
+        }
+        asked
+    };
+    let (few, many) = (asks(3), asks(48));
+    // One in 40 s for every second or so; then waits double to twelve times as long.
+    assert!(few >= 30 && (4..=10).contains(&many), "{few} and {many}");
+}
+
 // Cold: this aggregator's share of what all of them may send.
 
 #[test]
