--- a/broker/src/front/mod.rs
+++ b/broker/src/front/mod.rs
@@ -71,22 +71,29 @@
 /// A request this long is like any other; the memory for longer ones is bounded.
 const USUAL_BODY: usize = 4096;
 
+/// A connection is given so long for its first request before it makes room ahead of one that has asked.
+const JUST_CONNECTED: Duration = Duration::from_millis(100);
+
 /// Connections on which no request is open, the one that has waited longest first: they make room when too
 /// many are open, those that never asked before those that did.
 #[derive(Debug, Default)]
 struct Spare {
-    fresh: VecDeque<Sender<()>>,
+    fresh: VecDeque<(Instant, Sender<()>)>,
     kept: VecDeque<Sender<()>>,
 }
 
 impl Spare {
     fn make_room(&mut self) -> bool {
-        let longest = self.fresh.pop_front().or_else(|| self.kept.pop_front());
+        // Guards who has just connected, in a crowd that asks and stays: its request may be here, and not read yet.
+        let early = self.fresh.front().is_none_or(|(since, _)| since.elapsed() < JUST_CONNECTED);
+        let kept = if early { self.kept.pop_front() } else { None };
+        let longest = kept.or_else(|| self.fresh.pop_front().map(|(_, wake)| wake));
+        let longest = longest.or_else(|| self.kept.pop_front());
         longest.is_some_and(|wake| wake.try_send(()).is_ok())
     }
 
     fn forget(&mut self, wake: &Sender<()>) {
-        self.fresh.retain(|other| !other.same_channel(wake));
+        self.fresh.retain(|(_, other)| !other.same_channel(wake));
         self.kept.retain(|other| !other.same_channel(wake));
     }
 }
@@ -213,7 +220,7 @@
     async fn next(&self, stream: &mut Stream, first_by: Option<Instant>) -> Result<Whole<'_>, NoRequest> {
         let (wake, woken) = async_channel::bounded(1);
         match first_by {
-            Some(_) => self.spare.borrow_mut().fresh.push_back(wake.clone()),
+            Some(_) => self.spare.borrow_mut().fresh.push_back((Instant::now(), wake.clone())),
             None => self.spare.borrow_mut().kept.push_back(wake.clone()),
         }
         let out = async {
--- a/broker/tests/native.rs
+++ b/broker/tests/native.rs
@@ -360,6 +360,10 @@
             }
             others.push(other);
             until(|| broker.counters.connections.get() == n + 2).await;
+            if n % 10 == 9 {
+                // They have had their time for a first request.
+                Timer::after(Duration::from_millis(150)).await;
+            }
         }
         let got = exchange(broker.platform, &query("q2", "yard-compare", 2000, &[0], "x")).await.unwrap();
         assert_eq!((got.status, broker.counters.connections_shed.get()), (200, 0));
@@ -371,6 +375,54 @@
     });
 }
 
+/// The platform's clients open connections in a third of the descriptors and no more, those that they keep among
+/// them: if as many were left open, they could ask nothing.
+#[test]
+fn clients_that_ask_once_and_stay_leave_room_for_others_to_connect() {
+    run(2, |world| async move {
+        world.sockets.set(192);
+        world.env.borrow_mut().extend([("LB_IDLE_MS", "60000"), ("LB_READ_MS", "60000")]);
+        let broker = world.broker(world.settings(), None).await;
+        let mut open = std::collections::VecDeque::new();
+        for n in 0..100 {
+            // Each connects a moment before it asks, when all room is taken by those who asked.
+            let mut client = connect(broker.platform).await;
+            until(|| broker.counters.connections.get() == n + 1).await;
+            Timer::after(Duration::from_millis(2)).await;
+            client.write(&query(&format!("q{n}"), "yard-compare", 2000, &[0], "x"), LONG).await.unwrap();
+            assert_eq!(read(&mut client).await.unwrap().status, 200, "{n}");
+            open.push_back(client);
+            if open.len() > 192 / 4 {
+                assert!(read(&mut open.pop_front().unwrap()).await.is_none(), "who stayed longest made room");
+            }
+        }
+        assert_eq!(broker.counters.connections_shed.get(), 0);
+    });
+}
+
+/// Its request may be under way while a crowd comes in behind it.
+#[test]
+fn who_has_just_connected_is_not_the_first_to_make_room() {
+    run(2, |world| async move {
+        world.sockets.set(64);
+        world.env.borrow_mut().extend([("LB_IDLE_MS", "60000"), ("LB_READ_MS", "60000")]);
+        let broker = world.broker(world.settings(), None).await;
+        let mut crowd = Vec::new();
+        for n in 0..16 {
+            let mut client = connect(broker.platform).await;
+            client.write(b"GET /ready HTTP/1.1\r\nHost: test\r\n\r\n", LONG).await.unwrap();
+            assert_eq!(read(&mut client).await.unwrap().status, 200, "{n}");
+            crowd.push(client);
+        }
+        let mut client = connect(broker.platform).await;
+        until(|| broker.counters.connections.get() == 17).await;
+        crowd.push(connect(broker.platform).await);
+        until(|| broker.counters.connections.get() == 18).await;
+        client.write(&query("q1", "yard-compare", 2000, &[0], "x"), LONG).await.unwrap();
+        assert_eq!(read(&mut client).await.unwrap().status, 200);
+    });
+}
+
 #[test]
 fn who_connects_and_says_nothing_is_let_go_as_soon_as_who_stalls() {
     run(2, |world| async move {
