Don't close who has just connected, and let both processes of an upgrade keep a quarter

At fault: a quarter halved again while two processes are there is 48 of 384, and all of those may be busy: then Spare::make_room fell back on closing connections that had just been accepted. Ruled out: the closing of the listener (inherited, it stays open).

Changed: a quarter for each of the two, half in all, as one process had before; who connected less than 50 ms ago never makes room: past the bound a quarter more are answered 503.

--- a/broker/src/front/mod.rs
+++ b/broker/src/front/mod.rs
@@ -72,7 +72,7 @@
 const USUAL_BODY: usize = 4096;
 
 /// A connection is given so long for its first request before it makes room ahead of one that has asked.
-const JUST_CONNECTED: Duration = Duration::from_millis(100);
+const JUST_CONNECTED: Duration = Duration::from_millis(50);
 
 /// Connections on which no request is open, the one that has waited longest first: they make room when too
 /// many are open, those that never asked before those that did.
@@ -85,10 +85,9 @@
 impl Spare {
     fn make_room(&mut self) -> bool {
         // Guards who has just connected, in a crowd that asks and stays: its request may be here, and not read yet.
-        let early = self.fresh.front().is_none_or(|(since, _)| since.elapsed() < JUST_CONNECTED);
-        let kept = if early { self.kept.pop_front() } else { None };
-        let longest = kept.or_else(|| self.fresh.pop_front().map(|(_, wake)| wake));
-        let longest = longest.or_else(|| self.kept.pop_front());
+        let waited = self.fresh.front().is_some_and(|(since, _)| since.elapsed() >= JUST_CONNECTED);
+        let longest =
+            if waited { self.fresh.pop_front().map(|(_, wake)| wake) } else { self.kept.pop_front() };
         longest.is_some_and(|wake| wake.try_send(()).is_ok())
     }
 
@@ -198,9 +197,8 @@
                 }
             };
             count(&self.counters.connections);
-            let most = self.most / self.presence.processes();
-            let shed = open.get() >= most && !self.spare.borrow_mut().make_room();
-            if open.get() >= most + most / 8 {
+            let shed = open.get() >= self.most && !self.spare.borrow_mut().make_room();
+            if open.get() >= self.most + self.most / 4 {
                 count(&self.counters.connections_shed);
                 continue;
             }
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -31,8 +31,8 @@
 const FINISH_WITHIN: Duration = Duration::from_secs(15);
 const FINISH_CHECK: Duration = Duration::from_millis(10);
 /// Clients may hold one in so many descriptors. The platform's clients open a third at most and count those that
-/// they keep: with as many left open they could ask nothing more until some are closed. Those that only stand
-/// about are the first to go. Stores, discovery and the process itself need the rest.
+/// they keep: with as many left open they could ask nothing more until some are closed. Two processes
+/// may hold half together. Those that only stand about are the first to go. Stores, discovery and the process itself need the rest.
 const CLIENTS_SHARE: usize = 4;
 /// More client connections than this are of no use to a broker of one core.
 const CLIENTS_MOST: usize = 512;
