Raise the count of a store that answers some parts with errors

By calls out they look free, so that between their short holds they go on drawing parts; unsafe ones then fail (2 to 3%).

At fault: Aggregator::rank, which counts only calls out and holds. Changed: each class's recent share of errors at a server raises its count, from three errors on, and fades.

--- a/src/aggregator.rs
+++ b/src/aggregator.rs
@@ -40,6 +40,13 @@
 const HOLD_MAX_AIMS: f64 = 3.0;
 /// So many failures in a row, each after the hold of the one before, show that a process went down.
 const DOWN_AFTER: u32 = 2;
+/// From this recent share of errors on (more than two make), a server's count is raised by it, up to a most,
+/// and so many times more; it fades with so many shortest aims.
+const FLAKY: f64 = 0.25;
+const FLAKY_MOST: f64 = 0.8;
+const FLAKY_COUNTS: f64 = 2.0;
+const FLAKY_GAIN: f64 = 0.12;
+const FLAKY_MEMORY_AIMS: f64 = 10.0;
 /// Among distrusted replicas, fewer failures in a row come first, up to so many.
 const DISTRUST_LEVELS: u32 = 3;
 /// A second copy goes out after so many usual latencies, at the latest after this share of the aim.
@@ -110,11 +117,20 @@
     idle: bool,
 }
 
-/// Failures in a row, and until when they keep the server out.
+/// Failures in a row, and until when they keep the server out; their recent share, and when it was learned.
 #[derive(Clone, Debug, Default)]
 struct Fault {
     count: u32,
     until: Millis,
+    share: f64,
+    learned: Millis,
+}
+
+impl Fault {
+    fn learn(&mut self, now: Millis, failed: f64) {
+        self.share += FLAKY_GAIN * (failed - self.share);
+        self.learned = now;
+    }
 }
 
 #[derive(Debug, Default)]
@@ -467,7 +483,9 @@
                     server.down = false;
                     server.since = server.since.max(now - wait);
                 }
-                server.faults[class] = Fault::default();
+                let fault = &mut server.faults[class];
+                fault.learn(now, 0.0);
+                (fault.count, fault.until) = (0, 0.0);
                 server.faults[process] = Fault::default();
                 if usual == 0.0 {
                     self.typical[class] = wait;
@@ -477,6 +495,7 @@
                 *light += if wait < *light { 0.1 } else { 0.01 } * (wait - *light);
             } else if !served && !answers && outcome != Outcome::Void {
                 let fault = &mut server.faults[of];
+                fault.learn(now, 1.0);
                 // Failures within a hold are of sends before it, and say nothing new.
                 if now >= fault.until {
                     fault.count = (fault.count + 1).min(8);
@@ -835,7 +854,12 @@
         let kept_out = now < until || (!server.outs.is_empty() && !joins);
         let calls = server.calls() + u32::from(!joins);
         let pace = self.pace(now, server);
-        let scale = if pace >= SLOW { pace } else { 1.0 } / self.capacity(now, server);
+        // Guards against who answers some parts with errors: they come at once, so that a count of calls out
+        // makes light of it, and between its holds it would draw parts from the others.
+        let fault = &server.faults[class];
+        let errs = fault.share * (-(now - fault.learned) / (FLAKY_MEMORY_AIMS * self.aim)).exp();
+        let flaky = if errs >= FLAKY { FLAKY_COUNTS / (1.0 - errs.min(FLAKY_MOST)) } else { 1.0 };
+        let scale = flaky * if pace >= SLOW { pace } else { 1.0 } / self.capacity(now, server);
         Some(Rank {
             distrust: if kept_out { doubt } else { 0 },
             count: (f64::from(calls) * scale).round() as u32,
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -792,3 +792,34 @@
     let advice = refused(&mut rig, 4);
     assert!((150.0..=300.0).contains(&advice), "{advice}");
 }
+
+/// Its errors come at once, so that by calls out it looks as free as any.
+#[test]
+fn a_server_that_answers_some_parts_with_errors_draws_few_while_another_is_free() {
+    let mut rig = Rig::new(settings(2, 2, 1), 2);
+    let (mut to_flaky, mut rounds) = (0, 0);
+    for id in 0..200 {
+        let from = rig.sent.len();
+        rig.query(id, 0, &[0]);
+        rig.now += 100.0;
+        let sent = rig.sent[from];
+        // One in three of the parts at server 0 fails.
+        to_flaky += usize::from(sent.server == 0);
+        rounds += 1;
+        let fails = sent.server == 0 && to_flaky % 3 == 0;
+        rig.end(sent, if fails { Outcome::Failure } else { Outcome::Success });
+        rig.turn();
+        for again in rig.sent[from + 1..].to_vec() {
+            rig.end(again, Outcome::Success);
+        }
+        rig.turn();
+        rig.pass(50.0);
+    }
+    assert!(to_flaky * 5 < rounds, "{to_flaky} of {rounds}");
+    // Once its errors are long past it takes what the other has no room for, as any server does.
+    rig.pass(60_000.0);
+    let from = rig.sent.len();
+    rig.query(300, 0, &[0]);
+    rig.query(301, 0, &[0]);
+    assert_eq!(rig.sent[from..].iter().map(|sent| sent.server).collect::<Vec<_>>(), [1, 0]);
+}
