Stop waiting for half-sent requests once the broker drains or leaves

Seen in review: lifecycle closed idle connections 1 s after a drain began, but a request begun before that was read for up to 2.5 s more and then run; 4 s after the call a request of the last 2 s could be held (rule on lost requests), and one taken after 0.7 s of SIGTERM could be cut off by SIGKILL.

Changed: lifecycle::reading_over ends the wait 1.8 s after a drain, 0.65 s after SIGTERM, with 408. Tests: such a request under a drain (without the change it is read for as long as LB_READ_MS says); the feature front through a store out by hand, an upgrade at one address, and a drain, with a next link.

--- a/broker/src/front/mod.rs
+++ b/broker/src/front/mod.rs
@@ -225,11 +225,16 @@
             let _ = woken.recv().await;
         };
         let request = self.await_next(stream, first_by, &wake);
-        let request = either(request, async {
+        let crowded = async {
             out.await;
             Err(NoRequest::Over)
-        });
-        let request = request.await;
+        };
+        let accepted = first_by.and_then(|by| by.checked_sub(self.waits.read));
+        let late = async {
+            self.lifecycle.reading_over(accepted).await;
+            Err(NoRequest::Fault(http::Fault::Stalled))
+        };
+        let request = either(request, either(crowded, late)).await;
         self.spare.borrow_mut().forget(&wake);
         request
     }
--- a/broker/src/lifecycle.rs
+++ b/broker/src/lifecycle.rs
@@ -13,11 +13,14 @@
 /// The front asks `/ready` ten times a second and stops 0.2 s after a no. So long after a drain began nobody
 /// sends anything new, and connections without a request are closed.
 const DRAIN_QUIET: Duration = Duration::from_millis(1000);
+/// 4 s after a drain began no request of the last 2 s may be held: the last one has come whole by then.
+const DRAIN_READ: Duration = Duration::from_millis(1800);
 /// A connection that comes during a drain has so long for its request.
 const LATE_COMER: Duration = Duration::from_millis(1000);
 /// After SIGTERM new connections keep coming for up to 0.4 s, and are served. What comes later than 0.7 s may
 /// be cut off by SIGKILL, so connections without a request are closed before.
 const LEAVE_QUIET: Duration = Duration::from_millis(500);
+const LEAVE_READ: Duration = Duration::from_millis(650);
 
 /// What the broker is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -151,6 +154,20 @@
         .await
     }
 
+    /// Resolves once a request that has not come whole is no longer waited for: what would be taken later could
+    /// be held when the broker has to be empty, or ends.
+    pub async fn reading_over(&self, accepted: Option<Instant>) {
+        self.reached(|phase| match phase {
+            Phase::Serving => None,
+            Phase::Draining { since } => {
+                let over = since + DRAIN_READ;
+                Some(accepted.map_or(over, |at| over.max(at + LATE_COMER)))
+            }
+            Phase::Leaving { since, .. } => Some(since + LEAVE_READ),
+        })
+        .await
+    }
+
     /// Resolves once no more connections are to be accepted.
     pub async fn accepting_over(&self) {
         self.reached(|phase| match phase {
--- a/broker/tests/features.rs
+++ b/broker/tests/features.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use common::world::{exchange, extent, get, inside, query, run, until, Mood, World};
+use common::world::{exchange, extent, get, inside, listener, put, query, run, until, Mood, World};
 use gingerledge::service::Broker;
 use serde_json::{json, Value};
 
@@ -164,6 +164,36 @@
     });
 }
 
+/// Two processes listen at the feature front's address while one takes over from the other.
+#[test]
+fn a_next_link_outlives_a_store_out_by_hand_an_upgrade_and_a_drain() {
+    run(4, |world| async move {
+        let dir = std::env::temp_dir().join(format!("gingerledge-{}-features", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        let held: &'static str = dir.to_str().unwrap().to_owned().leak();
+        *world.env.borrow_mut() = vec![("LB_ADMIN_ADDR", "127.0.0.1:0"), ("TMPDIR", held)];
+        let at = listener().1;
+        let operator = world.operator(&[1, 2]).replacen("127.0.0.1:0", &at.to_string(), 1);
+        let old = world.broker(world.settings(), Some(operator.clone())).await;
+        let got = get(at, "/collections/yards/items?limit=7", "").await;
+        let first = got.json()["features"].as_array().unwrap().clone();
+        let next = got.link("next").unwrap();
+        let gave = world.sent.borrow()[0].store;
+        assert_eq!(put(old.admin, "/reading-stores/disable", &format!("s-{gave}")).await, 200);
+        let new = world.broker(world.settings(), Some(operator)).await;
+        assert_eq!(new.features, Some(at));
+        world.sent.borrow_mut().clear();
+        old.stop().await;
+        let served = new.counters.queries.get();
+        assert_eq!([first.clone(), pages(at, &next).await.concat()].concat(), world.yards);
+        assert!(new.counters.queries.get() > served);
+        assert_eq!(put(new.admin, "/drain", "").await, 200);
+        assert_eq!([first, pages(at, &next).await.concat()].concat(), world.yards);
+        assert!(world.sent.borrow().iter().all(|sent| sent.store != gave), "a store out by hand is asked");
+        std::fs::remove_dir_all(&dir).unwrap();
+    });
+}
+
 #[test]
 fn a_store_that_pages_by_itself_loses_nothing() {
     run(3, |world| async move {
--- a/broker/tests/operations.rs
+++ b/broker/tests/operations.rs
@@ -102,6 +102,21 @@
     });
 }
 
+/// It would be held with a request of the last moments when the broker has to be empty.
+#[test]
+fn a_request_that_does_not_come_whole_is_not_waited_for_once_the_broker_drains() {
+    run(2, |world| async move {
+        *world.env.borrow_mut() = vec![DOOR, ("LB_IDLE_MS", "60000"), ("LB_READ_MS", "60000")];
+        let broker = world.broker(world.settings(), None).await;
+        let mut slow = Stream::new(Async::<std::net::TcpStream>::connect(broker.platform).await.unwrap());
+        let text = query("q1", "yard-compare", 2000, &[0], "x");
+        slow.write(&text[..text.len() - 1], Duration::from_secs(5)).await.unwrap();
+        assert_eq!(put(broker.admin, "/drain", "").await, 200);
+        assert_eq!(read(&mut slow).await.unwrap().status, 408);
+        assert_eq!(broker.counters.queries.get(), 0);
+    });
+}
+
 #[test]
 fn calls_that_are_no_calls_get_a_4xx_and_change_nothing() {
     run(2, |world| async move {
