Take a store put back as cold from its listed start, where it was restarted while out

Changed: rotation keeps since when a store was out; a listed start after that counts, and otherwise the call back.

--- a/broker/src/discovery.rs
+++ b/broker/src/discovery.rs
@@ -285,7 +285,7 @@
         }
         let mut tries = 0..LOCK_TRIES;
         let changed = loop {
-            let changed = if out { self.rotation.take_out(id) } else { self.rotation.put_back(id, now) };
+            let changed = if out { self.rotation.take_out(id, now) } else { self.rotation.put_back(id, now) };
             match changed {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock && tries.next().is_some() => {
                     Timer::after(LOCK_AGAIN).await;
@@ -295,7 +295,10 @@
         };
         self.retell(&changed);
         self.exchange.settled().await;
-        log::info!("store {id} {} by hand", if out { "out" } else { "back" });
+        let started = self.listed.borrow().get(id).map_or(0.0, |instance| instance.started_at_ms);
+        let age =
+            if started > 0.0 { format!("{:.1} s ago", (now - started) / 1000.0) } else { "long ago".into() };
+        log::info!("store {id} {} by hand; listed as started {age}", if out { "out" } else { "back" });
         Ok(())
     }
 
--- a/broker/src/rotation.rs
+++ b/broker/src/rotation.rs
@@ -2,7 +2,7 @@
 //! It lies in a small file that two processes of one broker share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
@@ -23,10 +23,10 @@
 /// What the file says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Marks {
-    /// Those that are out.
-    pub out: BTreeSet<String>,
-    /// When those put back came back, in whole milliseconds of Unix time.
-    pub back: BTreeMap<String, u64>,
+    /// Those that are out, and since when, in whole milliseconds of Unix time.
+    pub out: BTreeMap<String, u64>,
+    /// Those put back: since when they had been out, and when they came back.
+    pub back: BTreeMap<String, (u64, u64)>,
 }
 
 /// Whether this can be a store's id: up to 128 visible characters.
@@ -43,53 +43,61 @@
             let line = line.strip_suffix(b"\n").unwrap_or_default();
             let words: Vec<&str> = std::str::from_utf8(line).unwrap_or_default().split(' ').collect();
             match words[..] {
-                ["out", id] if is_id(id) && marks.out.len() < IDS_MAX => {
-                    marks.out.insert(id.to_owned());
-                }
-                ["back", id, at] if is_id(id) && marks.back.len() < IDS_MAX && at.parse::<u64>().is_ok() => {
-                    marks.back.insert(id.to_owned(), at.parse().unwrap_or_default());
+                ["out", id, since] if is_id(id) && marks.out.len() < IDS_MAX => match since.parse() {
+                    Ok(since) => drop(marks.out.insert(id.to_owned(), since)),
+                    Err(_) => unread += 1,
+                },
+                ["back", id, since, at] if is_id(id) && marks.back.len() < IDS_MAX => {
+                    match (since.parse(), at.parse()) {
+                        (Ok(since), Ok(at)) => drop(marks.back.insert(id.to_owned(), (since, at))),
+                        _ => unread += 1,
+                    }
                 }
                 _ => unread += 1,
             }
         }
-        marks.back.retain(|id, _| !marks.out.contains(id));
+        marks.back.retain(|id, _| !marks.out.contains_key(id));
         (marks, unread)
     }
 
     /// The same as text.
     pub fn text(&self) -> String {
-        let out = self.out.iter().map(|id| format!("out {id}\n"));
-        out.chain(self.back.iter().map(|(id, at)| format!("back {id} {at}\n"))).collect()
+        let out = self.out.iter().map(|(id, since)| format!("out {id} {since}\n"));
+        let back = self.back.iter().map(|(id, (since, at))| format!("back {id} {since} {at}\n"));
+        out.chain(back).collect()
     }
 
-    /// Takes a store out; false if there is no room for one more.
-    fn take_out(&mut self, id: &str) -> bool {
-        if self.out.len() >= IDS_MAX && !self.out.contains(id) {
+    /// Takes a store out; false if there is no room for one more. One that is out stays so from the first call on.
+    fn take_out(&mut self, id: &str, now: Millis) -> bool {
+        if self.out.len() >= IDS_MAX && !self.out.contains_key(id) {
             return false;
         }
         self.back.remove(id);
-        self.out.insert(id.to_owned());
+        self.out.entry(id.to_owned()).or_insert(now.max(0.0) as u64);
         true
     }
 
     /// Puts a store back, and forgets those that have been back for so long that they are warm.
     fn put_back(&mut self, id: &str, now: Millis, cold_ms: Millis) {
-        if !self.out.remove(id) {
-            return;
-        }
-        self.back.retain(|_, at| *at as Millis + cold_ms > now);
+        let Some(since) = self.out.remove(id) else { return };
+        self.back.retain(|_, (_, at)| *at as Millis + cold_ms > now);
         while self.back.len() >= IDS_MAX {
             self.back.pop_first();
         }
-        self.back.insert(id.to_owned(), now.max(0.0) as u64);
+        self.back.insert(id.to_owned(), (since, now.max(0.0) as u64));
     }
 
     /// The ids of which this and another say different things.
     fn differ(&self, other: &Self) -> Vec<String> {
-        let out = self.out.symmetric_difference(&other.out);
-        let all = self.back.keys().chain(other.back.keys());
-        let back = all.filter(|id| self.back.get(*id) != other.back.get(*id));
-        out.chain(back).cloned().collect::<BTreeSet<_>>().into_iter().collect()
+        let sides = [self, other].map(|marks| marks.out.keys().chain(marks.back.keys()));
+        let differs = |id: &&String| {
+            self.out.contains_key(*id) != other.out.contains_key(*id)
+                || self.back.get(*id) != other.back.get(*id)
+        };
+        let mut ids: Vec<String> = sides.into_iter().flatten().filter(differs).cloned().collect();
+        ids.sort_unstable();
+        ids.dedup();
+        ids
     }
 }
 
@@ -116,13 +124,16 @@
 
     /// Whether this store is out.
     pub fn is_out(&self, id: &str) -> bool {
-        self.marks.borrow().out.contains(id)
+        self.marks.borrow().out.contains_key(id)
     }
 
-    /// When this store started: as listed, or when it was put back if that is later. It was restarted while it
-    /// was out, which the list may not tell yet.
+    /// When this store started. One that was put back was restarted while it was out: as listed, if the list
+    /// tells a start since then, and otherwise it counts as started when it came back.
     pub fn started(&self, id: &str, listed: Millis) -> Millis {
-        self.marks.borrow().back.get(id).map_or(listed, |at| listed.max(*at as Millis))
+        match self.marks.borrow().back.get(id) {
+            Some((since, at)) if listed < *since as Millis => *at as Millis,
+            _ => listed,
+        }
     }
 
     /// How many stores are out.
@@ -130,9 +141,9 @@
         self.marks.borrow().out.len()
     }
 
-    /// Takes a store out. An error has changed nothing.
-    pub fn take_out(&self, id: &str) -> io::Result<Vec<String>> {
-        self.change(|marks| marks.take_out(id))
+    /// Takes a store out, at this time. An error has changed nothing.
+    pub fn take_out(&self, id: &str, now: Millis) -> io::Result<Vec<String>> {
+        self.change(|marks| marks.take_out(id, now))
     }
 
     /// Puts a store back, at this time. An error has changed nothing.
@@ -194,7 +205,7 @@
                 return Vec::new();
             }
         }
-        log::info!("stores out: {:?}", marks.out);
+        log::info!("stores out: {:?}", marks.out.keys());
         self.marks.replace(marks.clone()).differ(&marks)
     }
 }
