Ask discovery at once in an upgrade, whatever the fleet's size

Seen in review: the first call for the list is spread over up to 3 s in a fleet of 48, and twice that while two processes share a broker; in an upgrade what discovery has to tell counts as told 2 s after the new process is ready. Changed: become_able asks at once beside another process.

--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -242,6 +242,11 @@
 /// Waits until discovery has told its list. Where an older one is known that will do: at once where no other
 /// process serves meanwhile, and beside one after a while.
 async fn become_able(lifecycle: Rc<Lifecycle>, discovery: Rc<Discovery>, beside: bool) {
+    if beside {
+        // Guards the start of an upgrade in a large fleet, whose first calls for the list are spread over seconds: what
+        // discovery has to tell counts as told soon after this process is ready.
+        discovery.subscribe();
+    }
     let fallback = async {
         match discovery.known() {
             true if beside => drop(Timer::after(KNOWN_AFTER).await),
