Count why queries are given up, and log each attempt and answer at debug level

Change: the module says with each query it gives up which of seven reasons it was; the broker counts them and logs them with the query, and logs every attempt with its end and time, not only those that failed.

Nine stores then turn slow: they get 20 to 45 parts a second each of some 55, a tenth of them in time, for 9 s on end. A query has 9 to 32 parts, so three in four meet one. Clients come back, 360 queries a second become 790, and at 5 s full queues turn away 1,434 parts. A broker sends each store one part in 2 s: its memory of a slow one has faded when the next is due.

--- a/broker/src/core/mod.rs
+++ b/broker/src/core/mod.rs
@@ -10,7 +10,7 @@
 
 use gingerledge_blocks::{Epoch, Span};
 use stoatlane::{
-    Action, Aggregator, Entry, Event, ListKind, Millis, Outcome, Repeat, RequestId, ServerId, Settings,
+    Action, Aggregator, Entry, Event, ListKind, Millis, Outcome, Repeat, RequestId, ServerId, Settings, Why,
 };
 
 use crate::routes::{Routes, Target, Told};
@@ -201,6 +201,8 @@
     Learn,
     /// Begin a watch on discovery.
     Subscribe,
+    /// Count why a query is given up.
+    Because(QueryId, Why),
     /// Give a query its final answer.
     Finish(QueryId, Final),
 }
@@ -485,6 +487,7 @@
                     self.forget(query);
                     commands.push(Command::Finish(query, Final::Refused { retry_after_ms }));
                 }
+                Action::Because { query, why } => commands.push(Command::Because(query, why)),
                 Action::Fail { query } => {
                     self.forget(query);
                     commands.push(Command::Finish(query, Final::Failed));
--- a/broker/src/counters.rs
+++ b/broker/src/counters.rs
@@ -49,6 +49,20 @@
     refused,
     /// Queries failed.
     failed,
+    /// Queries turned away at the learned limit on parts out.
+    over_limit,
+    /// Queries turned away because a shard has no store that is trusted.
+    shut,
+    /// Queries turned away because a shard is too slow for their class.
+    jammed,
+    /// Queries turned away because their client waits less than parts usually take.
+    hasty,
+    /// Queries given up because no store on the list holds their shards.
+    unlisted,
+    /// Queries given up because parts of theirs can't be had any more.
+    lost,
+    /// Queries given up because what was missing would have come too late.
+    late,
     /// Queries that the core had not ended when their time was up.
     overdue,
     /// Final answers that the exchange dropped: the client had left, or had one.
--- a/broker/src/exchange.rs
+++ b/broker/src/exchange.rs
@@ -8,7 +8,7 @@
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
-use stoatlane::{Entry, ListKind};
+use stoatlane::{Entry, ListKind, Why};
 
 use crate::clock::Clock;
 use crate::core::{Ask, AttemptId, Ended, Final, Happening, QueryId, Question};
@@ -95,6 +95,7 @@
         self.waiting.borrow_mut().insert(id, Waiting { name, size, answer: send });
         count(&self.counters.queries);
         let deadline = question.deadline;
+        log::debug!("{}: class {} of {} parts taken", question.name, question.class, question.parts.len());
         self.tell(Happening::Asked(id, question));
         Ok(Ticket { exchange: self.clone(), id, deadline, answer })
     }
@@ -163,14 +164,33 @@
         std::mem::take(&mut *self.happened.borrow_mut())
     }
 
+    /// Counts why a query is given up; its final answer follows.
+    pub fn because(&self, id: QueryId, why: Why) {
+        if let Some(waiting) = self.waiting.borrow().get(&id) {
+            log::debug!("{}: given up: {why:?}", waiting.name);
+        }
+        count(match why {
+            Why::Limit => &self.counters.over_limit,
+            Why::Shut => &self.counters.shut,
+            Why::Jammed => &self.counters.jammed,
+            Why::Hasty => &self.counters.hasty,
+            Why::Unlisted => &self.counters.unlisted,
+            Why::Lost => &self.counters.lost,
+            Why::Late => &self.counters.late,
+        });
+    }
+
     /// Gives a query its final answer. A second one is dropped: the client has had the first.
     pub fn finish(&self, id: QueryId, answer: Final) -> bool {
         let Some(waiting) = self.close(id) else {
             count(&self.counters.finals_dropped);
             return false;
         };
-        if !matches!(answer, Final::Answered { .. }) {
-            log::debug!("{}: {answer:?}", waiting.name);
+        match &answer {
+            Final::Answered { whole, values } => {
+                log::debug!("{}: answered from {} parts, whole {whole}", waiting.name, values.len());
+            }
+            other => log::debug!("{}: {other:?}", waiting.name),
         }
         count(match answer {
             Final::Answered { .. } => &self.counters.answered,
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -316,6 +316,7 @@
                 Command::Release(server) => stores.release(server),
                 Command::Learn => blocks.iter().for_each(|blocks| blocks.poke()),
                 Command::Subscribe => discovery.subscribe(),
+                Command::Because(query, why) => exchange.because(query, why),
                 Command::Finish(query, answer) => drop(exchange.finish(query, answer)),
             }
         }
--- a/broker/src/store/mod.rs
+++ b/broker/src/store/mod.rs
@@ -202,9 +202,7 @@
             let told = format!("{}.{} attempt {} at {}", order.query, order.shard, id.number, order.server);
             let began = Instant::now();
             let ended = this.attempt(order, stopped).await;
-            if ended.outcome != Outcome::Success {
-                log::debug!("{told}: {:?} after {:?}", ended.outcome, began.elapsed());
-            }
+            log::debug!("{told}: {:?} after {:?}", ended.outcome, began.elapsed());
             this.stops.borrow_mut().remove(&id);
             count(match ended.outcome {
                 Outcome::Success => &this.counters.served,
--- a/src/aggregator.rs
+++ b/src/aggregator.rs
@@ -601,8 +601,9 @@
                 self.forget(id)
             }
         } else if hopeless || now >= give_up {
+            let why = if stuck { Why::Unlisted } else if hopeless { Why::Lost } else { Why::Late };
             self.learn_limit(now, id, false);
-            self.end(id, actions);
+            self.end(id, why, actions);
         }
     }
 
@@ -620,8 +621,9 @@
 
     /// Gives a query up, at once and with advice on when to return. A refusal says that a repeat
     /// does no harm, so it is not given where an unsafe part may have run.
-    fn end(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+    fn end(&mut self, id: RequestId, why: Why, actions: &mut Vec<Action>) {
         let Some(query) = self.queries.get(&id) else { return };
+        actions.push(Action::Because { query: id, why });
         let unsafe_class = self.set.classes[query.class].repeat == Repeat::Unsafe;
         let ran = |p: &Part| p.out > 0 || p.may_have_run.is_some() || p.state == PartState::In;
         let may_have_run =
@@ -715,9 +717,12 @@
         let shut = 1.0 - shut < class.floor - ROUNDING;
         let waits = (HASTE * self.typical[query.class]).min(class.aim_ms);
         let hasty = query.deadline - now < waits && self.out() > 0.0;
-        if query.parts.is_empty() || used > limit || shut || jammed || hasty {
-            self.limit.refused |= used > limit;
-            self.end(id, actions);
+        let over = used > limit;
+        let turned = [(over, Why::Limit), (shut, Why::Shut), (jammed, Why::Jammed), (hasty, Why::Hasty)];
+        let turned = turned.into_iter().find(|(turned, _)| *turned).map(|(_, why)| why);
+        if let Some(why) = turned.or(query.parts.is_empty().then_some(Why::Lost)) {
+            self.limit.refused |= over;
+            self.end(id, why, actions);
             return;
         }
         self.limit.backlog += sent as f64;
--- a/src/bin/stoatlane-drill/wire.rs
+++ b/src/bin/stoatlane-drill/wire.rs
@@ -271,6 +271,7 @@
         Action::Withdraw { part, attempt } => writeln!(out, "STOP_ATTEMPT {part} {attempt}"),
         Action::Answer { query, whole } => writeln!(out, "MERGE {query} {}", u8::from(*whole)),
         Action::Refuse { query, retry_after_ms } => writeln!(out, "TURN_AWAY {query} {retry_after_ms:.3}"),
+        Action::Because { .. } => Ok(()),
         Action::Fail { query } => writeln!(out, "FINISH_ERROR {query}"),
         Action::Subscribe => writeln!(out, "LISTEN 1"),
         Action::Timer { wait_ms, token } => writeln!(out, "SCHEDULE {wait_ms:.3} {token}"),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -318,6 +318,25 @@
     pub weight: f64,
 }
 
+/// Why a query is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// As many parts are out as the learned limit allows.
+    Limit,
+    /// A shard has no replica that is trusted.
+    Shut,
+    /// A shard is too slow for the class's aim.
+    Jammed,
+    /// Its client waits less than its parts usually take.
+    Hasty,
+    /// No server on the list holds its shards.
+    Unlisted,
+    /// Too many parts can't be had any more.
+    Lost,
+    /// What is missing would come too late to be worth anything.
+    Late,
+}
+
 /// Something the host is asked to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -356,6 +375,13 @@
         /// Advice on when to come back; 0 for none.
         retry_after_ms: Millis,
     },
+    /// Why the query that the next action ends is given up; for the host's counters, nothing is to be done.
+    Because {
+        /// The query.
+        query: RequestId,
+        /// Why.
+        why: Why,
+    },
     /// Final answer: failed, with no word on its effect.
     Fail {
         /// The query.
