--- a/src/aggregator.rs
+++ b/src/aggregator.rs
@@ -71,8 +71,12 @@
 const LONG_SHARE: f64 = 0.3;
 /// Where an answer in part may be given, a late part costs little, and the limit acts so much later.
 const PARTIAL_LENIENCE: f64 = 3.0;
-/// While few recent queries miss their aim, latency may be so much longer uncut.
+/// While few recent queries miss their aim, latency may be so much longer uncut. Where there are as many
+/// aggregators as servers, each sees too little to go round slow ones, which end most queries of many parts
+/// and leave the usual latency low: there the limit is cut while more than the second share miss.
 const MISS_GAIN: f64 = 0.1;
+const MISSES_MOST: f64 = 0.1;
+const MISS_GAIN_SELDOM: f64 = 0.2;
 const MISSES_BORNE: f64 = 0.05;
 const FEW_MISSES_LENIENCE: f64 = 1.3;
 const CUT: f64 = 0.8;
@@ -601,7 +605,13 @@
                 self.forget(id)
             }
         } else if hopeless || now >= give_up {
-            let why = if stuck { Why::Unlisted } else if hopeless { Why::Lost } else { Why::Late };
+            let why = if stuck {
+                Why::Unlisted
+            } else if hopeless {
+                Why::Lost
+            } else {
+                Why::Late
+            };
             self.learn_limit(now, id, false);
             self.end(id, why, actions);
         }
@@ -746,13 +756,16 @@
         let class = &self.set.classes[query.class];
         let lenience = if class.floor < class.need { PARTIAL_LENIENCE } else { 1.0 };
         let share = self.typical[query.class] / (class.aim_ms.max(1.0) * lenience);
-        self.limit.misses += MISS_GAIN * (f64::from(!served || now > query.aim) - self.limit.misses);
+        let seldom = f64::from(self.set.aggregators) >= self.ready();
+        let gain = if seldom { MISS_GAIN_SELDOM } else { MISS_GAIN };
+        self.limit.misses += gain * (f64::from(!served || now > query.aim) - self.limit.misses);
         let lenience = if self.limit.misses <= MISSES_BORNE { FEW_MISSES_LENIENCE } else { 1.0 };
         let pressed = query.used > 0.5 || self.limit.refused;
-        if share < SHORT_SHARE && pressed && served {
+        let missing = seldom && self.limit.misses > MISSES_MOST;
+        if share < SHORT_SHARE && pressed && served && !missing {
             let quiet = RAISES_EACH_AIM * (now - self.limit.changed) / class.aim_ms.max(1.0);
             self.limit.parts *= (1.0 + RAISE).powf(quiet.clamp(1.0, RAISES_AT_ONCE));
-        } else if share > LONG_SHARE * lenience && query.arrived >= self.limit.cut_at {
+        } else if (missing || share > LONG_SHARE * lenience) && query.arrived >= self.limit.cut_at {
             let level = self.out().max(query.parts.len() as f64) / self.ready();
             let least = LIMIT_LEAST / f64::from(self.set.aggregators);
             self.limit.parts = (self.limit.parts.min(level) * CUT).max(least);
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -434,6 +434,39 @@
     sent
 }
 
+/// How many of 60 queries of ten parts are turned away at once, where one part of each is never served, always at another
+/// server, and all others at once: the usual latency says nothing.
+fn turned_away_while_all_miss(aggregators: u32) -> usize {
+    let mut set = settings(10, 1, 10);
+    (set.aggregators, set.parallel) = (aggregators, false);
+    set.classes = vec![Class { late_share: 0.0, ..class() }];
+    let mut rig = Rig::new(set, 10);
+    let shards: Vec<u32> = (0..10).collect();
+    let mut turned_away = 0;
+    for id in 1..=60 {
+        let from = rig.sent.len();
+        rig.query(id, 0, &shards);
+        turned_away += usize::from(!rig.answers(id).is_empty());
+        rig.pass(50.0);
+        let (lost, served): (Vec<_>, Vec<_>) =
+            rig.sent[from..].iter().copied().partition(|sent| u64::from(sent.server) == id % 10);
+        served.into_iter().for_each(|sent| rig.end(sent, Outcome::Success));
+        rig.turn();
+        rig.pass(1050.0);
+        lost.into_iter().for_each(|sent| rig.end(sent, Outcome::TimedOut));
+        rig.turn();
+        assert_eq!(rig.answers(id).len(), 1);
+    }
+    turned_away
+}
+
+#[test]
+fn where_many_aggregators_see_little_the_limit_goes_by_queries_that_miss_their_aim() {
+    let (few, many) = (turned_away_while_all_miss(3), turned_away_while_all_miss(100));
+    assert_eq!(few, 0, "whoever sees much of a server goes round it instead");
+    assert!((20..60).contains(&many), "{many} of 60: some is let in all the same, to see the end of it");
+}
+
 #[test]
 fn the_limit_follows_the_share_of_the_servers_below_one_query_too() {
     let (few, many) = (let_in_after_a_jam(3), let_in_after_a_jam(85));
