--- a/crates/gossip/tests/circle.rs
+++ b/crates/gossip/tests/circle.rs
@@ -1,5 +1,7 @@
 //! The circle in virtual time: many brokers, a slow store, lost and hostile datagrams.
 
+#![allow(clippy::unwrap_used)]
+
 use fastrand::Rng;
 use gingerledge_gossip::{Circle, End, Entry, Report, Settings, DATAGRAM_MOST};
 
