--- a/broker/src/store/mod.rs
+++ b/broker/src/store/mod.rs
@@ -199,10 +199,15 @@
         let this = self.clone();
         let attempt = async move {
             let id = order.attempt;
-            let told = format!("{}.{} attempt {} at {}", order.query, order.shard, id.number, order.server);
+            // Nobody pays for the text where it is not logged.
+            let told = log::log_enabled!(log::Level::Debug).then(|| {
+                format!("{}.{} attempt {} at {}", order.query, order.shard, id.number, order.server)
+            });
             let began = Instant::now();
             let ended = this.attempt(order, stopped).await;
-            log::debug!("{told}: {:?} after {:?}", ended.outcome, began.elapsed());
+            if let Some(told) = told {
+                log::debug!("{told}: {:?} after {:?}", ended.outcome, began.elapsed());
+            }
             this.stops.borrow_mut().remove(&id);
             count(match ended.outcome {
                 Outcome::Success => &this.counters.served,
--- a/crates/gossip/src/circle.rs
+++ b/crates/gossip/src/circle.rs
@@ -132,13 +132,13 @@
 
     /// Notes that a store is listed, by this name.
     pub fn list(&mut self, store: Store, name: &str, now: Millis) {
-        let hash = Entry::hash(name);
         if self.stores.contains_key(&store) {
             return;
         }
+        let hash = Entry::hash(name);
         let pool = Pool { hash, own: Tally::default(), all: Tally::default(), faded: now };
         self.stores.insert(store, pool);
-        self.named.entry(hash).and_modify(|named| *named = None).or_insert(Some(store));
+        claim(&mut self.named, hash, store);
     }
 
     /// Lets go of the stores that are not among these.
@@ -146,7 +146,7 @@
         self.stores.retain(|store, _| listed(*store));
         self.named.clear();
         for (store, pool) in &self.stores {
-            self.named.entry(pool.hash).and_modify(|named| *named = None).or_insert(Some(*store));
+            claim(&mut self.named, pool.hash, *store);
         }
     }
 
@@ -242,3 +242,8 @@
         self.stores.iter().map(|(store, pool)| (*store, view(pool))).collect()
     }
 }
+
+/// Gives a hash to a store; to none, if another has it.
+fn claim(named: &mut HashMap<u16, Option<Store>>, hash: u16, store: Store) {
+    named.entry(hash).and_modify(|named| *named = None).or_insert(Some(store));
+}
--- a/crates/gossip/tests/circle.rs
+++ b/crates/gossip/tests/circle.rs
@@ -14,11 +14,11 @@
 }
 
 /// Brokers that send three parts in 100 ms each, to any store; store 7 is ten times slower. Returns how many see it so
-/// after so many seconds, and how many datagrams and bytes one broker has heard.
-fn play(members: u32, seconds: u32, lost: f64, seed: u64) -> (usize, usize, usize) {
+/// after so many seconds, and how many datagrams one broker has been sent.
+fn play(members: u32, seconds: u32, lost: f64, seed: u64) -> (usize, usize) {
     let mut rng = Rng::with_seed(seed);
     let mut brokers: Vec<Circle> = (0..members).map(|_| circle(members, 1, rng.f64())).collect();
-    let (mut heard, mut bytes) = (0, 0);
+    let mut heard = 0;
     for turn in 1..=seconds * 10 {
         let now = f64::from(turn) * 100.0;
         let mut said = Vec::new();
@@ -37,7 +37,7 @@
         }
         for (sender, datagram) in said {
             assert!(datagram.len() <= DATAGRAM_MOST);
-            (heard, bytes) = (heard + usize::from(sender != 0), bytes + datagram.len());
+            heard += usize::from(sender != 0);
             for (number, broker) in (0..).zip(&mut brokers) {
                 if number != sender && rng.f64() >= lost {
                     broker.hear(sender, &datagram, now).unwrap();
@@ -49,13 +49,13 @@
     let sees = |broker: &mut Circle| {
         broker.views(now).iter().any(|(store, view)| *store == 7 && view.is_some_and(|view| view.pace > 5.0))
     };
-    (brokers.iter_mut().filter_map(|broker| sees(broker).then_some(())).count(), heard, bytes)
+    (brokers.iter_mut().map(sees).filter(|sees| *sees).count(), heard)
 }
 
 #[test]
 fn all_see_what_one_alone_sees_too_seldom_within_a_bounded_rate() {
     for (members, lost) in [(10, 0.0), (60, 0.0), (100, 0.3)] {
-        let (see, heard, _) = play(members, 5, lost, 3);
+        let (see, heard) = play(members, 5, lost, 3);
         assert!(see as u32 >= members * 9 / 10, "{see} of {members}, seed 3");
         let most = 5.0 * Settings::of(members).heard_per_s + 2.0 * f64::from(members);
         assert!(heard as f64 <= most, "{heard} heard of {most} by one of {members}, seed 3");
@@ -81,9 +81,7 @@
     }
     for _ in 0..2000 {
         let noise: Vec<u8> = (0..rng.usize(..300)).map(|_| rng.u8(..)).collect();
-        if let Ok(read) = Report::read(&noise) {
-            assert!(read.entries.len() <= 255);
-        }
+        assert!(one.hear(2, &noise, 0.0).is_err(), "{noise:?}, seed 5");
     }
     assert_eq!(one.views(0.0), known);
 }
