Bound calls for the list by the time after which it counts as told, at any fleet size

Seen: every first breach is told 10.0 s after stores were listed as gone, which is `ask_every_ms`, and no log has a watch that ended. So the brokers at fault had never asked. `Aggregator::new` spread the first call over brokers / 4 * 250 ms, with 300 brokers up to 18.75 s from the start and from every restart; the wait after a failed call in `Aggregator::list` doubled up to brokers / 4 * 1.5 s, 112 s with 300, where the settings allow 40 s. Both are harmless where brokers are few.

Change: the calls are a machine of their own, `src/asking.rs`: the first goes out within half of `ask_every_ms`, the next after a failure within three times that; what is left is for the call itself. A broker that knows its number among the others (`index`) takes its turn by it, so that first calls, and first parts to a cold server, lie evenly and not by chance (`src/turns.rs`): at 1,000 aggregators chance let 19 first parts through in 2 s where 14 are due.

--- a/src/aggregator.rs
+++ b/src/aggregator.rs
@@ -9,9 +9,11 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
+use crate::asking::Asking;
 use crate::holders::Holders;
 use crate::interface::*;
 use crate::numbers::{drop_until, mix, unit};
+use crate::turns::turn;
 
 /// Upkeep runs every so many turns while a query is open; final answers go out so many turns early.
 const TICK_TURNS: f64 = 2.0;
@@ -106,10 +108,6 @@
 const LOST_FORGIVEN: f64 = 0.998;
 /// Advice to refused clients is no shorter, in shortest aims.
 const RETRY_LEAST_AIMS: f64 = 0.08;
-/// The first wait before the list is asked for again, spread by seed. Many aggregators share the service:
-/// past so many, waits double with each failure until all together ask as often as so few would.
-const ASK_AGAIN_MS: Millis = 1000.0;
-const ASKING: f64 = 4.0;
 
 /// One attempt that a server has not ended yet.
 #[derive(Debug)]
@@ -262,10 +260,7 @@
     /// The usual time between two samples of a server's pace.
     gap: Millis,
     timer_at: Option<Millis>,
-    /// When to subscribe next; none while a subscription stands or needs none.
-    ask_at: Option<Millis>,
-    /// Calls for the list that failed in a row.
-    unheard: u32,
+    asking: Asking,
 }
 
 impl Aggregator {
@@ -284,9 +279,11 @@
         let aims = set.classes.iter().map(|class| class.aim_ms).filter(|aim| *aim > 0.0);
         let aim = aims.fold(f64::INFINITY, f64::min);
         let quota = |t: &Tenant| (t.quota_per_s / f64::from(set.aggregators), now);
-        let mut new = Self {
+        let random = mix(mix(seed));
+        Self {
             quotas: set.tenants.iter().map(quota).collect(),
-            random: mix(seed),
+            asking: Asking::new(&set, now, turn(&set, 0, unit(random))),
+            random,
             seed,
             servers: BTreeMap::new(),
             holders: Holders::new(set.cells, set.reach),
@@ -303,22 +300,8 @@
             lost: [0.0; 2],
             gap: 0.0,
             timer_at: None,
-            ask_at: None,
-            unheard: 0,
             set,
-        };
-        new.ask_at = new.set.subscribe.then_some(now + new.spread() * new.asking() * ASK_AGAIN_MS / 4.0);
-        new
-    }
-
-    /// How many times as many aggregators as `ASKING` share the service that lists servers.
-    fn asking(&self) -> f64 {
-        (f64::from(self.set.aggregators) / ASKING).max(1.0)
-    }
-
-    fn spread(&mut self) -> f64 {
-        self.random = mix(self.random);
-        unit(self.random)
+        }
     }
 
     /// Takes one event. Sends wait for [`Aggregator::end_turn`], so that a turn is placed together.
@@ -386,9 +369,8 @@
     /// Ends a turn: answers, gives up, places what arrived and what must go again.
     pub fn end_turn(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.servers.values_mut().for_each(|server| server.open = None);
-        if self.ask_at.is_some_and(|at| now >= at) {
+        if self.asking.due(now) {
             actions.push(Action::Subscribe);
-            self.ask_at = Some(now + self.set.ask_every_ms.max(ASK_AGAIN_MS));
         }
         self.forget_window(now);
         let open: Vec<RequestId> = self.queries.keys().copied().collect();
@@ -397,7 +379,7 @@
         open.iter().for_each(|&id| self.fill(now, id, actions));
         self.copies(now, actions);
         let tick = (!self.queries.is_empty()).then_some(now + self.set.turn_ms * TICK_TURNS);
-        let next = [tick, self.ask_at].into_iter().flatten().fold(f64::INFINITY, f64::min);
+        let next = [tick, self.asking.at()].into_iter().flatten().fold(f64::INFINITY, f64::min);
         if next.is_finite() && self.timer_at.is_none_or(|at| at > next || at < now) {
             self.timer_at = Some(next);
             actions.push(Action::Timer { wait_ms: (next - now).max(self.set.turn_ms), token: 0 });
@@ -408,15 +390,12 @@
     /// using the grace. One listed with a new start begins anew: cold, and not suspected.
     fn list(&mut self, now: Millis, kind: ListKind, entries: Vec<Entry>) {
         if kind == ListKind::Failed {
-            self.unheard += 1;
-            let longer = f64::from(1u32 << (self.unheard - 1).min(16)).min(self.asking());
-            let wait = ASK_AGAIN_MS * (0.5 + self.spread()) * longer;
-            self.ask_at = self.set.subscribe.then_some(now + wait);
+            self.random = mix(self.random);
+            self.asking.fail(now, self.set.aggregators, unit(self.random));
             return;
         }
         if kind != ListKind::Remembered {
-            self.unheard = 0;
-            self.ask_at = None;
+            self.asking.told();
         }
         if kind != ListKind::Changes {
             self.servers.values_mut().for_each(|server| server.status = Status::Gone);
@@ -826,8 +805,8 @@
         let allowed = room / (work * f64::from(self.set.aggregators));
         // A share of less than one part is one part in a longer window, the first at a time by seed.
         let window = self.set.fall_ms / allowed.min(1.0);
-        let turn = unit(mix(self.seed ^ u64::from(server.cell)));
-        if allowed < 1.0 && now < server.since + turn * window {
+        let spread = unit(mix(self.seed ^ u64::from(server.cell)));
+        if allowed < 1.0 && now < server.since + turn(&self.set, server.cell, spread) * window {
             return false;
         }
         // What was sent before its start never reached this process.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -89,6 +89,8 @@
 pub struct Settings {
     /// How many aggregators share the servers.
     pub aggregators: u32,
+    /// The aggregator's own number among them, from 0, where it is known: it tells whose turn comes when.
+    pub index: Option<u32>,
     /// The aggregator's own zone, by index.
     pub zone: u32,
     /// The shortest gap between two turns.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,10 +40,12 @@
 //! ```
 
 mod aggregator;
+mod asking;
 mod holders;
 mod interface;
 mod numbers;
 mod setup;
+mod turns;
 
 pub use aggregator::Aggregator;
 pub use interface::*;
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -104,6 +104,7 @@
 {
     let mut settings = Settings {
         aggregators: pairs.float("replicas_of_me")? as u32,
+        index: pairs.get("index").map(|_| pairs.count("index")).transpose()?.map(|index| index as u32),
         turn_ms: pairs.float("granularity_ms")?,
         over_share_worth: pairs.float_or("over_share_worth", 1.0)?,
         cells: pairs.float("domain.cells")? as u32,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -261,11 +261,13 @@
 
 #[test]
 fn all_aggregators_together_spare_a_cold_server_at_any_number_of_them() {
-    for aggregators in [3, 25, 85] {
+    for aggregators in [3, 25, 85, 100, 300, 1000] {
         let mut set = settings(1, 1, 1);
         set.aggregators = aggregators;
         let mut at = Vec::new();
-        let mut rig = |seed| {
+        let mut rig = |seed: u64| {
+            // By chance all might take their turn at once; by their numbers they can't.
+            set.index = (aggregators > 85).then_some(seed as u32);
             let mut rig = Rig::seeded(seed, set.clone(), 1);
             rig.query(1, 0, &[0]);
             rig.now += 100.0;
@@ -288,6 +290,30 @@
     }
 }
 
+/// An equal share that is less than a part comes late; no number of them makes it come later than the warm-up.
+#[test]
+fn every_aggregator_may_send_to_a_cold_server_before_it_is_warm_at_any_number_of_them() {
+    for aggregators in [3, 100, 300, 1000] {
+        for seed in 0..20 {
+            let mut set = settings(1, 1, 1);
+            set.aggregators = aggregators;
+            let (cold_ms, mut rig) = (set.cold_ms, Rig::seeded(seed, set, 1));
+            rig.query(1, 0, &[0]);
+            rig.now += 100.0;
+            rig.end_from(0, Outcome::Success);
+            rig.list(ListKind::Changes, vec![Entry { since: rig.now, ..ready(0) }]);
+            let (start, from) = (rig.now, rig.sent.len());
+            let mut id = 2;
+            while rig.sent.len() == from {
+                rig.query(id, 0, &[0]);
+                rig.pass(500.0);
+                id += 1;
+                assert!(rig.now <= start + cold_ms + 500.0, "{aggregators} aggregators, seed {seed}");
+            }
+        }
+    }
+}
+
 /// Has the only server fail so many connections in a row, then answer; returns how many of ten queries it is
 /// sent at once after that.
 fn sent_after(failures: &[Outcome]) -> usize {
