--- a/broker/src/core/mod.rs
+++ b/broker/src/core/mod.rs
@@ -299,6 +299,17 @@
         }
     }
 
+    /// How many entries its tables and the module's hold, by name.
+    pub fn sizes(&self) -> Vec<(&'static str, usize)> {
+        let own = [
+            ("open queries", self.queries.len()),
+            ("open parts", self.parts.len()),
+            ("flights", self.flights.len()),
+            ("held parts", self.held.len() + self.ended.len() + self.withdrawn.len()),
+        ];
+        own.into_iter().chain(self.aggregator.sizes()).collect()
+    }
+
     /// When the next turn is due though nothing happens.
     pub fn due(&self) -> Option<Millis> {
         let held = self.held.iter().map(|held| held.until);
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -66,6 +66,19 @@
     async_io::block_on(executor.run(serving))
 }
 
+/// How many entries the tables hold that grow and shrink with what happens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sizes {
+    /// Stores known by name.
+    pub stores: usize,
+    /// Connections to stores.
+    pub links: usize,
+    /// Attempts that are out.
+    pub attempts: usize,
+    /// Queries that wait for their final answer.
+    pub queries: usize,
+}
+
 /// A broker that serves.
 pub struct Broker {
     /// Where the platform's clients connect.
@@ -77,6 +90,7 @@
     /// What it has counted.
     pub counters: Rc<Counters>,
     exchange: Rc<Exchange>,
+    stores: Rc<Stores>,
     discovery: Rc<Discovery>,
     lifecycle: Rc<Lifecycle>,
     presence: Rc<Presence>,
@@ -219,9 +233,30 @@
         share(presence.other());
         executor.spawn(presence.clone().watch(share)).detach();
         executor
-            .spawn(drive(core, clock, exchange.clone(), stores, discovery.clone(), blocks.clone()))
+            .spawn(drive(core, clock, exchange.clone(), stores.clone(), discovery.clone(), blocks.clone()))
             .detach();
-        Ok(Self { platform, features, admin, counters, exchange, discovery, lifecycle, presence, blocks })
+        Ok(Self {
+            platform,
+            features,
+            admin,
+            counters,
+            exchange,
+            stores,
+            discovery,
+            lifecycle,
+            presence,
+            blocks,
+        })
+    }
+
+    /// How much it holds now.
+    pub fn sizes(&self) -> Sizes {
+        Sizes {
+            stores: self.stores.known(),
+            links: self.stores.links(),
+            attempts: self.stores.attempts(),
+            queries: self.exchange.open_queries(),
+        }
     }
 
     /// Prints the counters on SIGUSR1 and reads the configuration again on SIGHUP; returns on SIGTERM or
--- a/broker/src/store/mod.rs
+++ b/broker/src/store/mod.rs
@@ -184,6 +184,16 @@
         self.sites.borrow().len()
     }
 
+    /// How many connections are open, or being opened.
+    pub fn links(&self) -> usize {
+        self.links.get()
+    }
+
+    /// How many attempts are out.
+    pub fn attempts(&self) -> usize {
+        self.stops.borrow().len()
+    }
+
     /// Closes the idle connections to a store.
     pub fn release(&self, server: ServerId) {
         if let Some(site) = self.sites.borrow().get(&server) {
@@ -201,7 +211,9 @@
             let id = order.attempt;
             // Nobody pays for the text where it is not logged.
             let told = log::log_enabled!(log::Level::Debug).then(|| {
-                format!("{}.{} attempt {} at {}", order.query, order.shard, id.number, order.server)
+                let sites = this.sites.borrow();
+                let store = sites.get(&order.server).map_or("?", |site| site.name.as_str());
+                format!("{}.{} attempt {} at {store}", order.query, order.shard, id.number)
             });
             let began = Instant::now();
             let ended = this.attempt(order, stopped).await;
--- a/src/aggregator.rs
+++ b/src/aggregator.rs
@@ -304,6 +304,20 @@
         }
     }
 
+    /// How many entries its tables hold, by name: what belongs to the gone has to be let go.
+    pub fn sizes(&self) -> [(&'static str, usize); 7] {
+        let of = |each: fn(&Server) -> usize| self.servers.values().map(each).sum();
+        [
+            ("servers", self.servers.len()),
+            ("held by", self.holders.ready()),
+            ("queries", self.queries.len()),
+            ("parts", self.parts.len()),
+            ("attempts", of(|server| server.outs.len())),
+            ("sends to servers", of(|server| server.cold_sends.len())),
+            ("taken and sent again", self.taken.len() + self.extras.len()),
+        ]
+    }
+
     /// Takes one event. Sends wait for [`Aggregator::end_turn`], so that a turn is placed together.
     pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
         match event {
@@ -502,6 +516,10 @@
                 *typical *= if wait > *typical { 1.0 + TYPICAL_GAIN } else { less };
             }
         }
+        // Guards against keeping who is gone until the next list, which may be long in coming.
+        if self.servers.get(&sid).is_some_and(|s| s.status == Status::Gone && s.outs.is_empty()) {
+            self.servers.remove(&sid);
+        }
         let Some(part) = self.parts.get_mut(&id) else { return };
         part.out = part.out.saturating_sub(1);
         part.leaving = false;
