Read lists of a thousand stores, and take no changes of an older list

Seen: two faults. A list of more than some 400 stores is longer than 64 KiB, which no chunk or body might be, so that a broker of a large fleet never had a list; lists have a bound of their own now. Changes of a generation older than the list held were taken as new; the watch is ended and the whole list asked for. A whole list may be older, of a service that began anew.

--- a/broker/src/discovery.rs
+++ b/broker/src/discovery.rs
@@ -31,10 +31,9 @@
 const SILENCE: Duration = Duration::from_millis(4500);
 /// What a call ends with that had to wait too long.
 const BUSY: &str = "status 503";
-/// No line of a watch is longer.
-const LINE_MAX: usize = 256 * 1024;
-/// No list has more entries.
+/// No list has more entries; no list, and no line of a watch, is longer.
 const ENTRIES_MAX: usize = 4096;
+const LIST_MAX: usize = ENTRIES_MAX * 256;
 
 /// How often, and how long apart, a lock that another process holds is tried.
 const LOCK_TRIES: u32 = 50;
@@ -137,7 +136,7 @@
             let line: Vec<u8> = self.0.drain(..=end).collect();
             lines.push(line.trim_ascii().to_vec());
         }
-        if self.0.len() > LINE_MAX {
+        if self.0.len() > LIST_MAX {
             return Err(Fault("a line of a watch is too long".to_owned()));
         }
         Ok(lines)
@@ -388,7 +387,8 @@
     async fn get(&self, target: &str) -> Result<(Stream, http::Head), String> {
         let address = self.address.get();
         let socket = http::connect(address, CONNECT_WITHIN).await.map_err(|e| e.to_string())?;
-        let mut stream = Stream::new(socket);
+        // Guards a large fleet: the list of a thousand stores, in one chunk, is longer than any other body.
+        let mut stream = Stream::new(socket).up_to(LIST_MAX);
         let request = format!("GET {target} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
         stream.write(request.as_bytes(), CONNECT_WITHIN).await.map_err(|e| e.to_string())?;
         let head = stream.head(Kind::Answer, HEAD_WITHIN).await.map_err(|e| format!("{e:?}"))?;
@@ -424,6 +424,12 @@
                     continue;
                 }
                 let list = parse(&line).map_err(|fault| fault.to_string())?;
+                if let Some(held) = self.since.get().filter(|held| !list.reset && list.generation < *held) {
+                    // Guards against changes to a list that is no longer held: they would bring back what is gone, or take
+                    // out what came since. Only a whole list may be older, of a service that began anew; it is asked for next.
+                    self.since.set(None);
+                    return Err(format!("changes of generation {} to a list of {held}", list.generation));
+                }
                 self.tell(&list, false);
             }
         }
--- a/broker/src/http.rs
+++ b/broker/src/http.rs
@@ -13,7 +13,7 @@
 
 /// No head is longer.
 pub const HEAD_MAX: usize = 16 * 1024;
-/// No body is longer.
+/// No body is longer, but where a stream was told otherwise ([`Stream::up_to`]).
 pub const BODY_MAX: usize = 64 * 1024;
 const HEADERS_MAX: usize = 64;
 /// So much that comes after the last answer is read and dropped.
@@ -179,7 +179,8 @@
     }
     let mut codings = of("transfer-encoding");
     match (codings.next(), codings.next(), length) {
-        (None, _, Some(length)) if length > BODY_MAX => Err(Fault::BodyTooLong),
+        // An answer's length is held against its stream's bound once the body is read.
+        (None, _, Some(length)) if length > BODY_MAX && kind == Kind::Request => Err(Fault::BodyTooLong),
         (None, _, Some(length)) => Ok(Framing::Length(length)),
         (None, _, None) if kind == Kind::Request || status == 204 || status == 304 => Ok(Framing::Length(0)),
         (None, _, None) => Ok(Framing::Close),
@@ -210,15 +211,15 @@
     },
 }
 
-/// Reads the chunk at the front; `None` until it is whole. Trailers are passed over.
-pub fn parse_chunk(bytes: &[u8]) -> Result<Option<Chunk>, Fault> {
+/// Reads the chunk at the front, of so many bytes at the most; `None` until it is whole. Trailers are passed over.
+pub fn parse_chunk(bytes: &[u8], most: usize) -> Result<Option<Chunk>, Fault> {
     let (from, size) = match httparse::parse_chunk_size(bytes) {
         Ok(httparse::Status::Complete((from, size))) => (from, size),
         Ok(httparse::Status::Partial) if bytes.len() > CHUNK_LINE_MAX => return Err(Fault::Malformed),
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(_) => return Err(Fault::Malformed),
     };
-    if size > BODY_MAX as u64 {
+    if size > most as u64 {
         return Err(Fault::BodyTooLong);
     }
     if size > 0 {
@@ -262,6 +263,8 @@
     socket: Async<TcpStream>,
     buffer: Vec<u8>,
     ended: Cell<bool>,
+    /// No body, and no chunk, is longer.
+    most: usize,
 }
 
 impl Stream {
@@ -269,7 +272,12 @@
     pub fn new(socket: Async<TcpStream>) -> Self {
         // Answers are small and waited for.
         let _ = socket.get_ref().set_nodelay(true);
-        Self { socket, buffer: Vec::new(), ended: Cell::new(false) }
+        Self { socket, buffer: Vec::new(), ended: Cell::new(false), most: BODY_MAX }
+    }
+
+    /// Reads bodies and chunks of so many bytes at the most.
+    pub fn up_to(self, most: usize) -> Self {
+        Self { most, ..self }
     }
 
     /// Whether bytes of a next message are there.
@@ -336,6 +344,7 @@
         let until = Instant::now() + within;
         let mut body = Vec::new();
         match framing {
+            Framing::Length(length) if length > self.most => return Err(Ending::Fault(Fault::BodyTooLong)),
             Framing::Length(length) => {
                 while self.buffer.len() < length {
                     self.more_before(until).await?;
@@ -347,7 +356,7 @@
             Framing::Chunked => {
                 while let Some(chunk) = self.chunk_before(until).await? {
                     body.extend_from_slice(&chunk);
-                    if body.len() > BODY_MAX {
+                    if body.len() > self.most {
                         return Err(Ending::Fault(Fault::BodyTooLong));
                     }
                 }
@@ -358,7 +367,7 @@
                         Err(Ending::Cut) if self.ended.get() => {}
                         other => other?,
                     }
-                    if self.buffer.len() > BODY_MAX {
+                    if self.buffer.len() > self.most {
                         return Err(Ending::Fault(Fault::BodyTooLong));
                     }
                 }
@@ -375,7 +384,7 @@
 
     async fn chunk_before(&mut self, until: Instant) -> Result<Option<Vec<u8>>, Ending> {
         loop {
-            match parse_chunk(&self.buffer).map_err(Ending::Fault)? {
+            match parse_chunk(&self.buffer, self.most).map_err(Ending::Fault)? {
                 Some(Chunk::Last { next }) => {
                     self.buffer.drain(..next);
                     return Ok(None);
