--- a/src/aggregator.rs
+++ b/src/aggregator.rs
@@ -282,7 +282,7 @@
         let random = mix(mix(seed));
         Self {
             quotas: set.tenants.iter().map(quota).collect(),
-            asking: Asking::new(&set, now, turn(&set, 0, unit(random))),
+            asking: Asking::new(&set, now, unit(random)),
             random,
             seed,
             servers: BTreeMap::new(),
