--- a/src/aggregator.rs
+++ b/src/aggregator.rs
@@ -13,6 +13,7 @@
 use crate::holders::Holders;
 use crate::interface::*;
 use crate::numbers::{drop_until, mix, unit};
+use crate::quotas::Quotas;
 use crate::turns::turn;
 
 /// Upkeep runs every so many turns while a query is open; final answers go out so many turns early.
@@ -80,6 +81,10 @@
 const MISSES_MOST: f64 = 0.1;
 const MISS_GAIN_SELDOM: f64 = 0.2;
 const MISSES_BORNE: f64 = 0.05;
+/// There, too, a limit learned from few queries must not outlast its jam: only those that miss cut it; while
+/// latency is no sign, it grows so many times in each shortest aim, and past so much it is lifted.
+const REGROWTH: f64 = 1.2;
+const LIMIT_MOST: f64 = 100.0;
 const FEW_MISSES_LENIENCE: f64 = 1.3;
 const CUT: f64 = 0.8;
 const RAISE: f64 = 0.1;
@@ -249,8 +254,7 @@
     density: Vec<f64>,
     /// The shortest aim of any class: the scale of all that is remembered of servers.
     aim: Millis,
-    /// Each tenant's tokens for queries within its share, and when they were last counted.
-    quotas: Vec<(f64, Millis)>,
+    quotas: Quotas,
     limit: Limit,
     taken: VecDeque<Millis>,
     extras: VecDeque<Millis>,
@@ -278,10 +282,9 @@
         }
         let aims = set.classes.iter().map(|class| class.aim_ms).filter(|aim| *aim > 0.0);
         let aim = aims.fold(f64::INFINITY, f64::min);
-        let quota = |t: &Tenant| (t.quota_per_s / f64::from(set.aggregators), now);
         let random = mix(mix(seed));
         Self {
-            quotas: set.tenants.iter().map(quota).collect(),
+            quotas: Quotas::new(&set, now),
             asking: Asking::new(&set, now, unit(random)),
             random,
             seed,
@@ -324,7 +327,7 @@
             Event::List { kind, entries } => self.list(now, kind, entries),
             Event::Query { id, number, class, tenant, deadline, parts, repeated: _ } => {
                 self.taken.push_back(now);
-                let over_quota = !self.within_quota(now, tenant);
+                let over_quota = !self.quotas.within(&self.set, now, tenant);
                 let Some(rules) = self.set.classes.get(class) else {
                     actions.push(Action::Fail { query: id });
                     return;
@@ -543,18 +546,6 @@
         query.parts.iter().for_each(|part| drop(self.parts.remove(part)));
     }
 
-    fn within_quota(&mut self, now: Millis, tenant: Option<usize>) -> bool {
-        let rate = tenant.and_then(|t| self.set.tenants.get(t)).map(|t| t.quota_per_s);
-        let (Some(rate), Some(quota)) = (rate, tenant.and_then(|t| self.quotas.get_mut(t))) else {
-            return true;
-        };
-        let own = rate / f64::from(self.set.aggregators);
-        let tokens = (quota.0 + own * (now - quota.1) / 1000.0).min(own.max(1.0) * 2.0);
-        let within = tokens >= 1.0;
-        *quota = (tokens - f64::from(u8::from(within)), now);
-        within
-    }
-
     /// Decides whether a query ends now, and how.
     /// Whole as soon as it can be. Just before the aim, in part, if that may be and earns more than
     /// a late whole; past the aim, as soon as the floor is met. It is given up at once when it can no
@@ -670,6 +661,14 @@
     /// a trusted replica would waste, that needs a jammed shard (with a chance, so that its end is seen; it
     /// could harm a query that would just make it), or whose client leaves before it can end.
     fn admit(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
+        let long = |(class, typical): (&Class, &Millis)| *typical > LONG_SHARE * class.aim_ms;
+        if self.seldom()
+            && self.limit.parts < f64::MAX
+            && !self.set.classes.iter().zip(&self.typical).any(long)
+        {
+            let grown = self.limit.parts * REGROWTH.powf((now - self.limit.counted) / self.aim);
+            self.limit.parts = if grown > LIMIT_MOST { f64::MAX } else { grown };
+        }
         let turnover = self.typical.iter().copied().fold(self.set.turn_ms, f64::max);
         let worked = self.limit.parts * self.ready() * (now - self.limit.counted) / turnover;
         (self.limit.backlog, self.limit.counted) = ((self.limit.backlog - worked).max(self.out()), now);
@@ -743,6 +742,11 @@
         self.holders.ready().max(1) as f64
     }
 
+    /// Whether each aggregator sees too little of the servers to go by its own samples alone.
+    fn seldom(&self) -> bool {
+        f64::from(self.set.aggregators) >= self.ready()
+    }
+
     fn out(&self) -> f64 {
         self.servers.values().map(|s| s.outs.len()).sum::<usize>() as f64
     }
@@ -753,16 +757,17 @@
         let class = &self.set.classes[query.class];
         let lenience = if class.floor < class.need { PARTIAL_LENIENCE } else { 1.0 };
         let share = self.typical[query.class] / (class.aim_ms.max(1.0) * lenience);
-        let seldom = f64::from(self.set.aggregators) >= self.ready();
+        let (seldom, missed) = (self.seldom(), !served || now > query.aim);
         let gain = if seldom { MISS_GAIN_SELDOM } else { MISS_GAIN };
-        self.limit.misses += gain * (f64::from(!served || now > query.aim) - self.limit.misses);
+        self.limit.misses += gain * (f64::from(missed) - self.limit.misses);
         let lenience = if self.limit.misses <= MISSES_BORNE { FEW_MISSES_LENIENCE } else { 1.0 };
         let pressed = query.used > 0.5 || self.limit.refused;
         let missing = seldom && self.limit.misses > MISSES_MOST;
+        let over = (missing && missed) || share > LONG_SHARE * lenience;
         if share < SHORT_SHARE && pressed && served && !missing {
             let quiet = RAISES_EACH_AIM * (now - self.limit.changed) / class.aim_ms.max(1.0);
             self.limit.parts *= (1.0 + RAISE).powf(quiet.clamp(1.0, RAISES_AT_ONCE));
-        } else if (missing || share > LONG_SHARE * lenience) && query.arrived >= self.limit.cut_at {
+        } else if over && query.arrived >= self.limit.cut_at {
             let level = self.out().max(query.parts.len() as f64) / self.ready();
             let least = LIMIT_LEAST / f64::from(self.set.aggregators);
             self.limit.parts = (self.limit.parts.min(level) * CUT).max(least);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 mod holders;
 mod interface;
 mod numbers;
+mod quotas;
 mod setup;
 mod turns;
 
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -467,6 +467,42 @@
     assert!((20..60).contains(&many), "{many} of 60: some is let in all the same, to see the end of it");
 }
 
+/// How many of 40 queries of 25 parts, two a second and each served at once, are turned away after three that missed their
+/// aim.
+fn turned_away_after_misses(aggregators: u32) -> usize {
+    let mut set = settings(30, 2, 30);
+    (set.aggregators, set.parallel) = (aggregators, false);
+    set.classes = vec![Class { late_share: 0.0, ..class() }];
+    let mut rig = Rig::new(set, 30);
+    let shards: Vec<u32> = (0..25).collect();
+    let mut turned_away = 0;
+    for id in 1..=43 {
+        let from = rig.sent.len();
+        rig.query(id, 0, &shards);
+        rig.pass(30.0);
+        turned_away += usize::from(id > 3 && !rig.answers(id).is_empty());
+        // Of the first three, one part each is never served.
+        let lost = usize::from(id <= 3);
+        let sent = rig.sent[from..].to_vec();
+        sent.iter().skip(lost).for_each(|sent| rig.end(*sent, Outcome::Success));
+        rig.turn();
+        rig.pass(if id > 3 && id % 2 == 0 { 70.0 } else { 970.0 });
+        sent.iter().take(lost).for_each(|sent| rig.end(*sent, Outcome::TimedOut));
+        rig.turn();
+    }
+    turned_away
+}
+
+/// Few queries tell of many misses for long; a limit that each of them cuts once more would turn away most of what comes
+/// while the servers stand idle.
+#[test]
+fn queries_that_make_their_aim_cut_no_limit_where_many_aggregators_see_little() {
+    for aggregators in [30, 100, 300, 1000] {
+        let turned_away = turned_away_after_misses(aggregators);
+        assert!(turned_away <= 4, "{turned_away} of 40 among {aggregators} aggregators");
+    }
+}
+
 #[test]
 fn the_limit_follows_the_share_of_the_servers_below_one_query_too() {
     let (few, many) = (let_in_after_a_jam(3), let_in_after_a_jam(85));
