Say what the test of jams does not see, and use the address that stays closed

`tests/jams.rs` gives the same figures with the old limit and the new: its opening says so now. A closed port that another test may open is `free_address()` now; a query that is still open at the end of a trouble is found too.

--- a/broker/tests/adversity.rs
+++ b/broker/tests/adversity.rs
@@ -8,14 +8,13 @@
 use std::time::Duration;
 
 use gingerledge::service::Broker;
-use gingerledge_standin::scripted::{
-    exchange, get, listener, query, run, until, Listed, Mood, Service, World,
-};
+use gingerledge_standin::broker::free_address;
+use gingerledge_standin::scripted::{exchange, get, query, run, until, Listed, Mood, Service, World};
 use serde_json::{json, Value};
 
-/// Where nobody listens.
+/// Where nobody listens, nor will while tests run side by side.
 fn closed() -> SocketAddr {
-    listener().1
+    free_address().unwrap()
 }
 
 fn elsewhere(id: &str, at: SocketAddr) -> Listed {
@@ -48,6 +47,7 @@
     let ended = counted.answered.get() + counted.refused.get() + counted.failed.get();
     assert_eq!(counted.queries.get(), ended, "{troubled:?}: one end for each query");
     assert_eq!((counted.overdue.get(), counted.finals_dropped.get()), (0, 0), "{troubled:?}");
+    assert_eq!(broker.sizes().queries, 0, "{troubled:?}");
     let sent = world.sent.borrow();
     let mut attempts = std::collections::HashMap::new();
     sent.iter().for_each(|sent| *attempts.entry(sent.id.as_str()).or_insert(0) += 1);
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -318,12 +318,11 @@
         match service {
             Service::Resets => return None,
             Service::Hangs => return futures_lite::future::pending().await,
-            Service::Refuses => return stream.write(&http::answer(503, "", b"", false), WITHIN).await.ok(),
-            Service::NoWatch if watch => {
-                return stream.write(&http::answer(503, "", b"", false), WITHIN).await.ok()
-            }
             _ => {}
         }
+        if service == Service::Refuses || (watch && service == Service::NoWatch) {
+            return stream.write(&http::answer(503, "", b"", false), WITHIN).await.ok();
+        }
         if !watch {
             let mut bytes = http::answer(200, "", self.list().to_string().as_bytes(), false);
             match service {
--- a/tests/jams.rs
+++ b/tests/jams.rs
@@ -1,4 +1,6 @@
 //! Many aggregators side by side on the same servers, in virtual time: a jam that all of them learned of ends when it ends.
+//! It holds the sum of all that each remembers. What the limit alone does after few misses is in `symptoms.rs`: here the rule that
+//! had every query cut it gives the same figures.
 
 mod common;
 
@@ -19,7 +21,7 @@
     asks_at: Millis,
 }
 
-/// Plays a fleet whose servers all stand still from 3 to 5 s; gives how many queries came and how many were turned
+/// Plays a fleet whose servers all stand still from 3 to 6 s; gives how many queries came and how many were turned
 /// away in each second.
 fn play(aggregators: u32, seconds: u32) -> Vec<(u32, u32)> {
     let mut set = settings(SERVERS, 2, SERVERS);
