Plug subsystems in at one place, and take two circles of modules apart

Now `plug::Subsystem` says what is asked of a subsystem (its path at the door, a call, news, the end) and `plug::Host` what it is given; blocks are the first. Calls of the coordinator stand in blocks/call.rs, `Held` in holding.rs. Nothing that is answered changes, but that paths below /blocks are "no such path" where blocks do not move. Checked by the tests of the door, of blocks from end to end and of hand-overs.

--- a/broker/src/admin.rs
+++ b/broker/src/admin.rs
@@ -1,5 +1,5 @@
 //! The operators' door: HTTP/1.1, one call to a connection. It reads a call, makes a [`Call`] of it and
-//! passes that on; a 2xx means that it is done.
+//! passes that on; a 2xx means that it is done. Calls below a subsystem's path are that subsystem's ([`plug`]).
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -12,12 +12,12 @@
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 
-use crate::blocks::{self, boss, Blocks};
 use crate::clock::Clock;
 use crate::counters::{count, Counters};
 use crate::discovery::{Discovery, Unrotated};
 use crate::http::{self, Ending, Fault, Head, Kind, Stream};
 use crate::lifecycle::Lifecycle;
+use crate::plug::{self, Subsystem};
 use crate::rotation;
 
 /// So many connections may be open; past that the oldest without a whole call makes room. They are apart from
@@ -44,8 +44,6 @@
     Drain,
     /// To end the drain.
     Undrain,
-    /// What concerns blocks.
-    Blocks(boss::Call),
 }
 
 /// A status and a few words.
@@ -53,9 +51,6 @@
 
 /// Makes a call of a request, or says what is wrong with it.
 pub fn call(head: &Head, body: &[u8]) -> Result<Call, Reply> {
-    if head.path().starts_with("/blocks") {
-        return blocks::door::call(head, body).map(Call::Blocks);
-    }
     let id = std::str::from_utf8(body).unwrap_or_default().trim();
     let store = |out| ("PUT", Call::Store { id: id.to_owned(), out });
     let (method, call) = match head.path() {
@@ -83,7 +78,7 @@
 pub struct Door {
     lifecycle: Rc<Lifecycle>,
     discovery: Rc<Discovery>,
-    blocks: Option<Rc<Blocks>>,
+    plugged: Rc<[Rc<dyn Subsystem>]>,
     clock: Clock,
     counters: Rc<Counters>,
     executor: Rc<LocalExecutor<'static>>,
@@ -96,14 +91,22 @@
     pub fn new(
         lifecycle: &Rc<Lifecycle>,
         discovery: &Rc<Discovery>,
-        blocks: Option<Rc<Blocks>>,
+        plugged: Rc<[Rc<dyn Subsystem>]>,
         clock: Clock,
         counters: &Rc<Counters>,
         executor: &Rc<LocalExecutor<'static>>,
     ) -> Rc<Self> {
         let (lifecycle, discovery) = (lifecycle.clone(), discovery.clone());
         let (counters, executor) = (counters.clone(), executor.clone());
-        Rc::new(Self { lifecycle, discovery, blocks, clock, counters, executor, waiting: RefCell::default() })
+        Rc::new(Self {
+            lifecycle,
+            discovery,
+            plugged,
+            clock,
+            counters,
+            executor,
+            waiting: RefCell::default(),
+        })
     }
 
     /// Accepts and serves, for as long as the process runs.
@@ -141,12 +144,9 @@
                 let call = or(read, crowded).await;
                 this.waiting.borrow_mut().retain(|other| !other.same_channel(&leave));
                 if let Some(Some(call)) = call {
-                    let plain = "text/plain; charset=utf-8";
-                    let said = |(status, words): Reply| (status, plain, format!("{words}\n").into_bytes());
-                    let (status, kind, body) = match call {
-                        Ok(Call::Blocks(call)) => this.ask_blocks(call).await,
-                        Ok(call) => said(this.carry_out(call).await),
-                        Err(no) => said(no),
+                    let plug::Reply { status, kind, body } = match call {
+                        Ok((head, body)) => this.answer(&head, &body).await,
+                        Err((status, words)) => plug::Reply::words(status, &words),
                     };
                     log::debug!("operators' door: {status}");
                     count(&this.counters.admin_calls);
@@ -162,7 +162,7 @@
     }
 
     /// Reads a call; nothing if the caller has closed.
-    async fn read(&self, stream: &mut Stream) -> Option<Result<Call, Reply>> {
+    async fn read(&self, stream: &mut Stream) -> Option<Result<(Head, Vec<u8>), Reply>> {
         let by = Instant::now() + CALL_WITHIN;
         let left = || by.saturating_duration_since(Instant::now());
         let request = async {
@@ -171,7 +171,7 @@
             Ok((head, body))
         };
         let fault = match request.await {
-            Ok((head, body)) => return Some(call(&head, &body)),
+            Ok(whole) => return Some(Ok(whole)),
             Err(Ending::Closed | Ending::Cut) => return None,
             Err(Ending::Stalled) => Fault::Stalled,
             Err(Ending::Fault(fault)) => fault,
@@ -179,18 +179,16 @@
         Some(Err((fault.status(), fault.to_string())))
     }
 
-    /// Passes a call on to the coordinator, if it is here.
-    async fn ask_blocks(&self, call: boss::Call) -> (u16, &'static str, Vec<u8>) {
-        let plain = "text/plain; charset=utf-8";
-        let no = |status, words: &str| (status, plain, format!("{words}\n").into_bytes());
-        let Some(blocks) = &self.blocks else { return no(404, "blocks do not move here") };
-        match blocks.ask(call).await {
-            None => no(503, "another broker coordinates, or none does just now"),
-            Some(boss::Reply::Done(words)) => no(200, &words),
-            Some(boss::Reply::No(words)) => no(409, &words),
-            Some(boss::Reply::Json(value)) => (200, "application/json", value.to_string().into_bytes()),
-            Some(boss::Reply::News(bytes)) => (200, "application/octet-stream", bytes),
+    /// Answers a call: the subsystem whose path it names does, or the door itself.
+    async fn answer(&self, head: &Head, body: &[u8]) -> plug::Reply {
+        if let Some(subsystem) = plug::of(&self.plugged, head.path()) {
+            return subsystem.ask(head, body).await;
         }
+        let (status, words) = match call(head, body) {
+            Ok(call) => self.carry_out(call).await,
+            Err(no) => no,
+        };
+        plug::Reply::words(status, &words)
     }
 
     async fn carry_out(&self, call: Call) -> Reply {
@@ -208,7 +206,6 @@
                 Err(Unrotated::NoList) => (503, "no list of stores yet".to_owned()),
                 Err(Unrotated::Unwritten(e)) => (500, format!("not done: {e}")),
             },
-            Call::Blocks(_) => (404, "blocks do not move here".to_owned()),
             Call::Undrain if self.lifecycle.undrain() => yes("serving"),
             Call::Undrain => (409, "about to end".to_owned()),
         }
--- a/broker/src/blocks/mod.rs
+++ b/broker/src/blocks/mod.rs
@@ -3,6 +3,7 @@
 //! start. Operators speak to it through the door ([`door`]).
 
 pub mod boss;
+pub mod call;
 pub mod calls;
 pub mod door;
 pub mod follow;
@@ -24,6 +25,8 @@
 use crate::config::blocks::Blocks as Set;
 use crate::discovery::Discovery;
 use crate::exchange::Exchange;
+use crate::http::Head;
+use crate::plug::{Host, Reply, Soon, Subsystem};
 use crate::routes::{Learned, Routes};
 use crate::store::Stores;
 
@@ -55,27 +58,17 @@
 
 impl Blocks {
     /// Starts the driver. The map that was kept is there before this returns.
-    #[allow(clippy::too_many_arguments)]
-    pub fn start(
-        set: Set,
-        name: &str,
-        clock: Clock,
-        routes: Rc<Routes>,
-        exchange: Rc<Exchange>,
-        stores: Rc<Stores>,
-        discovery: Rc<Discovery>,
-        executor: Rc<LocalExecutor<'static>>,
-    ) -> Rc<Self> {
+    pub fn start(set: Set, host: &Host, routes: Rc<Routes>) -> Rc<Self> {
         let (releasing, released) = async_channel::bounded(1);
         let this = Rc::new(Self {
             set,
-            name: name.to_owned(),
-            clock,
+            name: host.name.clone(),
+            clock: host.clock,
             routes,
-            exchange,
-            stores,
-            discovery,
-            executor,
+            exchange: host.exchange.clone(),
+            stores: host.stores.clone(),
+            discovery: host.discovery.clone(),
+            executor: host.executor.clone(),
             boss: RefCell::default(),
             poke: async_channel::bounded(1),
             changed: async_channel::bounded(1),
@@ -94,7 +87,7 @@
     }
 
     /// Passes a call on to the coordinator; nothing if it is not here.
-    pub async fn ask(&self, call: boss::Call) -> Option<boss::Reply> {
+    pub async fn ask(&self, call: call::Call) -> Option<call::Reply> {
         let boss = self.boss.borrow().clone()?;
         let (reply, replied) = async_channel::bounded(1);
         boss.try_send(boss::Ask::Call(call, reply)).ok()?;
@@ -105,11 +98,6 @@
         futures_lite::future::or(async { replied.recv().await.ok() }, late).await
     }
 
-    /// Asks for news of the map soon: a store has told of a newer epoch.
-    pub fn poke(&self) {
-        let _ = self.poke.0.try_send(());
-    }
-
     /// Takes a page of news in, and tells the core.
     fn learn(&self, news: News) -> Option<Learned> {
         match self.routes.learn(news) {
@@ -165,19 +153,49 @@
     fn address(&self, store: &str) -> Option<SocketAddr> {
         self.stores.site(store).map(|(address, _)| address)
     }
+}
+
+impl Subsystem for Blocks {
+    fn path(&self) -> &'static str {
+        "blocks"
+    }
+
+    /// Passes a call on to the coordinator, if it is here.
+    fn ask<'a>(&'a self, head: &'a Head, body: &'a [u8]) -> Soon<'a, Reply> {
+        Box::pin(async move {
+            let call = match door::call(head, body) {
+                Ok(call) => call,
+                Err((status, words)) => return Reply::words(status, &words),
+            };
+            match self.ask(call).await {
+                None => Reply::words(503, "another broker coordinates, or none does just now"),
+                Some(call::Reply::Done(words)) => Reply::words(200, &words),
+                Some(call::Reply::No(words)) => Reply::words(409, &words),
+                Some(call::Reply::Json(value)) => Reply::json(&value),
+                Some(call::Reply::News(bytes)) => Reply::bytes(bytes),
+            }
+        })
+    }
+
+    /// Asks for news of the map soon: a store has told of a newer epoch.
+    fn learn(&self) {
+        let _ = self.poke.0.try_send(());
+    }
 
     /// Lets the lease go, so that another broker need not wait for its end.
-    pub async fn stop(&self) {
-        self.stopping.set(true);
-        if let Some(boss) = self.boss.borrow().as_ref() {
-            let _ = boss.try_send(boss::Ask::Wake);
-        }
-        let long = async {
-            Timer::after(Duration::from_millis(500)).await;
-        };
-        let done = async {
-            let _ = self.released.1.recv().await;
-        };
-        futures_lite::future::or(done, long).await;
+    fn stop(&self) -> Soon<'_, ()> {
+        Box::pin(async {
+            self.stopping.set(true);
+            if let Some(boss) = self.boss.borrow().as_ref() {
+                let _ = boss.try_send(boss::Ask::Wake);
+            }
+            let long = async {
+                Timer::after(Duration::from_millis(500)).await;
+            };
+            let done = async {
+                let _ = self.released.1.recv().await;
+            };
+            futures_lite::future::or(done, long).await;
+        })
     }
 }
--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod http;
 pub mod lifecycle;
 pub mod logger;
+pub mod plug;
 pub mod rotation;
 pub mod routes;
 pub mod service;
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -25,6 +25,7 @@
 use crate::front::Server;
 use crate::handover::{self, Other, Presence};
 use crate::lifecycle::Lifecycle;
+use crate::plug::{Host, Subsystem};
 use crate::rotation::Rotation;
 use crate::routes::Routes;
 use crate::store::link::Limits;
@@ -94,7 +95,7 @@
     discovery: Rc<Discovery>,
     lifecycle: Rc<Lifecycle>,
     presence: Rc<Presence>,
-    blocks: Option<Rc<Blocks>>,
+    plugged: Rc<[Rc<dyn Subsystem>]>,
 }
 
 fn listen(
@@ -199,24 +200,26 @@
             log::info!("serving features on {at}");
             features = Some(at);
         }
-        let blocks = config.blocks.zip(routes.clone()).map(|(set, routes)| {
-            Blocks::start(
-                set,
-                &config.name,
-                clock,
-                routes,
-                exchange.clone(),
-                stores.clone(),
-                discovery.clone(),
-                executor.clone(),
-            )
-        });
+        let host = Host {
+            name: config.name,
+            clock,
+            executor: executor.clone(),
+            counters: counters.clone(),
+            exchange: exchange.clone(),
+            stores: stores.clone(),
+            discovery: discovery.clone(),
+        };
+        let mut plugged: Vec<Rc<dyn Subsystem>> = Vec::new();
+        if let (Some(set), Some(routes)) = (config.blocks, routes.clone()) {
+            plugged.push(Blocks::start(set, &host, routes));
+        }
+        let plugged: Rc<[_]> = plugged.into();
         let mut admin = None;
         if let Some(at) = config.admin {
             let (listener, at) = listen("LB_ADMIN_ADDR", at, TcpListener::bind)?;
             executor
                 .spawn(
-                    Door::new(&lifecycle, &discovery, blocks.clone(), clock, &counters, &executor)
+                    Door::new(&lifecycle, &discovery, plugged.clone(), clock, &counters, &executor)
                         .run(listener),
                 )
                 .detach();
@@ -233,7 +236,7 @@
         share(presence.other());
         executor.spawn(presence.clone().watch(share)).detach();
         executor
-            .spawn(drive(core, clock, exchange.clone(), stores.clone(), discovery.clone(), blocks.clone()))
+            .spawn(drive(core, clock, exchange.clone(), stores.clone(), discovery.clone(), plugged.clone()))
             .detach();
         Ok(Self {
             platform,
@@ -245,7 +248,7 @@
             discovery,
             lifecycle,
             presence,
-            blocks,
+            plugged,
         })
     }
 
@@ -285,8 +288,8 @@
     /// Stops taking requests and finishes those taken.
     pub async fn stop(&self) {
         log::info!("stopping: {} queries open", self.exchange.open_queries());
-        if let Some(blocks) = &self.blocks {
-            blocks.stop().await;
+        for subsystem in self.plugged.iter() {
+            subsystem.stop().await;
         }
         let succeeded = self.presence.look() == Other::Serves;
         self.presence.leave();
@@ -340,7 +343,7 @@
     exchange: Rc<Exchange>,
     stores: Rc<Stores>,
     discovery: Rc<Discovery>,
-    blocks: Option<Rc<Blocks>>,
+    plugged: Rc<[Rc<dyn Subsystem>]>,
 ) {
     let mut happened = Default::default();
     loop {
@@ -349,7 +352,7 @@
                 Command::Send(order) => stores.send(order),
                 Command::GiveUp(attempt) => stores.give_up(attempt),
                 Command::Release(server) => stores.release(server),
-                Command::Learn => blocks.iter().for_each(|blocks| blocks.poke()),
+                Command::Learn => plugged.iter().for_each(|subsystem| subsystem.learn()),
                 Command::Subscribe => discovery.subscribe(),
                 Command::Because(query, why) => exchange.because(query, why),
                 Command::Finish(query, answer) => drop(exchange.finish(query, answer)),
--- a/crates/blocks/src/holding.rs
+++ b/crates/blocks/src/holding.rs
@@ -9,7 +9,6 @@
 use thiserror::Error;
 
 use crate::types::{BlockId, Epoch, Span, StoreId, Term};
-use crate::wire::Held;
 
 /// What a store lets in for a block.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -43,6 +42,19 @@
     pub copied: u64,
 }
 
+/// A block at a store, with its size and use.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Held {
+    /// Which.
+    pub block: BlockId,
+    /// How.
+    pub holding: Holding,
+    /// Its size.
+    pub bytes: u64,
+    /// Parts that ran since the store started.
+    pub parts: u64,
+}
+
 /// An entry that ran, or a reading that was there from the beginning.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Entry {
--- a/crates/blocks/src/wire.rs
+++ b/crates/blocks/src/wire.rs
@@ -5,10 +5,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::holding::{Done, Entry, Holding, Refusal};
+use crate::holding::{Done, Entry, Refusal};
 use crate::map::{Cursor, Record};
 use crate::types::{BlockId, Epoch, Span, StoreId};
 
+pub use crate::holding::Held;
+
 /// An order to a store.
 pub const ORDER: u8 = b's';
 /// A store's word on an order.
@@ -27,19 +29,6 @@
 /// Bytes of entries in one stretch.
 pub const STRETCH_MOST: u64 = 48 * 1024;
 
-/// A block at a store, with its size and use.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Held {
-    /// Which.
-    pub block: BlockId,
-    /// How.
-    pub holding: Holding,
-    /// Its size.
-    pub bytes: u64,
-    /// Parts that ran since the store started.
-    pub parts: u64,
-}
-
 /// A store's word.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Word {
