Build a rig of real processes: relays on every link, faults on demand, a witness's ledger

A test could kill and stop a broker's process, but not cut it off from one store, shake datagrams between two brokers, or set its clock off.

Now crates/standin/src/fleet starts so many processes of the program with stores and discovery, and leads every link through a relay of its own: cuts one way or both, delay, loss, repetition, reordering, drips, resets, lists told late. Brokers are killed, stopped, woken, told to end, and started again with or without their disk. The witness stands in stores, discovery and relays; verdicts rest on its ledger.

What the rig can't do without rights is said in relay.rs: a connection opened during a cut comes up and stays silent.

--- a/broker/src/clock.rs
+++ b/broker/src/clock.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use crate::faults::{self, Skew};
+
 /// A point in Unix time or a duration, in milliseconds.
 pub type Millis = f64;
 
@@ -10,23 +12,25 @@
 pub struct Clock {
     started: Instant,
     unix_ms: Millis,
+    skew: Skew,
 }
 
 impl Clock {
     /// A clock set by the system's.
     pub fn new() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { started: Instant::now(), unix_ms: unix.as_secs_f64() * 1000.0 }
+        let skew = faults::skew();
+        Self { started: Instant::now(), unix_ms: unix.as_secs_f64() * 1000.0 + skew.unix_ms, skew }
     }
 
     /// Now.
     pub fn now(&self) -> Millis {
-        self.unix_ms + self.started.elapsed().as_secs_f64() * 1000.0
+        self.unix_ms + self.started.elapsed().as_secs_f64() * 1000.0 * self.skew.rate
     }
 
     /// The time from now until `at`; zero if that has passed.
     pub fn until(&self, at: Millis) -> Duration {
-        millis(at - self.now())
+        millis((at - self.now()) / self.skew.rate)
     }
 }
 
--- a/broker/src/discovery.rs
+++ b/broker/src/discovery.rs
@@ -19,6 +19,7 @@
 use crate::clock::Millis;
 use crate::counters::{count, Counters};
 use crate::exchange::Exchange;
+use crate::faults;
 use crate::http::{self, Kind, Stream};
 use crate::rotation::Rotation;
 use crate::store::Stores;
@@ -386,6 +387,9 @@
 
     async fn get(&self, target: &str) -> Result<(Stream, http::Head), String> {
         let address = self.address.get();
+        if faults::point("discovery.call") {
+            return Err("no call: a fault on demand".to_owned());
+        }
         let socket = http::connect(address, CONNECT_WITHIN).await.map_err(|e| e.to_string())?;
         // Guards a large fleet: the list of a thousand stores, in one chunk, is longer than any other body.
         let mut stream = Stream::new(socket).up_to(LIST_MAX);
--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod counters;
 pub mod discovery;
 pub mod exchange;
+pub mod faults;
 pub mod front;
 pub mod geojson;
 pub mod handover;
--- a/broker/src/rotation.rs
+++ b/broker/src/rotation.rs
@@ -12,6 +12,7 @@
 use rustix::fs::{flock, FlockOperation};
 
 use crate::clock::Millis;
+use crate::faults;
 
 /// No id is longer.
 pub const ID_MAX: usize = 128;
@@ -170,6 +171,9 @@
             return Err(io::Error::new(io::ErrorKind::StorageFull, "too many stores are out"));
         }
         if let Some(file) = &self.file {
+            if faults::point("disk.write") {
+                return Err(io::ErrorKind::StorageFull.into());
+            }
             // Beside it and then over it: whoever reads finds the old one or the new one, whole.
             let beside = file.with_extension("new");
             File::create(&beside)?.write_all(marks.text().as_bytes())?;
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -20,6 +20,7 @@
 use crate::counters::Counters;
 use crate::discovery::Discovery;
 use crate::exchange::Exchange;
+use crate::faults;
 use crate::front::features::Front;
 use crate::front::platform::{Names, Platform};
 use crate::front::Server;
@@ -347,6 +348,8 @@
 ) {
     let mut happened = Default::default();
     loop {
+        // Where told to, the whole process stands still here, as under a long pause of its machine.
+        let _ = faults::point("core.turn");
         for command in core.turn(clock.now(), std::mem::take(&mut happened)) {
             match command {
                 Command::Send(order) => stores.send(order),
--- a/broker/src/store/link.rs
+++ b/broker/src/store/link.rs
@@ -16,6 +16,7 @@
 use super::Site;
 use crate::core::{Ended, Served};
 use crate::counters::{count, Counters};
+use crate::faults;
 use crate::http;
 
 /// A store that takes no byte of a frame for so long is stalled.
@@ -194,7 +195,11 @@
     /// Opens the connection and serves it until it ends; true if the store sent what it should not have.
     pub async fn run(self: Rc<Self>, limits: Rc<Limits>) -> bool {
         count(&self.counters.dials);
-        let ending = match http::connect(self.site.address.get(), limits.dial).await {
+        let dialled = match faults::point("store.dial") {
+            true => Err(std::io::ErrorKind::ConnectionRefused.into()),
+            false => http::connect(self.site.address.get(), limits.dial).await,
+        };
+        let ending = match dialled {
             Ok(socket) => {
                 let _ = socket.get_ref().set_nodelay(true);
                 futures_lite::future::or(self.read(&socket, &limits), self.write(&socket, &limits)).await
--- a/crates/standin/src/broker.rs
+++ b/crates/standin/src/broker.rs
@@ -6,6 +6,7 @@
 
 use gingerledge::clock::Clock;
 use gingerledge::config::Config;
+use gingerledge::faults;
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
 
@@ -17,6 +18,7 @@
     if std::env::args().nth(1).as_deref() != Some(ARGUMENT) {
         return None;
     }
+    faults::start();
     let clock = Clock::new();
     let var = |key: &str| std::env::var(key).ok();
     let read = |path: &str| std::fs::read_to_string(path);
@@ -44,14 +46,17 @@
     pub platform: SocketAddr,
     /// Where operators call.
     pub admin: SocketAddr,
+    program: PathBuf,
     dir: PathBuf,
     log: PathBuf,
     level: String,
     child: Option<Child>,
+    /// How often its faults have been set.
+    version: u32,
 }
 
 impl Broker {
-    /// Writes its files into a folder and starts it.
+    /// Writes its files into a folder and starts it, as this program.
     pub fn start(
         dir: &Path,
         name: &str,
@@ -59,14 +64,30 @@
         config: &Value,
         operator: &str,
         level: &str,
+    ) -> std::io::Result<Self> {
+        Self::start_as(std::env::current_exe()?, dir, name, at, config, operator, level)
+    }
+
+    /// The same as another program, which has to begin with [`if_asked`].
+    pub fn start_as(
+        program: PathBuf,
+        dir: &Path,
+        name: &str,
+        at: (SocketAddr, SocketAddr),
+        config: &Value,
+        operator: &str,
+        level: &str,
     ) -> std::io::Result<Self> {
         let home = dir.join(name);
         std::fs::create_dir_all(&home)?;
         std::fs::write(home.join("config.json"), config.to_string())?;
-        std::fs::write(home.join("operator.toml"), operator)?;
+        if !operator.is_empty() {
+            std::fs::write(home.join("operator.toml"), operator)?;
+        }
         let log = dir.join(format!("{name}.log"));
         let (platform, admin) = at;
-        let mut broker = Self { platform, admin, dir: home, log, level: level.to_owned(), child: None };
+        let level = level.to_owned();
+        let mut broker = Self { platform, admin, program, dir: home, log, level, child: None, version: 0 };
         broker.restart()?;
         Ok(broker)
     }
@@ -74,11 +95,16 @@
     /// Starts it again after it was killed.
     pub fn restart(&mut self) -> std::io::Result<()> {
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
-        let child = Command::new(std::env::current_exe()?)
+        let mut command = Command::new(&self.program);
+        let operator = self.dir.join("operator.toml");
+        if operator.exists() {
+            command.env("LB_OPERATOR", operator);
+        }
+        let child = command
             .arg(ARGUMENT)
             .env("LB_CONFIG", self.dir.join("config.json"))
-            .env("LB_OPERATOR", self.dir.join("operator.toml"))
             .env("LB_LOG", &self.level)
+            .env(faults::VARIABLE, self.dir.join("faults"))
             .env("TMPDIR", &self.dir)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
@@ -88,6 +114,33 @@
         Ok(())
     }
 
+    /// Sets its faults, in the form of `gingerledge::faults`; a clock's at its next start.
+    pub fn set_faults(&mut self, faults: &str) -> std::io::Result<()> {
+        self.version += 1;
+        // Beside it and then over it: whoever reads finds the old one or the new one, whole.
+        let beside = self.dir.join("faults.new");
+        std::fs::write(&beside, format!("version={}\n{faults}\n", self.version))?;
+        std::fs::rename(beside, self.dir.join("faults"))
+    }
+
+    /// Whether the process has taken the faults set last.
+    pub fn has_taken_faults(&self) -> bool {
+        let taken = std::fs::read_to_string(self.dir.join("faults.taken"));
+        taken.is_ok_and(|version| version == self.version.to_string())
+    }
+
+    /// Lets it forget all that it wrote; it has to be down.
+    pub fn forget_disk(&self) -> std::io::Result<()> {
+        let kept = ["config.json", "operator.toml", "faults"];
+        for entry in std::fs::read_dir(&self.dir)? {
+            let entry = entry?;
+            if !kept.iter().any(|kept| entry.file_name() == *kept) && entry.file_type()?.is_file() {
+                std::fs::remove_file(entry.path())?;
+            }
+        }
+        Ok(())
+    }
+
     /// Sends it a signal.
     pub fn signal(&self, signal: Signal) {
         if let Some(pid) = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32)) {
--- a/crates/standin/src/discovery.rs
+++ b/crates/standin/src/discovery.rs
@@ -11,6 +11,7 @@
 use gingerledge::http::{self, Kind, Stream};
 use serde_json::{json, Value};
 
+use crate::fleet::ledger::{Deed, Ledger, Who};
 use crate::store::Store;
 
 const WITHIN: Duration = Duration::from_secs(30);
@@ -25,12 +26,25 @@
     pub state: Cell<&'static str>,
 }
 
+/// How one caller sees the service.
+#[derive(Clone, Default)]
+struct View {
+    /// Where it is to connect for each store, in the order of the list.
+    through: Vec<SocketAddr>,
+    /// Where its calls are noted.
+    noted: Option<(Rc<Ledger>, Who)>,
+}
+
 /// The service.
 pub struct Discovery {
     /// Where it listens.
     pub address: SocketAddr,
     /// The stores, in the order of their cells.
     pub stores: RefCell<Vec<Listed>>,
+    /// What changes is told so much later.
+    pub late: Cell<Duration>,
+    /// No call is answered but by a refusal.
+    pub down: Cell<bool>,
     generation: Cell<u64>,
     watchers: RefCell<Vec<Sender<()>>>,
 }
@@ -42,21 +56,46 @@
         let this = Rc::new(Self {
             address: listener.get_ref().local_addr()?,
             stores: RefCell::default(),
+            late: Cell::default(),
+            down: Cell::default(),
             generation: Cell::new(1),
             watchers: RefCell::default(),
         });
-        let (serving, runs) = (this.clone(), executor.clone());
+        this.accept(executor, listener, View::default());
+        Ok(this)
+    }
+
+    /// A door of its own for one broker, which finds the stores at these addresses and whose calls are noted.
+    pub fn door(
+        self: &Rc<Self>,
+        executor: &Rc<LocalExecutor<'static>>,
+        through: Vec<SocketAddr>,
+        ledger: &Rc<Ledger>,
+        who: Who,
+    ) -> std::io::Result<SocketAddr> {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0))?;
+        let address = listener.get_ref().local_addr()?;
+        self.accept(executor, listener, View { through, noted: Some((ledger.clone(), who)) });
+        Ok(address)
+    }
+
+    fn accept(
+        self: &Rc<Self>,
+        executor: &Rc<LocalExecutor<'static>>,
+        listener: Async<TcpListener>,
+        view: View,
+    ) {
+        let (serving, runs) = (self.clone(), executor.clone());
         let accept = async move {
             while let Ok((socket, _)) = listener.accept().await {
-                let this = serving.clone();
+                let (this, view) = (serving.clone(), view.clone());
                 runs.spawn(async move {
-                    let _ = this.serve(socket).await;
+                    let _ = this.serve(socket, &view).await;
                 })
                 .detach();
             }
         };
         executor.spawn(accept).detach();
-        Ok(this)
     }
 
     /// Puts a store on the list.
@@ -82,9 +121,10 @@
         }
     }
 
-    fn text(&self) -> String {
+    fn text(&self, view: &View) -> String {
         let entry = |(cell, listed): (usize, &Listed)| {
-            json!({ "instanceId": listed.store.name, "hostPort": listed.store.address.to_string(),
+            let at = view.through.get(cell).copied().unwrap_or(listed.store.address);
+            json!({ "instanceId": listed.store.name, "hostPort": at.to_string(),
                 "zone": listed.zone, "machineType": "small", "cell": cell, "lifecycle": listed.state.get(),
                 "weight": 1.0, "startedAtMs": listed.store.started_ms.get() })
         };
@@ -93,17 +133,24 @@
         json!({ "generation": self.generation.get(), "reset": true, "instances": all }).to_string() + "\n"
     }
 
-    async fn serve(&self, socket: Async<TcpStream>) -> Option<()> {
+    async fn serve(&self, socket: Async<TcpStream>, view: &View) -> Option<()> {
         let mut stream = Stream::new(socket);
         let head = stream.head(Kind::Request, WITHIN).await.ok()?;
-        if !head.query().contains("follow=1") {
-            let bytes = http::answer(200, "", self.text().as_bytes(), false);
+        let watch = head.query().contains("follow=1");
+        if let Some((ledger, who)) = &view.noted {
+            ledger.note(*who, Deed::Called(watch));
+        }
+        if self.down.get() {
+            return stream.write(&http::answer(503, "", b"", false), WITHIN).await.ok();
+        }
+        if !watch {
+            let bytes = http::answer(200, "", self.text(view).as_bytes(), false);
             return stream.write(&bytes, WITHIN).await.ok();
         }
         stream.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", WITHIN).await.ok()?;
         let (watcher, changed) = async_channel::bounded(1);
         self.watchers.borrow_mut().push(watcher);
-        let mut line = self.text();
+        let mut line = self.text(view);
         loop {
             let chunk = format!("{:x}\r\n{line}\r\n", line.len());
             stream.write(chunk.as_bytes(), WITHIN).await.ok()?;
@@ -113,7 +160,8 @@
             };
             let change = async {
                 let _ = changed.recv().await;
-                self.text()
+                Timer::after(self.late.get()).await;
+                self.text(view)
             };
             line = futures_lite::future::or(change, beat).await;
         }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod data;
 pub mod discovery;
+pub mod fleet;
 #[allow(missing_docs)]
 pub mod scripted;
 pub mod settings;
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -20,6 +20,7 @@
 };
 
 use crate::data;
+use crate::fleet::ledger::{Deed, Ledger, Who};
 
 /// Blocks a store may hold.
 const BLOCKS_MOST: usize = 1000;
@@ -66,6 +67,31 @@
     /// When it last started, in Unix time; 0 for long ago.
     pub started_ms: Cell<u64>,
     up: Cell<bool>,
+    /// Where single brokers connect, and where what they do is noted.
+    doors: RefCell<Vec<(SocketAddr, Door)>>,
+}
+
+/// The door of one broker.
+#[derive(Clone)]
+struct Door {
+    who: Who,
+    store: usize,
+    ledger: Rc<Ledger>,
+}
+
+impl Door {
+    /// Notes what came whole.
+    fn note(&self, letter: u8, rest: &[u8]) {
+        let id = rest.split(|byte| *byte == b' ').next().unwrap_or_default();
+        match letter {
+            frame::CALL => {
+                let id = String::from_utf8_lossy(id).into_owned();
+                self.ledger.note(self.who, Deed::Began(self.store, id));
+            }
+            frame::PROBE | frame::LOAD => self.ledger.note(self.who, Deed::Probed(self.store)),
+            _ => {}
+        }
+    }
 }
 
 impl Store {
@@ -99,10 +125,11 @@
             runs: runs.clone(),
             started_ms: Cell::new(0),
             up: Cell::new(false),
+            doors: RefCell::default(),
         });
         store.index(0);
         store.lasts();
-        store.listen(listener)?;
+        store.listen(listener, None)?;
         Ok(store)
     }
 
@@ -152,19 +179,32 @@
         self.index(0);
         self.started_ms.set(now_ms);
         self.fault.set(Fault::None);
-        self.listen(TcpListener::bind(self.address)?)
+        for (address, door) in self.doors.borrow().clone() {
+            self.listen(TcpListener::bind(address)?, Some(door))?;
+        }
+        self.listen(TcpListener::bind(self.address)?, None)
     }
 
-    fn listen(self: &Rc<Self>, listener: TcpListener) -> std::io::Result<()> {
+    /// A door of its own for one broker, to this store as the ledger numbers it.
+    pub fn door(self: &Rc<Self>, ledger: &Rc<Ledger>, who: Who, store: usize) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind(("127.0.1.1", 0))?;
+        let address = listener.local_addr()?;
+        let door = Door { who, store, ledger: ledger.clone() };
+        self.doors.borrow_mut().push((address, door.clone()));
+        self.listen(listener, Some(door))?;
+        Ok(address)
+    }
+
+    fn listen(self: &Rc<Self>, listener: TcpListener, door: Option<Door>) -> std::io::Result<()> {
         let listener = Async::new(listener)?;
         self.up.set(true);
         let this = Rc::downgrade(self);
         let accept = async move {
             while let Ok((socket, _)) = listener.accept().await {
                 let Some(store) = this.upgrade() else { return };
-                let (weak, socket) = (this.clone(), Rc::new(socket));
+                let (weak, socket, door) = (this.clone(), Rc::new(socket), door.clone());
                 let task = store.executor.spawn(async move {
-                    let _ = Self::serve(weak, socket).await;
+                    let _ = Self::serve(weak, socket, door).await;
                 });
                 store.spawn(task);
             }
@@ -181,7 +221,7 @@
         tasks.push(task);
     }
 
-    async fn serve(this: Weak<Self>, socket: Rc<Async<TcpStream>>) -> Option<()> {
+    async fn serve(this: Weak<Self>, socket: Rc<Async<TcpStream>>, door: Option<Door>) -> Option<()> {
         let _ = socket.get_ref().set_nodelay(true);
         let (mut buffer, mut piece) = (Vec::new(), vec![0; 16 * 1024]);
         loop {
@@ -190,6 +230,9 @@
             while let Some((letter, rest, length)) = frame::split(&buffer).ok()? {
                 let rest = rest.to_vec();
                 buffer.drain(..length);
+                if let Some(door) = &door {
+                    door.note(letter, &rest);
+                }
                 let store = this.upgrade()?;
                 let (weak, socket) = (this.clone(), socket.clone());
                 // Orders go one after the other, parts and copies beside each other.
@@ -295,7 +338,12 @@
             return None;
         }
         let number = |name: &str| field(name).and_then(|digits| digits.parse::<u64>().ok());
-        let (block, epoch) = (BlockId(block.parse().ok()?), Epoch(number("e=").unwrap_or(u64::MAX)));
+        let Some(epoch) = number("e=").map(Epoch) else {
+            // Where blocks do not move there is no fence, and any store answers for any block.
+            let answer = format!("{id} good 1 -\nblock {block} at {}", self.name);
+            return Some(frame::frame(frame::ANSWER, answer.as_bytes()));
+        };
+        let block = BlockId(block.parse().ok()?);
         let weigher = number("i=");
         let slice = field("s=").and_then(|text| {
             let (first, end) = text.split_once('-')?;
