Stop a broker in the midst of a suspicion of its own, as a process

Now one is cut off until a probe of its own has failed, stopped for longer than a suspect has, and woken among the others: it may blame nobody.

--- a/crates/standin/tests/members.rs
+++ b/crates/standin/tests/members.rs
@@ -145,6 +145,30 @@
     });
 }
 
+#[test]
+fn a_broker_stopped_in_the_midst_of_a_suspicion_hears_the_others_before_it_blames_one() {
+    run(plan(8, 56), |fleet| async move {
+        let others: Vec<usize> = all(8).into_iter().filter(|who| *who != 3).collect();
+        for _ in 0..3 {
+            agree(&fleet, &all(8), &all(8)).await;
+            // It hears nobody, and a probe of its own fails by way of others too: it suspects one.
+            fleet.cut(&[3], &others);
+            let suspects =
+                || async { fleet.shown(3, "/fleet/members").await.is_some_and(|shown| shown["health"] != 0) };
+            assert!(fleet.until(suspects).await);
+            // It stands still for longer than a suspect has, and all are heard again meanwhile.
+            fleet.stop(3);
+            fleet.heal();
+            pause(2500).await;
+            fleet.wake(3);
+            agree(&fleet, &all(8), &all(8)).await;
+        }
+        for other in &others {
+            assert!(!blames(&fleet, 3, *other), "the one that stood still took {other} for gone");
+        }
+    });
+}
+
 #[test]
 fn under_loss_repetition_and_disorder_two_that_go_are_seen_and_no_other_is_taken_for_gone() {
     run(plan(10, 54), |fleet| async move {
