--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Buf;
-use foca::{Codec, Config, Foca, NoCustomBroadcast, Notification, PeriodicParams, Runtime, Timer};
+use foca::{Codec, Config, Foca, NoCustomBroadcast, Notification, PeriodicParams, Runtime, Timer as Alarm};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use thiserror::Error;
@@ -167,7 +167,7 @@
 #[derive(Default)]
 struct Effects {
     sends: Vec<(Name, Vec<u8>)>,
-    timers: Vec<(Duration, Timer<Name>)>,
+    timers: Vec<(Duration, Alarm<Name>)>,
     changes: Vec<Change>,
     defunct: bool,
 }
@@ -188,7 +188,7 @@
         self.sends.push((to, data.to_vec()));
     }
 
-    fn submit_after(&mut self, event: Timer<Name>, after: Duration) {
+    fn submit_after(&mut self, event: Alarm<Name>, after: Duration) {
         self.timers.push((after, event));
     }
 }
@@ -203,7 +203,7 @@
     rng: SmallRng,
     reader: Wire,
     /// The timers, and when each was set.
-    timers: BTreeMap<Due, (Timer<Name>, Millis)>,
+    timers: BTreeMap<Due, (Alarm<Name>, Millis)>,
     numbered: u64,
     /// By number, when a broker was last heard.
     heard: Vec<Millis>,
@@ -293,18 +293,18 @@
             let Some((timer, set)) = self.timers.remove(&due) else { return };
             // Guards against taking for gone who answers: its refutation may be of an incarnation that others know already,
             // so that nobody passes the suspicion on to it. It stays a suspect here until it is probed again.
-            if matches!(timer, Timer::ChangeSuspectToDown { member_id, .. } if self.heard_since(member_id, set))
+            if matches!(timer, Alarm::ChangeSuspectToDown { member_id, .. } if self.heard_since(member_id, set))
             {
                 continue;
             }
-            let probed = matches!(timer, Timer::ProbeRandomMember(_));
+            let probed = matches!(timer, Alarm::ProbeRandomMember(_));
             let mut effects = Effects::default();
             // An error is of a timer that came twice or too late, and the machine has put itself right.
             let _ = self.machine.handle_timer(timer, &mut effects);
             if probed {
                 // The last probe failed, by way of others too: perhaps it is this broker that hears nothing.
                 let failed =
-                    |(_, timer): &(_, Timer<Name>)| matches!(timer, Timer::ChangeSuspectToDown { .. });
+                    |(_, timer): &(_, Alarm<Name>)| matches!(timer, Alarm::ChangeSuspectToDown { .. });
                 self.health = match effects.timers.iter().any(failed) {
                     false => self.health.saturating_sub(1),
                     true => (self.health + 1).min(HEALTH_WORST),
@@ -430,7 +430,7 @@
     /// Asks those that this broker is about to take for gone whether they are, so that it does not hang on others' words alone.
     fn ask_suspects(&mut self) {
         let pending = self.timers.values().filter_map(|(timer, set)| match timer {
-            Timer::ChangeSuspectToDown { member_id, .. } if !self.heard_since(*member_id, *set) => {
+            Alarm::ChangeSuspectToDown { member_id, .. } if !self.heard_since(*member_id, *set) => {
                 Some(*member_id)
             }
             _ => None,
@@ -449,14 +449,14 @@
         for (after, timer) in effects.timers {
             // Probes among those of one moment go before what depends on them.
             let place = match timer {
-                Timer::SendIndirectProbe { .. } => 0,
-                Timer::ProbeRandomMember(_) => 1,
+                Alarm::SendIndirectProbe { .. } => 0,
+                Alarm::ProbeRandomMember(_) => 1,
                 _ => 2,
             };
             let scale = match timer {
-                Timer::SendIndirectProbe { .. }
-                | Timer::ProbeRandomMember(_)
-                | Timer::ChangeSuspectToDown { .. } => longer,
+                Alarm::SendIndirectProbe { .. }
+                | Alarm::ProbeRandomMember(_)
+                | Alarm::ChangeSuspectToDown { .. } => longer,
                 _ => 1.0,
             };
             self.numbered += 1;
