--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -322,6 +322,19 @@
     assert!(!net.living(1).contains(&0), "the other hears nothing");
 }
 
+#[test]
+fn who_hears_nobody_waits_longer_before_it_takes_others_for_gone() {
+    let mut net = Net::new(10, 11);
+    net.agreed(60.0).unwrap();
+    let from = net.now;
+    net.side[0] = 1;
+    net.pass(60.0);
+    let others: Vec<Number> = (1..10).collect();
+    let first = net.wronged(from, &others).into_iter().find(|(_, who, _)| *who == 0).unwrap();
+    let waited = first.0 - from;
+    assert!(waited > 2.0 * settings(10, 0).suspect_ms(), "{waited} ms");
+}
+
 #[test]
 fn a_suspect_is_asked_itself_before_it_is_taken_for_gone() {
     let mut net = Net::new(40, 10);
