--- /dev/null
+++ b/src/aggregator/placement.rs
@@ -0,0 +1,174 @@
+//! Where parts go: batch-filling over the replicas that hold their shards, in the order of `rank`.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use super::*;
+use crate::numbers::drop_until;
+use crate::turns::turn;
+
+/// From this pace on, a server's count is multiplied by its pace; the tie-break tells so many steps apart.
+const SLOW: f64 = 1.75;
+const PACE_STEPS: f64 = 2.0;
+/// From this recent share of errors on (more than two make), a server's count is raised by it, up to a most,
+/// and so many times more; it fades with so many shortest aims.
+const FLAKY: f64 = 0.25;
+const FLAKY_MOST: f64 = 0.8;
+const FLAKY_COUNTS: f64 = 2.0;
+const FLAKY_MEMORY_AIMS: f64 = 10.0;
+/// Among distrusted replicas, fewer failures in a row come first, up to so many.
+const DISTRUST_LEVELS: u32 = 3;
+
+impl Aggregator {
+    /// The share of its full capacity that a server surely has by now.
+    fn capacity(&self, now: Millis, server: &Server) -> f64 {
+        let age = (now - server.since).max(0.0);
+        let from = self.set.cold_from.clamp(0.01, 1.0);
+        (from + (1.0 - from) * age / self.set.cold_ms.max(1.0)).min(1.0)
+    }
+
+    /// Whether a cold server may take one more part of a class: this aggregator's equal share of what
+    /// all may send it in a window, taking the server to have one processor and a part's work to be
+    /// a low latency of its class.
+    fn cold_room(&self, now: Millis, server: &Server, class: usize) -> bool {
+        let capacity = self.capacity(now, server);
+        if capacity >= 1.0 {
+            return true;
+        }
+        let work = if self.light[class] > 0.0 { self.light[class] } else { self.set.fall_ms };
+        let room = self.set.overload_factor * capacity * self.set.fall_ms;
+        let allowed = room / (work * f64::from(self.set.aggregators));
+        // A share of less than one part is one part in a longer window, the first when its turn comes.
+        let window = self.set.fall_ms / allowed.min(1.0);
+        let spread = unit(mix(self.seed ^ u64::from(server.cell)));
+        if allowed < 1.0 && now < server.since + turn(&self.set, server.cell, spread) * window {
+            return false;
+        }
+        // What was sent before its start never reached this process.
+        let from = (now - window - self.set.turn_ms).max(server.since);
+        (server.cold_sends.iter().filter(|&&at| at >= from).count() as f64) < allowed.max(1.0).floor()
+    }
+
+    /// How good a place a server is for a part; the least is chosen.
+    /// First trust, then the count after the placement, by call. The count of a slow or a cold server
+    /// is scaled by how much longer work takes there, which acts only from `SLOW` on. Ties go to fewer
+    /// failures since a success, the better pace, the own zone, and a rotation by seed.
+    pub(super) fn rank(&self, now: Millis, sid: ServerId, class: usize) -> Option<Rank> {
+        let server = self.servers.get(&sid)?;
+        if !self.cold_room(now, server, class) {
+            return None;
+        }
+        let joins = server.open.is_some_and(|(_, members)| members < self.set.batch);
+        let process = server.faults.last().unwrap_or(&server.faults[class]);
+        let doubt = server.faults[class].count.max(process.count).min(DISTRUST_LEVELS);
+        let until = server.faults[class].until.max(process.until);
+        let kept_out = now < until || (!server.outs.is_empty() && !joins);
+        let calls = server.calls() + u32::from(!joins);
+        let pace = self.pace(now, server);
+        // Guards against who answers some parts with errors: they come at once, so that a count of calls out
+        // makes light of it, and between its holds it would draw parts from the others.
+        let fault = &server.faults[class];
+        let errs = fault.share * (-(now - fault.learned) / (FLAKY_MEMORY_AIMS * self.aim)).exp();
+        let flaky = if errs >= FLAKY { FLAKY_COUNTS / (1.0 - errs.min(FLAKY_MOST)) } else { 1.0 };
+        let scale = flaky * if pace >= SLOW { pace } else { 1.0 } / self.capacity(now, server);
+        Some(Rank {
+            distrust: if kept_out { doubt } else { 0 },
+            count: (f64::from(calls) * scale).round() as u32,
+            doubt,
+            pace: (pace * PACE_STEPS).round().max(PACE_STEPS) as u32,
+            far: server.zone != self.set.zone,
+            turn: mix(self.random ^ u64::from(sid)),
+        })
+    }
+
+    pub(super) fn best(&self, now: Millis, part: &Part, class: usize) -> Option<(Rank, ServerId)> {
+        self.holders
+            .of(part.shard)
+            .filter(|sid| part.out == 0 || !part.tried.contains(sid))
+            .filter_map(|sid| Some((self.rank(now, sid, class)?, sid)))
+            .min_by_key(|&(rank, sid)| (part.tried.contains(&sid), rank, sid))
+    }
+
+    /// Batch-filling: places a query's waiting parts together, the lowest count first. One that failed waits
+    /// while all its replicas are kept out and there is time, and keeps its attempts.
+    pub(super) fn fill(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(query) = self.queries.get(&id) else { return };
+        let (class, aim) = (query.class, query.aim);
+        let mut heap = BinaryHeap::new();
+        for (order, p) in query.parts.clone().into_iter().enumerate() {
+            let Some(part) = self.parts.get(&p).filter(|part| part.state == PartState::Waiting) else {
+                continue;
+            };
+            if self.may_repeat(now, part, &self.set.classes[class]) {
+                heap.push(Reverse(((0, 0), order, p)));
+            } else {
+                self.give_up_part(id, p);
+                self.settle(now, id, actions);
+            }
+        }
+        while let Some(Reverse((key, order, p))) = heap.pop() {
+            let Some(part) = self.parts.get(&p) else { continue };
+            let Some((rank, sid)) = self.best(now, part, class) else { continue };
+            // Counts only rise within a turn, so a part is looked at again until its key holds.
+            if (rank.distrust, rank.count) > key {
+                heap.push(Reverse(((rank.distrust, rank.count), order, p)));
+                continue;
+            }
+            let shut = rank.distrust > 0 && now + HASTE * self.typical[class] <= aim;
+            if !part.tried.is_empty() && (shut || !self.may_spend(self.set.budget, 0.0)) {
+                continue;
+            }
+            self.send(now, p, sid, actions);
+        }
+    }
+
+    /// A part that may not be sent again is lost; a spare one takes its place.
+    fn give_up_part(&mut self, id: RequestId, part: RequestId) {
+        self.parts.entry(part).and_modify(|part| part.state = PartState::Dead);
+        if let Some(part) = self.spare(id).and_then(|p| self.parts.get_mut(&p)) {
+            part.state = PartState::Waiting;
+        }
+    }
+
+    pub(super) fn spare(&self, id: RequestId) -> Option<RequestId> {
+        let spare = |p: &&RequestId| self.parts.get(p).is_some_and(|part| part.state == PartState::Spare);
+        self.queries.get(&id)?.parts.iter().find(spare).copied()
+    }
+
+    pub(super) fn send(&mut self, now: Millis, id: RequestId, sid: ServerId, actions: &mut Vec<Action>) {
+        let (Some(part), Some(server)) = (self.parts.get_mut(&id), self.servers.get_mut(&sid)) else {
+            return;
+        };
+        let Some(query) = self.queries.get(&part.query) else { return };
+        if part.out > 0 && !self.set.parallel {
+            return;
+        }
+        let class = &self.set.classes[query.class];
+        let joined = server.open.filter(|&(_, members)| members < self.set.batch);
+        let (call, members) = joined.unwrap_or((self.last_call + 1, 0));
+        self.last_call = self.last_call.max(call);
+        server.open = Some((call, members + 1));
+        let attempt = part.tried.len() as u32;
+        let mut idle = server.outs.is_empty() && self.idle.long(now, &server.connections);
+        if idle && self.idle.close(now) {
+            idle = false;
+            actions.push(Action::Release { server: sid });
+        }
+        server.connections.used(now);
+        server.outs.push(Out { part: id, attempt, sent: now, call, class: query.class, idle });
+        drop_until(&mut server.cold_sends, now - self.set.cold_ms.max(self.set.fall_ms));
+        server.cold_sends.push_back(now);
+        if attempt > 0 {
+            self.extras.push_back(now);
+        }
+        // Patience ends when the part is of no more use: some servers drop expired work.
+        let end = if class.late_share >= LATE_WORTH { query.deadline } else { query.aim };
+        part.sent = if part.out > 0 { part.sent } else { now };
+        part.last = now;
+        part.tried.push(sid);
+        part.out += 1;
+        part.state = PartState::Out;
+        actions.push(Action::Send { part: id, server: sid, patience_ms: (end - now).max(1.0) });
+        self.random = mix(self.random);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,11 +46,14 @@
 mod interface;
 mod numbers;
 mod quotas;
+mod settings;
 mod setup;
+mod tables;
 mod turns;
 
 pub use aggregator::Aggregator;
 pub use interface::*;
+pub use settings::*;
 pub use setup::Setup;
 
 #[cfg(doctest)]
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,169 @@
+//! The settings that an aggregator is given at start, and what of them can be used.
+
+use crate::Millis;
+
+/// The shortest aim where the settings state none.
+const AIM_MS: Millis = 1000.0;
+
+/// Whether a part may be sent again after an attempt that may have run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Repeat {
+    /// Any number of times.
+    #[default]
+    Safe,
+    /// While the servers remember the first attempt ([`Class::memory_ms`]).
+    Keyed,
+    /// Never; only after outcomes that prove it did not run.
+    Unsafe,
+}
+
+/// A class of queries.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Class {
+    /// An answer within this time earns its full worth.
+    pub aim_ms: Millis,
+    /// The aim grows by this many times the query's own work (0: it does not).
+    pub aim_stretch: f64,
+    /// The client gives up after this long, all its tries together.
+    pub deadline_ms: Millis,
+    /// The share of the worth that an answer after the aim earns.
+    pub late_share: f64,
+    /// The worth of a whole answer.
+    pub worth: f64,
+    /// Whether parts may be repeated.
+    pub repeat: Repeat,
+    /// How long servers drop repeats of a keyed part.
+    pub memory_ms: Millis,
+    /// The share of weight that makes a whole answer.
+    pub need: f64,
+    /// The least share of weight that may be answered.
+    pub floor: f64,
+    /// What an answer short of whole earns, times its share over `need`.
+    pub partial: f64,
+    /// Parts of the second step; 0 where there is none.
+    pub follow_up: u32,
+}
+
+/// A tenant's quota.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Tenant {
+    /// Queries a second within its share, over all aggregators.
+    pub quota_per_s: f64,
+}
+
+/// A ration of attempts beyond each part's first.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budget {
+    /// Allowed whatever the traffic.
+    pub free: f64,
+    /// Allowed for each query and part taken.
+    pub ratio: f64,
+    /// The sliding window.
+    pub window_ms: Millis,
+}
+
+/// The meaning of a figure in a server's load report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportField {
+    /// Requests in hand.
+    InHand,
+    /// Requests waiting.
+    Waiting,
+    /// Share of its processors in use.
+    Utilisation,
+    /// Recent service time without waiting, in milliseconds.
+    ServiceMs,
+    /// Requests served a second.
+    ServedPerS,
+    /// Errors a second.
+    ErrorsPerS,
+    /// A figure this version does not know.
+    Other,
+}
+
+/// What an aggregator is told at start.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Settings {
+    /// How many aggregators share the servers.
+    pub aggregators: u32,
+    /// The aggregator's own number among them, from 0, where it is known: it tells whose turn comes when.
+    pub index: Option<u32>,
+    /// The aggregator's own zone, by index.
+    pub zone: u32,
+    /// The shortest gap between two turns.
+    pub turn_ms: Millis,
+    /// The classes; events name them by index.
+    pub classes: Vec<Class>,
+    /// The tenants; events name them by index.
+    pub tenants: Vec<Tenant>,
+    /// What a query over its tenant's share is worth, as a share of its class's worth.
+    pub over_share_worth: f64,
+    /// Number of cells; shard `s` is held by the servers of cells `(s + j) % cells`, `j < reach`.
+    pub cells: u32,
+    /// How many consecutive cells hold a shard.
+    pub reach: u32,
+    /// Number of shards.
+    pub shards: u32,
+    /// The most parts in one call; 1 where parts do not share calls.
+    pub batch: u32,
+    /// Work of a call beside that of its parts.
+    pub call_cost_ms: Millis,
+    /// The most attempts for one part.
+    pub max_attempts: u32,
+    /// Whether two attempts of a part may be out at once.
+    pub parallel: bool,
+    /// Whether an attempt may be withdrawn ([`Action::Withdraw`]).
+    pub withdrawals: bool,
+    /// Whether the list must be subscribed to.
+    pub subscribe: bool,
+    /// How long without asking until the aggregator counts as told anyway.
+    pub ask_every_ms: Millis,
+    /// The ration of further attempts, if any.
+    pub budget: Option<Budget>,
+    /// Time past a client's deadline in which a final answer still counts.
+    pub answer_slack_ms: Millis,
+    /// Time after a drain notice in which sends must cease.
+    pub drain_grace_ms: Millis,
+    /// The share of its capacity at which a server starts, at the least.
+    pub cold_from: f64,
+    /// The time after which it is warm, at the most.
+    pub cold_ms: Millis,
+    /// A cold server sent more than this multiple of its present capacity ...
+    pub overload_factor: f64,
+    /// ... for this long falls over.
+    pub fall_ms: Millis,
+    /// The longest advice that clients follow; 0 where refusals carry none.
+    pub max_retry_after_ms: Millis,
+    /// Idle connections are closed after this long.
+    pub idle_ms: Millis,
+    /// What the figures of a load report are, in order.
+    pub report: Vec<ReportField>,
+}
+
+impl Settings {
+    /// With every value that can't be used replaced by the nearest that can.
+    pub(crate) fn sane(self) -> Self {
+        let mut set = self;
+        set.cells = set.cells.clamp(1, 1 << 16);
+        set.batch = set.batch.max(1);
+        set.aggregators = set.aggregators.max(1);
+        set.max_attempts = set.max_attempts.max(1);
+        set.turn_ms = if set.turn_ms.is_nan() { 1.0 } else { set.turn_ms.clamp(0.1, 1000.0) };
+        for class in &mut set.classes {
+            class.need = if class.need > 0.0 { class.need.min(1.0) } else { 1.0 };
+            class.floor = if class.floor > 0.0 { class.floor.min(class.need) } else { class.need };
+        }
+        set
+    }
+
+    /// The shortest aim of any class.
+    pub(crate) fn shortest_aim(&self) -> Millis {
+        let aims = self.classes.iter().map(|class| class.aim_ms).filter(|aim| *aim > 0.0);
+        let aim = aims.fold(f64::INFINITY, f64::min);
+        if aim.is_finite() {
+            aim
+        } else {
+            AIM_MS
+        }
+    }
+}
