Carry the client's key of a keyed class to the stores, with every attempt of every part

Nothing read the header.

The key is a type of the core's with its bound and its characters checked in one place; both fronts read the header with one function, and in a keyed class refuse with a 400 that names it what has none, two, an empty, long or unfit one. It goes right after `d` in a frame's list, and in the same header to stores in the feature form, whose collections may now be of a keyed class. In other classes none is read.

The checks of the core as last guard are a type of their own now, and refuse an attempt of a part that may have run once its stores may have forgotten that (and of an unsafe one at any time).

--- a/broker/src/config/features.rs
+++ b/broker/src/config/features.rs
@@ -90,6 +90,8 @@
     pub description: String,
     /// The class that its queries count for.
     pub class: usize,
+    /// Whether its queries carry a key.
+    pub keyed: bool,
     /// How long a client of it is taken to wait.
     pub timeout_ms: Millis,
 }
@@ -208,15 +210,16 @@
         if class.follow_up > 0 || class.need < 1.0 || class.floor < class.need {
             return Err(Error::new(key("class"), "expected a class whose answers hold all their parts"));
         }
-        if class.repeat != Repeat::Safe {
-            return Err(Error::new(key("class"), "expected a class that is safe to repeat"));
+        if class.repeat == Repeat::Unsafe {
+            return Err(Error::new(key("class"), "expected a class that is safe to repeat, or keyed"));
         }
+        let keyed = class.repeat == Repeat::Keyed;
         let timeout_ms = table.timeout_ms.unwrap_or(class.deadline_ms);
         if !(1.0..=class.deadline_ms).contains(&timeout_ms) {
             return Err(Error::new(key("timeout_ms"), format!("expected 1 to {}", class.deadline_ms)));
         }
         let CollectionTable { id, title, description, .. } = table;
-        collections.push(Collection { id, title, description, class: index, timeout_ms });
+        collections.push(Collection { id, title, description, class: index, keyed, timeout_ms });
     }
     match collections.is_empty() {
         true => Err(Error::new("collection", "expected one at least")),
--- a/broker/src/core/heirs.rs
+++ b/broker/src/core/heirs.rs
@@ -98,7 +98,14 @@
         self.aggregator.handle(now, Event::Heirs { part: id, heirs }, actions);
     }
 
-    fn heir(&mut self, query: QueryId, ask: &Ask, target: Target, attempts: u32, ran: bool) -> Option<Heir> {
+    fn heir(
+        &mut self,
+        query: QueryId,
+        ask: &Ask,
+        target: Target,
+        attempts: u32,
+        ran: Option<Millis>,
+    ) -> Option<Heir> {
         let Event::Part { id, shard, weight, .. } = self.part(query, ask, target, attempts) else {
             return None;
         };
@@ -113,7 +120,7 @@
     fn give_up(&mut self, now: Millis, query: QueryId, actions: &mut Vec<Action>) {
         let Some(open) = self.queries.get(&query) else { return };
         let entry = self.entries.get(open.question.class).copied().unwrap_or(false);
-        let ran = |id: &RequestId| self.parts.get(id).is_some_and(|part| part.out || part.ran);
+        let ran = |id: &RequestId| self.parts.get(id).is_some_and(|part| part.out || part.ran.is_some());
         let harm = entry && open.parts.iter().any(ran);
         let out: Vec<AttemptId> =
             self.flights.keys().filter(|flight| open.parts.contains(&flight.part)).copied().collect();
--- a/broker/src/core/mod.rs
+++ b/broker/src/core/mod.rs
@@ -1,9 +1,14 @@
 //! Requests, attempts and outcomes. [`Core`] hosts the [`Aggregator`]: it gives it what has
 //! happened in turns and translates its actions into [`Command`]s for whoever has the sockets. It
-//! knows no wire, socket or text format, and decides nothing of its own beyond the two checks that
-//! a host owes the module: no attempt past the most that a part may have, and never two at once.
+//! knows no wire, socket or text format, and decides nothing of its own beyond the checks that a host
+//! owes the module ([`Guard`]).
 
+mod guard;
 mod heirs;
+mod key;
+
+pub use guard::{Guard, Tried};
+pub use key::{BadKey, IdempotencyKey, KEY_MAX};
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -67,6 +72,8 @@
     pub deadline: Millis,
     /// Whether the client marks it as a repeat.
     pub repeated: bool,
+    /// What stores tell its repeats by, in a class that is keyed.
+    pub key: Option<IdempotencyKey>,
     /// Its parts; no two of one shard.
     pub parts: Vec<Ask>,
     /// What each part carries.
@@ -182,6 +189,8 @@
     pub form: Form,
     /// How long to wait.
     pub patience_ms: Millis,
+    /// What the store tells its repeats by.
+    pub key: Option<IdempotencyKey>,
     /// Set for a part of the second step.
     pub second: Option<Rc<FirstStep>>,
     /// Set where blocks move.
@@ -227,8 +236,8 @@
     weight: f64,
     attempts: u32,
     out: bool,
-    /// Whether an attempt may have run.
-    ran: bool,
+    /// When the first attempt that may have run was sent.
+    ran: Option<Millis>,
     served: Option<Served>,
 }
 
@@ -253,6 +262,7 @@
     follow_up: Vec<u32>,
     /// By class, whether no part may run twice.
     entries: Vec<bool>,
+    guard: Guard,
     routes: Option<Rc<Routes>>,
     held: Vec<Held>,
     /// Queries given up here: their blocks have no heirs that could be asked.
@@ -262,8 +272,6 @@
     /// Whether a store has told of an epoch that is not known here.
     learn: bool,
     aggregators: u32,
-    max_attempts: u32,
-    parallel: bool,
     queries: BTreeMap<QueryId, Query>,
     parts: BTreeMap<RequestId, Part>,
     flights: BTreeMap<AttemptId, Flight>,
@@ -281,6 +289,7 @@
     pub fn with_routes(seed: u64, settings: Settings, now: Millis, routes: Option<Rc<Routes>>) -> Self {
         Self {
             entries: settings.classes.iter().map(|class| class.repeat == Repeat::Unsafe).collect(),
+            guard: Guard::new(&settings),
             routes,
             held: Vec::new(),
             ended: Vec::new(),
@@ -288,8 +297,6 @@
             learn: false,
             follow_up: settings.classes.iter().map(|class| class.follow_up).collect(),
             aggregators: settings.aggregators.max(1),
-            max_attempts: settings.max_attempts.max(1),
-            parallel: settings.parallel,
             aggregator: Aggregator::new(seed, settings, now),
             queries: BTreeMap::new(),
             parts: BTreeMap::new(),
@@ -299,6 +306,11 @@
         }
     }
 
+    /// The same with other checks than the settings' own.
+    pub fn with_guard(self, guard: Guard) -> Self {
+        Self { guard, ..self }
+    }
+
     /// How many entries its tables and the module's hold, by name.
     pub fn sizes(&self) -> Vec<(&'static str, usize)> {
         let own = [
@@ -385,7 +397,9 @@
     ) {
         if let Some(part) = self.parts.get_mut(&attempt.part) {
             part.out = false;
-            part.ran |= !ended.outcome.never_ran();
+            if !ended.outcome.never_ran() {
+                part.ran = Some(part.ran.map_or(flight.sent, |first| first.min(flight.sent)));
+            }
             part.served = ended.served;
         }
         let event = Event::Outcome {
@@ -451,7 +465,7 @@
             weight,
             attempts,
             out: false,
-            ran: false,
+            ran: None,
             served: None,
         };
         self.parts.insert(id, part);
@@ -529,8 +543,11 @@
         part.attempts += 1;
         let query = self.queries.get(&part.query).ok_or(number)?;
         let left = query.question.deadline - now;
-        // Guards the limit on attempts and the rule against second copies, whatever the module asks.
-        if number >= self.max_attempts || (part.out && !self.parallel) || left <= 0.0 {
+        let before = AttemptId { part: id, number: 0 }..AttemptId { part: id, number };
+        let out = self.flights.range(before).map(|(_, flight)| flight.sent);
+        let first = out.chain(part.ran).reduce(f64::min);
+        let tried = Tried { class: query.question.class, attempts: number, out: part.out, first };
+        if left <= 0.0 || !self.guard.allows(now, tried) {
             return Err(number);
         }
         part.out = true;
@@ -551,6 +568,7 @@
             shard: part.shard,
             text: query.question.text.clone(),
             form: query.question.form,
+            key: query.question.key.clone(),
             patience_ms: if patience_ms > 0.0 { patience_ms.min(left) } else { left },
             second: query.second.clone(),
             fence,
--- a/broker/src/front/features/describe.rs
+++ b/broker/src/front/features/describe.rs
@@ -4,6 +4,8 @@
 use serde_json::{json, Value};
 
 use crate::config::features::{Collection, Features};
+use crate::core::KEY_MAX;
+use crate::front::key;
 
 /// The conformance classes of OGC API - Features, Part 1, that this front meets.
 pub const CONFORMANCE: [&str; 3] = [
@@ -126,6 +128,17 @@
         parameter("cursor", "query", "from a next link, which holds all other parameters", text()),
         f(),
     ];
+    // Its text is the header's; collections of one page may differ in what they need.
+    let keyed: Vec<&str> = set.collections.iter().filter(|c| c.keyed).map(|c| c.id.as_str()).collect();
+    let key = (!keyed.is_empty()).then(|| {
+        let what = format!("what repeats of a request are told by; needed for {}", keyed.join(", "));
+        let schema = json!({ "type": "string", "minLength": 1, "maxLength": KEY_MAX });
+        let mut key = parameter(key::HEADER, "header", &what, schema);
+        key["required"] = json!(keyed.len() == ids.len());
+        key
+    });
+    let items: Vec<Value> = items.into_iter().chain(key.clone()).collect();
+    let one = [id(), parameter("featureId", "path", "the feature", text()), f()];
     let plain = ["400", "406"];
     let named = ["400", "404", "406"];
     let query = ["400", "404", "406", "502", "503", "504"];
@@ -144,7 +157,7 @@
                 operation("getFeatures", "features of a collection", GEOJSON, items, &query),
             "/collections/{collectionId}/items/{featureId}": operation(
                 "getFeature", "one feature", GEOJSON,
-                vec![id(), parameter("featureId", "path", "the feature", text()), f()], &query,
+                one.into_iter().chain(key).collect(), &query,
             ),
         },
         "components": { "schemas": { "problem": {
--- a/broker/src/front/features/mod.rs
+++ b/broker/src/front/features/mod.rs
@@ -13,7 +13,7 @@
 
 use self::link::Position;
 use self::query::Bad;
-use super::{Accepted, Reply, Service};
+use super::{key, Accepted, Reply, Service};
 use crate::clock::{Clock, Millis};
 use crate::config::features::{Collection, Features};
 use crate::core::{Ask, Final, Form, Question, Text};
@@ -240,6 +240,7 @@
 
     fn ask(&self, head: &Head, collection: &Collection, wanted: Wanted) -> Result<Accepted, Reply> {
         let tenant = self.tenant(head)?;
+        let key = key::of(head, collection.keyed).map_err(|fault| bad(Bad(fault.to_string())))?;
         let blocks = self.blocks(wanted.position.bbox.as_deref())?;
         self.acceptable(head, describe::GEOJSON)?;
         let reader = Reader { set: self.set.clone(), base: self.base.clone(), wanted };
@@ -257,6 +258,7 @@
             tenant,
             deadline,
             repeated: false,
+            key,
             parts: blocks.iter().map(part).collect(),
             text: reader.wanted.text().into_bytes().into(),
             form: Form::Features,
--- a/broker/src/front/mod.rs
+++ b/broker/src/front/mod.rs
@@ -2,6 +2,7 @@
 //! them, waits for their answers at the exchange and writes those in its own form.
 
 pub mod features;
+pub mod key;
 pub mod platform;
 
 use std::cell::{Cell, RefCell};
--- a/broker/src/front/platform.rs
+++ b/broker/src/front/platform.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use stoatlane::Millis;
 
-use super::{Accepted, Reply, Service};
+use super::{key, Accepted, Reply, Service};
 use crate::clock::Clock;
 use crate::core::{Ask, Final, Form, Question, Text};
 use crate::exchange::{Exchange, Untaken};
@@ -56,6 +56,8 @@
 pub struct Names {
     /// Classes.
     pub classes: HashMap<String, usize>,
+    /// By class, whether its queries carry a key.
+    pub keyed: Vec<bool>,
     /// Tenants; with none, requests name none.
     pub tenants: HashMap<String, usize>,
     /// How many shards there are.
@@ -90,6 +92,8 @@
             Some(*index.ok_or_else(|| bad(403, format!("X-Tenant-Id: unknown tenant `{tenant}`")))?)
         }
     };
+    let keyed = names.keyed.get(class_index).copied().unwrap_or(false);
+    let key = key::of(head, keyed).map_err(|fault| bad(400, fault.to_string()))?;
     let timeout = need("X-Timeout-Ms")?;
     let timeout: u64 = timeout
         .parse()
@@ -129,6 +133,7 @@
         tenant,
         deadline: now + timeout as f64,
         repeated: head.header("X-Retried") == Some("1"),
+        key,
         parts,
         text: body.predicate.as_bytes().into(),
         form: Form::Opaque,
--- a/broker/src/http.rs
+++ b/broker/src/http.rs
@@ -97,6 +97,11 @@
         std::str::from_utf8(value).ok().map(str::trim)
     }
 
+    /// All headers of this name, as they came.
+    pub fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        self.headers.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| &value[..])
+    }
+
     /// The path, without the query.
     pub fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or_default()
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -165,6 +165,7 @@
         };
         let inherited = config.listener.is_some();
         let names = Names {
+            keyed: settings.classes.iter().map(|class| class.repeat == Repeat::Keyed).collect(),
             classes: setup.classes,
             tenants: setup.tenants,
             shards: settings.shards,
--- a/broker/src/store/features.rs
+++ b/broker/src/store/features.rs
@@ -11,6 +11,7 @@
 use super::Site;
 use crate::core::{Ended, Order, Served};
 use crate::counters::{count, Counters};
+use crate::front::key;
 use crate::geojson;
 use crate::http::{self, Ending, Kind, Stream};
 
@@ -100,12 +101,14 @@
         let slice = fence.slice.map(|s| format!("X-Block-Slice: {}-{}\r\n", s.first, s.end));
         format!("{EPOCH}: {}\r\n{}", fence.epoch.0, slice.unwrap_or_default())
     });
+    let key =
+        order.key.as_ref().map_or(String::new(), |key| format!("{}: {}\r\n", key::HEADER, key.as_str()));
     let wait = patience_ms.max(1.0).floor();
     let mut bytes = b"GET /".to_vec();
     bytes.extend_from_slice(&order.text);
     let head = format!(
         "&block={shard} HTTP/1.1\r\nHost: {address}\r\nAccept: application/geo+json\r\n\
-         X-Request-ID: {query}.{shard}\r\nX-Timeout-Ms: {wait}\r\n{fence}\r\n"
+         X-Request-ID: {query}.{shard}\r\nX-Timeout-Ms: {wait}\r\n{key}{fence}\r\n"
     );
     bytes.extend_from_slice(head.as_bytes());
     bytes
--- a/broker/src/store/mod.rs
+++ b/broker/src/store/mod.rs
@@ -353,6 +353,9 @@
     let shard = order.shard;
     let mut id = format!("{}.{shard}", order.query);
     let mut list = format!("d={}", order.patience_ms.max(1.0).floor());
+    if let Some(key) = &order.key {
+        list.push_str(&format!(",k={}", key.as_str()));
+    }
     if let Some(fence) = &order.fence {
         // The entry's key is what stands before the last dash: the same wherever its block goes.
         if fence.named != shard {
--- a/broker/tests/core.rs
+++ b/broker/tests/core.rs
@@ -38,7 +38,8 @@
     let weight = 1.0 / shards.len() as f64;
     let parts = shards.iter().map(|shard| Ask { shard: *shard, weight, ..Ask::default() }).collect();
     let (text, form) = (Rc::from(&b"c41e"[..]), Form::Opaque);
-    Question { name: name.into(), class: 0, tenant: None, deadline, repeated: false, parts, text, form }
+    let (name, key) = (name.into(), None);
+    Question { name, class: 0, tenant: None, deadline, repeated: false, key, parts, text, form }
 }
 
 fn orders(commands: &[Command]) -> Vec<Order> {
--- a/broker/tests/parsers.rs
+++ b/broker/tests/parsers.rs
@@ -178,7 +178,7 @@
 
 fn names() -> Names {
     let one = |name: &str| [(name.to_owned(), 0)].into();
-    Names { classes: one("yard-compare"), tenants: one("club"), shards: 10, moves: false }
+    Names { classes: one("yard-compare"), keyed: vec![false], tenants: one("club"), shards: 10, moves: false }
 }
 
 /// The status of a query whose head has `from` replaced by `to`, and whose body is `body`.
--- a/broker/tests/steady.rs
+++ b/broker/tests/steady.rs
@@ -111,6 +111,7 @@
             tenant: None,
             deadline: self.now + 300.0 + self.rng.f64() * 2700.0,
             repeated: false,
+            key: None,
             parts: shards.map(|shard| Ask { shard, weight, ..Ask::default() }).collect(),
             text: Rc::from(&b"x"[..]),
             form: Form::Opaque,
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -99,6 +99,8 @@
     pub list: String,
     pub text: String,
     pub features: bool,
+    /// The key that came with it.
+    pub key: Option<String>,
 }
 
 pub struct World {
@@ -386,7 +388,8 @@
                 let text = String::from_utf8(rest[end + 1..].to_vec()).unwrap();
                 assert_eq!(size.parse(), Ok(text.len()), "the text's length");
                 let (id, list, shard) = (id.to_owned(), list.to_owned(), shard.parse().unwrap());
-                let sent = Sent { store: n, id, shard, list, text, features: false };
+                let key = list.split(',').find_map(|pair| pair.strip_prefix("k=")).map(str::to_owned);
+                let sent = Sent { store: n, id, shard, list, text, features: false, key };
                 self.sent.borrow_mut().push(sent.clone());
                 match self.mood.borrow()[n] {
                     Mood::Resets => return None,
@@ -455,7 +458,8 @@
             let text = text.strip_prefix('/').unwrap().to_owned();
             let id = head.header("X-Request-ID").unwrap().to_owned();
             let list = head.header("X-Timeout-Ms").unwrap().to_owned();
-            let sent = Sent { store: n, id, shard: shard.parse().unwrap(), list, text, features: true };
+            let (shard, key) = (shard.parse().unwrap(), head.header("Idempotency-Key").map(str::to_owned));
+            let sent = Sent { store: n, id, shard, list, text, features: true, key };
             self.sent.borrow_mut().push(sent.clone());
             let mood = self.mood.borrow()[n];
             let (status, body) = match mood {
