--- a/crates/coverage/tests/against_plain.rs
+++ b/crates/coverage/tests/against_plain.rs
@@ -214,3 +214,92 @@
     }
     check(law);
 }
+
+/// The proposal without one cause, or the facts without it.
+fn without(cause: (Store, Lost), case: &(Coverage, Proposal)) -> Option<(Coverage, Proposal)> {
+    let (mut table, mut proposal) = case.clone();
+    match cause.1 {
+        Lost::Sound => return None,
+        Lost::Proposed => assert!(proposal.away.remove(&cause.0)),
+        Lost::Share(zone) => assert!(proposal.shares.insert(zone, 1.0).unwrap_or(table.share(zone)) < 1.0),
+        Lost::State(_) => {
+            // One that is not set is put where nobody else is, so that it can't crowd anyone.
+            let (zone, region) = (Zone(9), Region(9));
+            let new = Site { store: cause.0, zone, region, capacity: 100.0, state: State::Listed };
+            let site = table.site(cause.0).unwrap_or(new);
+            // Where the bounds leave no place for it there is nothing to try.
+            table.set_site(Site { state: State::Listed, ..site }).ok()?;
+        }
+    }
+    Some((table, proposal))
+}
+
+#[test]
+fn a_counterexample_names_each_holder_and_any_cause_taken_away_mends_it_or_shows_another() {
+    fn law(case: Case) {
+        let (table, plain) = play(&case);
+        for (proposal, least) in &case.proposals {
+            let Err(found) = table.check(proposal, least) else { continue };
+            let after = plain.after(proposal);
+            let held = found.block.map(|block| &after.held[&block]);
+            let mut named: Vec<Store> = held.map_or(Vec::new(), |held| held.holders.clone());
+            named.sort();
+            named.dedup();
+            assert!(found.holders.iter().map(|(store, _)| *store).eq(named));
+            // Who counts, counts: told as sound or as led by a share.
+            let counts = |lost: Lost| matches!(lost, Lost::Sound | Lost::Share(_));
+            let told = found.holders.iter().filter(|(_, lost)| counts(*lost)).map(|(store, _)| *store);
+            let sound = held.map_or(Vec::new(), |held| after.sound(held));
+            assert!(told.eq(sound.iter().map(|site| site.store)));
+            for cause in &found.holders {
+                let led = matches!(cause.1, Lost::Share(_));
+                assert!(!led || matches!(found.short, Short::Capacity { .. }));
+                let Some((table, proposal)) = without(*cause, &(table.clone(), proposal.clone())) else {
+                    continue;
+                };
+                if let Err(another) = table.check(&proposal, least) {
+                    assert_ne!(another, found);
+                }
+            }
+        }
+    }
+    check(law);
+}
+
+#[test]
+fn whatever_can_be_set_is_a_number_inside() {
+    let mut table = Coverage::new(BOUNDS);
+    let site = |n: u32, capacity, state| Site {
+        store: Store(n),
+        zone: Zone(n as u16),
+        region: Region(0),
+        capacity,
+        state,
+    };
+    let odd = [f64::NAN, f64::NEG_INFINITY, -1.0, f64::INFINITY, 1e300];
+    for capacity in odd {
+        for share in odd {
+            table.set_site(site(0, capacity, State::Cold { share })).unwrap();
+            table.set_share(Zone(0), share);
+            let load = capacity;
+            let held = Held { block: Block(0), keys: Keys::new(0, u64::MAX), holders: vec![Store(0)], load };
+            assert!(matches!(table.set_held(held.clone()), Err(Unfit::Load { .. })));
+            let proposal =
+                Proposal { shares: [(Zone(0), share)].into(), held: vec![held], ..Proposal::default() };
+            let least = Least { holders: 1, zones: 1, headroom: share };
+            let room = table.carries(&proposal, &least)[&Zone(0)];
+            assert!(room.load.is_finite() && room.room.is_finite() && room.room >= 0.0, "{room:?}");
+            let _ = table.check(&proposal, &least);
+        }
+    }
+    // The largest amounts that there are, as often as they may be.
+    for n in 0..5 {
+        let (keys, holders) = (Keys::new(u64::from(n), u64::from(n) + 1), (0..4).map(Store).collect());
+        if n < 3 {
+            table.set_site(site(n, 1e9, State::Listed)).unwrap();
+        }
+        table.set_held(Held { block: Block(n), keys, holders, load: 1e9 }).unwrap();
+    }
+    let rooms = table.carries(&Proposal::default(), &Least { holders: 0, zones: 0, headroom: 0.0 });
+    assert!((rooms.values().map(|room| room.load).sum::<f64>() - 5e9).abs() < 1.0);
+}
