Split discovery into what is listed, how lists are read, and the calls

Nothing but the place changes: types and reading of lists in discovery/list.rs, watch and call in discovery/calls.rs, the list itself and stores by hand in mod.rs.

--- a/broker/src/discovery.rs
+++ b/broker/src/discovery/mod.rs
@@ -1,10 +1,11 @@
-//! Discovery: a watch on the list of stores, begun when the core asks for one. Where a watch can't be
-//! had, the whole list is fetched once instead; the core is told of the failure and asks again, after
-//! a wait of its own.
+//! Discovery: what is listed, less what was taken out by hand, and the core told of it. A watch on the list is
+//! begun when the core asks for one, and where discovery has moved to another address.
+
+mod calls;
+mod list;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,29 +13,15 @@
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
-use futures_lite::future::or;
-use serde::Deserialize;
 use stoatlane::{Entry, ListKind, Status};
 
 use crate::clock::Millis;
 use crate::counters::{count, Counters};
 use crate::exchange::Exchange;
-use crate::faults;
-use crate::http::{self, Kind, Stream};
 use crate::rotation::Rotation;
 use crate::store::Stores;
 
-const CONNECT_WITHIN: Duration = Duration::from_millis(1000);
-/// A call waits in turn with those of other brokers.
-const HEAD_WITHIN: Duration = Duration::from_millis(2500);
-/// An empty line comes every 2 s: after so long without one the watch is dead, though its connection
-/// may not show it. What it would have told counts as told 6 s later.
-const SILENCE: Duration = Duration::from_millis(4500);
-/// What a call ends with that had to wait too long.
-const BUSY: &str = "status 503";
-/// No list has more entries; no list, and no line of a watch, is longer.
-const ENTRIES_MAX: usize = 4096;
-const LIST_MAX: usize = ENTRIES_MAX * 256;
+pub use list::{parse, Fault, Instance, Lifecycle, Lines, List};
 
 /// How often, and how long apart, a lock that another process holds is tried.
 const LOCK_TRIES: u32 = 50;
@@ -51,49 +38,6 @@
     Unwritten(io::Error),
 }
 
-/// One line of a list.
-#[derive(Clone, Debug, Deserialize, PartialEq)]
-#[serde(rename_all = "camelCase")]
-pub struct Instance {
-    /// The store's name, the same at every broker.
-    pub instance_id: String,
-    /// Where it listens.
-    pub host_port: String,
-    /// Its zone, by name.
-    #[serde(default)]
-    pub zone: String,
-    /// Its cell.
-    pub cell: u32,
-    /// Its state.
-    pub lifecycle: Lifecycle,
-    /// When it last started, in Unix time; 0 means long ago.
-    #[serde(default)]
-    pub started_at_ms: f64,
-}
-
-/// A store's state.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
-#[serde(rename_all = "lowercase")]
-pub enum Lifecycle {
-    /// May be sent work.
-    Up,
-    /// Finishes what it has.
-    Draining,
-    /// Gone.
-    Removed,
-}
-
-/// A list, or the changes to one.
-#[derive(Clone, Debug, Deserialize, PartialEq)]
-pub struct List {
-    /// Its version.
-    pub generation: u64,
-    /// Whether it is the whole list.
-    pub reset: bool,
-    /// The entries.
-    pub instances: Vec<Instance>,
-}
-
 /// A store as the list has it, less what was taken out by hand.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
@@ -105,45 +49,6 @@
     pub ready: bool,
 }
 
-/// Why a list could not be read.
-#[derive(Debug)]
-pub struct Fault(String);
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-/// Reads a list.
-pub fn parse(text: &[u8]) -> Result<List, Fault> {
-    let list: List = serde_json::from_slice(text).map_err(|e| Fault(format!("not a list: {e}")))?;
-    if list.instances.len() > ENTRIES_MAX {
-        return Err(Fault("a list of too many entries".to_owned()));
-    }
-    Ok(list)
-}
-
-/// Lines of a watch, put together from chunks that may cut them anywhere.
-#[derive(Debug, Default)]
-pub struct Lines(Vec<u8>);
-
-impl Lines {
-    /// Takes a chunk in; returns the lines that are whole now.
-    pub fn push(&mut self, chunk: &[u8]) -> Result<Vec<Vec<u8>>, Fault> {
-        self.0.extend_from_slice(chunk);
-        let mut lines = Vec::new();
-        while let Some(end) = self.0.iter().position(|&b| b == b'\n') {
-            let line: Vec<u8> = self.0.drain(..=end).collect();
-            lines.push(line.trim_ascii().to_vec());
-        }
-        if self.0.len() > LIST_MAX {
-            return Err(Fault("a line of a watch is too long".to_owned()));
-        }
-        Ok(lines)
-    }
-}
-
 /// Begins watches.
 pub struct Discovery {
     address: Cell<SocketAddr>,
@@ -337,105 +242,4 @@
             self.exchange.listed(ListKind::Changes, entries);
         }
     }
-
-    /// Waits until a watch is to be begun.
-    async fn wanted(&self) -> bool {
-        or(async { self.asks.1.recv().await.is_ok() }, self.moved()).await
-    }
-
-    async fn moved(&self) -> bool {
-        self.moved.1.recv().await.is_ok()
-    }
-
-    /// Serves requests for a watch, one at a time, and begins one of its own accord where discovery has
-    /// moved.
-    pub async fn run(self: Rc<Self>) {
-        while self.wanted().await {
-            let call = async {
-                self.call().await;
-                false
-            };
-            if or(call, self.moved()).await {
-                let _ = self.moved.0.try_send(());
-                continue;
-            }
-            // What was asked for meanwhile is answered by this failure.
-            let _ = self.asks.1.try_recv();
-            self.exchange.listed(ListKind::Failed, Vec::new());
-        }
-    }
-
-    /// Watches until the watch ends; if it told nothing, perhaps the whole list can be had.
-    async fn call(&self) {
-        count(&self.counters.watches);
-        let before = self.since.get();
-        let Err(fault) = self.watch().await;
-        log::info!("discovery: watch ended: {fault}");
-        count(&self.counters.list_failures);
-        // A 503 says that too many call: one more call at once would only add to them. The next time it is the
-        // list that is asked for, in case that watches are what it refuses.
-        if fault == BUSY && !self.list_next.replace(!self.list_next.get()) {
-            return;
-        }
-        if self.since.get() == before {
-            match self.fetch().await {
-                Ok(list) => self.tell(&list, false),
-                Err(fault) => log::info!("discovery: list not fetched: {fault}"),
-            }
-        }
-    }
-
-    async fn get(&self, target: &str) -> Result<(Stream, http::Head), String> {
-        let address = self.address.get();
-        if faults::point("discovery.call") {
-            return Err("no call: a fault on demand".to_owned());
-        }
-        let socket = http::connect(address, CONNECT_WITHIN).await.map_err(|e| e.to_string())?;
-        // Guards a large fleet: the list of a thousand stores, in one chunk, is longer than any other body.
-        let mut stream = Stream::new(socket).up_to(LIST_MAX);
-        let request = format!("GET {target} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
-        stream.write(request.as_bytes(), CONNECT_WITHIN).await.map_err(|e| e.to_string())?;
-        let head = stream.head(Kind::Answer, HEAD_WITHIN).await.map_err(|e| format!("{e:?}"))?;
-        match head.status {
-            200 => Ok((stream, head)),
-            503 => Err(BUSY.to_owned()),
-            status => Err(format!("status {status}")),
-        }
-    }
-
-    async fn fetch(&self) -> Result<List, String> {
-        let (mut stream, head) = self.get("/v1/endpoints").await?;
-        let body = stream.body(head.framing, HEAD_WITHIN).await.map_err(|e| format!("{e:?}"))?;
-        parse(&body).map_err(|fault| fault.to_string())
-    }
-
-    /// Watches until the watch ends, which it always does with a fault.
-    async fn watch(&self) -> Result<std::convert::Infallible, String> {
-        let target = match self.since.get() {
-            Some(version) => format!("/v1/endpoints?follow=1&since={version}"),
-            None => "/v1/endpoints?follow=1".to_owned(),
-        };
-        let (mut stream, head) = self.get(&target).await?;
-        if head.framing != http::Framing::Chunked {
-            return Err("a watch that is not chunked".to_owned());
-        }
-        let mut lines = Lines::default();
-        loop {
-            let chunk = stream.chunk(SILENCE).await.map_err(|e| format!("{e:?}"))?;
-            let chunk = chunk.ok_or("ended")?;
-            for line in lines.push(&chunk).map_err(|fault| fault.to_string())? {
-                if line.is_empty() {
-                    continue;
-                }
-                let list = parse(&line).map_err(|fault| fault.to_string())?;
-                if let Some(held) = self.since.get().filter(|held| !list.reset && list.generation < *held) {
-                    // Guards against changes to a list that is no longer held: they would bring back what is gone, or take
-                    // out what came since. Only a whole list may be older, of a service that began anew; it is asked for next.
-                    self.since.set(None);
-                    return Err(format!("changes of generation {} to a list of {held}", list.generation));
-                }
-                self.tell(&list, false);
-            }
-        }
-    }
 }
