Prove a block map and the passage to the next before it holds, on the command line

Until now a map was checked batch by batch and refused at the first fault, in the one place where it is applied. An operator who writes a map learnt of its faults one at a time, and nothing looked at what brokers and stores of two versions do to each other.

`gingerledge blocks validate FILE [--against FILE] [--json]` reads files only and exits with 1 if anything is wrong.

--- a/broker/src/cli/blocks.rs
+++ b/broker/src/cli/blocks.rs
@@ -4,7 +4,7 @@
 use serde_json::{json, Value};
 
 use super::table::{rows, table, text};
-use super::{door, Look};
+use super::{door, validate, Look};
 
 #[derive(Args)]
 pub struct Arguments {
@@ -63,6 +63,14 @@
         /// Its number.
         change: u64,
     },
+    /// Prove a map that stands in a file, and the passage to it; asks nobody.
+    Validate {
+        /// The map, in the format of docs/design/blocks.md.
+        file: std::path::PathBuf,
+        /// The map that holds before it.
+        #[arg(long)]
+        against: Option<std::path::PathBuf>,
+    },
     /// Begin no more changes.
     Pause,
     /// Begin changes again.
@@ -96,6 +104,7 @@
         Command::Split { block, at } => put("/blocks/split", json!({ "block": block, "at": at })),
         Command::Merge { block, with } => put("/blocks/merge", json!({ "block": block, "with": with })),
         Command::Abandon { change } => put("/blocks/abandon", json!({ "change": change })),
+        Command::Validate { file, against } => validate::run(file, against.as_deref(), arguments.look.json),
         Command::Pause => put("/blocks/pause", Value::Null),
         Command::Resume => put("/blocks/resume", Value::Null),
     }
--- a/broker/src/cli/mod.rs
+++ b/broker/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod door;
 mod fleet;
 mod table;
+mod validate;
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
--- a/crates/blocks/src/lib.rs
+++ b/crates/blocks/src/lib.rs
@@ -10,6 +10,7 @@
 mod plan;
 mod repair;
 mod types;
+pub mod validate;
 pub mod wire;
 
 pub use change::{Change, Effect, Input, Kind, Millis, Patience, Reason, Step};
--- a/crates/blocks/src/map.rs
+++ b/crates/blocks/src/map.rs
@@ -274,6 +274,12 @@
         self.retired.get(&id).copied()
     }
 
+    /// The blocks that have come to their end and are still remembered, the oldest first.
+    pub fn retirements(&self) -> impl Iterator<Item = (BlockId, Span, Epoch)> + '_ {
+        let known = |id: &BlockId| self.retired.get(id).map(|(span, epoch)| (*id, *span, *epoch));
+        self.oldest.iter().filter_map(known)
+    }
+
     /// Takes a batch, whole or not at all.
     pub fn apply(&mut self, batch: &Batch) -> Result<(), MapError> {
         if batch.version != self.version + 1 {
@@ -423,11 +429,7 @@
         Snapshot {
             version: self.version,
             living: self.blocks().cloned().collect(),
-            retired: self
-                .oldest
-                .iter()
-                .filter_map(|id| self.retired.get(id).map(|(span, epoch)| (*id, *span, *epoch)))
-                .collect(),
+            retired: self.retirements().collect(),
         }
     }
 
