Keep the sums of cover by zones' slots, and look at each touched block once

Sums sat in hash tables by pairs of zones, the spare of each store was reckoned for each block, and each link asked the order six times. Now zones have slots and sums are rows, spares are reckoned once a question, marks are bits, and a range that comes last needs no search.

--- a/crates/coverage/src/check.rs
+++ b/crates/coverage/src/check.rs
@@ -4,10 +4,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use rustc_hash::{FxHashMap, FxHashSet};
-
 use crate::coverage::{class, BlockEntry, Coverage, Ranked};
-use crate::load::{self, add, fall, units, On, Onto, Part, Tally, ONE};
+use crate::load::{self, add, fall, sum, units, On, Onto, Part, Tally, ONE};
+use crate::slots::Marks;
 use crate::sweep::{sweep, Faults};
 use crate::types::{
     Block, Counterexample, Held, Keys, Least, Lost, Proposal, Room, Short, State, Store, Zone,
@@ -21,6 +20,12 @@
     holders: &'a [u32],
 }
 
+impl Piece<'_> {
+    fn rank(&self) -> Ranked {
+        (self.keys.count(), self.keys.first, self.block)
+    }
+}
+
 /// A block that the proposal sets.
 struct Draft {
     keys: Keys,
@@ -57,26 +62,32 @@
 /// The table as it would be.
 struct After<'a> {
     table: &'a Coverage,
-    away: FxHashSet<u32>,
-    shares: FxHashMap<Zone, u64>,
+    least: Least,
+    away: Marks,
+    /// By zones' slots.
+    shares: Vec<u64>,
     drafts: BTreeMap<Block, Draft>,
     /// Slots of blocks that are no more, or set by the proposal.
-    replaced: FxHashSet<u32>,
+    replaced: Vec<u32>,
     /// Slots of blocks that lose a holder.
-    robbed: FxHashSet<u32>,
+    robbed: Vec<u32>,
+    /// Both of these.
+    touched: Marks,
     /// What is other than in the table's tally.
     delta: Tally,
+    /// The smallest of the touched blocks that is short of holders or zones.
+    short: Option<Found>,
 }
 
 impl Coverage {
     /// Whether each key has the least after the proposal; the smallest range that has not, if not. Every range counts, also
     /// one that was short before. An empty proposal asks of the state as it is.
     pub fn check(&self, proposal: &Proposal, least: &Least) -> Result<(), Counterexample> {
-        let after = After::new(self, proposal);
-        let mut found = after.faults(least);
-        found.extend(after.short_before(least));
-        found.extend(after.touched().filter_map(|piece| after.short(&piece, least)));
-        found.extend(after.over_room(least));
+        let mut after = After::new(self, proposal, least);
+        let mut found = after.faults();
+        found.extend(after.short.take());
+        found.extend(after.short_before());
+        found.extend(after.over_room());
         match found.into_iter().min_by_key(|found| found.rank) {
             None => Ok(()),
             Some(found) => Err(after.counterexample(found)),
@@ -85,7 +96,7 @@
 
     /// Load against room, zone by zone, after the proposal; of every zone that has a store, sound or not.
     pub fn carries(&self, proposal: &Proposal, least: &Least) -> BTreeMap<Zone, Room> {
-        let rooms = After::new(self, proposal).rooms(least).into_iter();
+        let rooms = After::new(self, proposal, least).rooms().into_iter();
         let told = |sums: Sums| Room {
             load: units(sums.load),
             room: units(sums.room),
@@ -111,46 +122,62 @@
 }
 
 impl<'a> After<'a> {
-    fn new(table: &'a Coverage, proposal: &Proposal) -> Self {
-        let away = proposal.away.iter().filter_map(|store| table.stores.slot(*store)).collect();
-        let shares = proposal.shares.iter().map(|(zone, share)| (*zone, load::share(*share, ONE))).collect();
+    fn new(table: &'a Coverage, proposal: &Proposal, least: &Least) -> Self {
         let drafts = proposal.held.iter().map(|held| (held.block, Draft::new(table, held)));
-        let drafts: BTreeMap<Block, Draft> = drafts.collect();
-        let replaced = proposal.gone.iter().chain(drafts.keys());
-        let replaced = replaced.filter_map(|block| table.blocks.slot(*block)).collect();
-        let (robbed, delta) = (FxHashSet::default(), Tally::default());
-        let mut after = Self { table, away, shares, drafts, replaced, robbed, delta };
-        after.rob();
+        let mut after = Self {
+            table,
+            least: *least,
+            away: Marks::default(),
+            shares: table.shares_by_slot(),
+            drafts: drafts.collect(),
+            replaced: Vec::new(),
+            robbed: Vec::new(),
+            touched: Marks::default(),
+            delta: Tally::default(),
+            short: None,
+        };
+        for (zone, share) in &proposal.shares {
+            if let Some(slot) = table.zones.slot(*zone) {
+                after.shares[slot as usize] = load::share(*share, ONE);
+            }
+        }
+        let replaced = proposal.gone.iter().chain(after.drafts.keys());
+        let replaced = replaced.filter_map(|block| table.blocks.slot(*block));
+        after.replaced.extend(replaced.filter(|slot| after.touched.mark(*slot)));
+        after.rob(proposal);
         after.weigh();
         after
     }
 
     /// Finds the blocks at stores that go, and takes off what those can do.
-    fn rob(&mut self) {
-        for store in self.away.iter().filter_map(|slot| self.table.stores.at(*slot)) {
-            let Some(site) = store.site.filter(|site| site.state.sound()) else { continue };
-            add(&mut self.delta.capacity, site.zone, -i128::from(store.capacity));
-            self.robbed.extend(store.blocks.iter().filter(|block| !self.replaced.contains(block)));
+    fn rob(&mut self, proposal: &Proposal) {
+        for slot in proposal.away.iter().filter_map(|store| self.table.stores.slot(*store)) {
+            self.away.mark(slot);
+            let Some(store) = self.table.stores.at(slot) else { continue };
+            if store.site.is_some_and(|site| site.state.sound()) {
+                add(&mut self.delta.capacity, store.zone, -i128::from(store.capacity));
+                let touched = &mut self.touched;
+                self.robbed.extend(store.blocks.iter().filter(|block| touched.mark(**block)));
+            }
         }
     }
 
-    /// Takes the touched blocks' load off where it falls, and lets it fall where it would.
+    /// Takes the touched blocks' load off where it falls, lets it fall where it would, and finds which are short.
     fn weigh(&mut self) {
-        let (mut delta, mut parts) = (std::mem::take(&mut self.delta), Vec::new());
+        let (mut delta, mut short, mut parts) = (Tally::default(), None::<Found>, Vec::new());
+        std::mem::swap(&mut delta, &mut self.delta);
         let before = self.replaced.iter().chain(&self.robbed).filter_map(|slot| self.table.blocks.at(*slot));
         for entry in before {
-            self.table.sound(&entry.holders, &FxHashSet::default(), &mut parts);
+            self.table.sound(&entry.holders, &Marks::default(), &mut parts);
             fall(entry.load, &parts, &mut Onto { tally: &mut delta, sign: -1 });
         }
         for piece in self.touched() {
             self.table.sound(piece.holders, &self.away, &mut parts);
             fall(piece.load, &parts, &mut Onto { tally: &mut delta, sign: 1 });
+            let found = self.short(&piece, &parts);
+            short = short.into_iter().chain(found).min_by_key(|found| found.rank);
         }
-        self.delta = delta;
-    }
-
-    fn share(&self, zone: Zone) -> u64 {
-        self.shares.get(&zone).copied().unwrap_or_else(|| self.table.share_of(zone))
+        (self.delta, self.short) = (delta, short);
     }
 
     fn piece(entry: &BlockEntry) -> Piece<'_> {
@@ -170,16 +197,16 @@
     }
 
     /// Every block of a class that is as it was, the smallest first.
-    fn as_before<'b>(&'b self, class: &'b BTreeSet<Ranked>) -> impl Iterator<Item = Piece<'b>> + use<'b, 'a> {
-        class.iter().filter_map(|(_, _, block)| {
-            let slot = self.table.blocks.slot(*block)?;
-            let same = !self.robbed.contains(&slot) && !self.replaced.contains(&slot);
-            self.table.blocks.at(slot).filter(|_| same).map(Self::piece)
-        })
+    fn as_before<'b>(
+        &'b self,
+        class: &'b BTreeMap<Ranked, u32>,
+    ) -> impl Iterator<Item = Piece<'b>> + use<'b, 'a> {
+        let same = class.values().filter(|slot| !self.touched.has(**slot));
+        same.filter_map(|slot| self.table.blocks.at(*slot)).map(Self::piece)
     }
 
     /// Gaps and overlaps. The table knows its own gaps; a sweep tells those among changed blocks, and overlaps.
-    fn faults(&self, least: &Least) -> Vec<Found> {
+    fn faults(&self) -> Vec<Found> {
         let as_before = self.drafts.is_empty() && self.replaced.is_empty();
         let faults = if as_before && self.table.overlaps == 0 {
             let gap = self.table.gaps.first().map(|(count, first)| Keys::new(*first, first + count));
@@ -188,7 +215,7 @@
             self.sweep()
         };
         // A gap has no holder: it is short of holders, and of zones.
-        let gap = faults.gap.filter(|_| least.holders > 0 || least.zones > 0);
+        let gap = faults.gap.filter(|_| self.least.holders > 0 || self.least.zones > 0);
         let gap = gap.map(|keys| Found::new(keys, None, Short::Gap));
         let overlap = faults.overlap.map(|(keys, one, two)| {
             Found::new(keys, Some(one.min(two)), Short::Overlap { other: one.max(two) })
@@ -202,11 +229,14 @@
         let mut hull = Keys::new(u64::MAX, 0);
         let mut widen = |keys: Keys| hull = Keys::new(hull.first.min(keys.first), hull.end.max(keys.end));
         let mut ranges = Vec::with_capacity(self.table.order.len() + self.drafts.len());
-        for (block, keys) in self.table.blocks() {
-            widen(keys);
-            let slot = self.table.blocks.slot(block);
-            if !slot.is_some_and(|slot| self.replaced.contains(&slot)) {
-                ranges.push((keys, block));
+        let mut replaced = Marks::default();
+        for slot in &self.replaced {
+            replaced.mark(*slot);
+        }
+        for ((first, block), (end, slot)) in &self.table.order {
+            widen(Keys::new(*first, *end));
+            if !replaced.has(*slot) {
+                ranges.push((Keys::new(*first, *end), *block));
             }
         }
         for (keys, block) in drafts {
@@ -218,57 +248,68 @@
     }
 
     /// The smallest of the blocks that the proposal does not touch and that are short as they are, by classes.
-    fn short_before(&self, least: &Least) -> Vec<Found> {
-        let short = |(sound, zones): &(u32, u32)| *sound < least.holders || *zones < least.zones;
+    fn short_before(&self) -> Vec<Found> {
+        let short = |(sound, zones): &(u32, u32)| *sound < self.least.holders || *zones < self.least.zones;
         let classes = self.table.classes.iter().filter(|(class, _)| short(class));
-        classes.filter_map(|(_, class)| self.short(&self.as_before(class).next()?, least)).collect()
+        let smallest = classes.filter_map(|(_, class)| self.as_before(class).next());
+        let mut parts = Vec::new();
+        let found = smallest.filter_map(|piece| {
+            self.table.sound(piece.holders, &self.away, &mut parts);
+            self.short(&piece, &parts)
+        });
+        found.collect()
     }
 
     /// What a block is short of, of holders first.
-    fn short(&self, piece: &Piece, least: &Least) -> Option<Found> {
-        let mut parts = Vec::with_capacity(piece.holders.len());
-        self.table.sound(piece.holders, &self.away, &mut parts);
-        let (sound, zones) = class(&parts);
-        if sound < least.holders {
-            Some(Found::of(piece, Short::Holders { sound, least: least.holders }))
-        } else if zones < least.zones {
-            Some(Found::of(piece, Short::Zones { sound: zones, least: least.zones }))
+    fn short(&self, piece: &Piece, sound: &[Part]) -> Option<Found> {
+        let (sound, zones) = class(sound);
+        let Least { holders, zones: least, .. } = self.least;
+        if sound < holders {
+            Some(Found::of(piece, Short::Holders { sound, least: holders }))
+        } else if zones < least {
+            Some(Found::of(piece, Short::Zones { sound: zones, least }))
         } else {
             None
         }
     }
 
-    fn rooms(&self, least: &Least) -> BTreeMap<Zone, Sums> {
+    fn rooms(&self) -> BTreeMap<Zone, Sums> {
         let (table, delta) = (&self.table.tally, &self.delta);
-        let loads = table.loads(delta, |zone| self.share(zone));
-        let of = |sums: &FxHashMap<Zone, i128>, zone| sums.get(&zone).copied().unwrap_or(0);
-        let sums = |zone: Zone| {
-            let capacity = of(&table.capacity, zone) + of(&delta.capacity, zone);
-            // Of a headroom that is no number all is to be spared.
-            let room = load::without(capacity, load::share(least.headroom, ONE));
-            Sums { load: of(&loads, zone), room, capacity }
+        let loads = table.loads(delta, &self.shares);
+        // Of a headroom that is no number all is to be spared.
+        let headroom = load::share(self.least.headroom, ONE);
+        let sums = |slot: usize| {
+            let capacity = sum(&table.capacity, slot) + sum(&delta.capacity, slot);
+            Sums { load: sum(&loads, slot), room: load::without(capacity, headroom), capacity }
         };
-        self.table.zones.keys().map(|zone| (*zone, sums(*zone))).collect()
+        self.table.zones.names().map(|(zone, slot)| (zone, sums(slot as usize))).collect()
     }
 
     /// For each zone that more falls on than may, the smallest range that some of it comes from.
-    fn over_room(&self, least: &Least) -> Vec<Found> {
-        let over = self.rooms(least).into_iter().filter(|(_, sums)| sums.load > sums.room);
+    fn over_room(&self) -> Vec<Found> {
+        let over = self.rooms().into_iter().filter(|(_, sums)| sums.load > sums.room);
         let found = over.filter_map(|(zone, sums)| {
             let short = Short::Capacity { zone, load: units(sums.load), room: units(sums.room) };
-            let falls = |piece: &Piece| self.falls_on(piece, zone);
-            let before = self.table.classes.values().filter_map(|class| self.as_before(class).find(falls));
-            let found = before.chain(self.touched().filter(falls)).map(|piece| Found::of(&piece, short));
-            found.min_by_key(|found| found.rank)
+            let slot = self.table.zones.slot(zone)? as usize;
+            let mut parts = Vec::new();
+            let mut falls = |piece: &Piece| self.falls_on(piece, slot, &mut parts);
+            let before =
+                self.table.classes.values().filter_map(|class| self.as_before(class).find(&mut falls));
+            let before = before.min_by_key(Piece::rank);
+            // Of the touched only those that would be smaller are looked at.
+            let smaller = |piece: &Piece| before.as_ref().is_none_or(|least| piece.rank() < least.rank());
+            let mut touched: Vec<Piece> = self.touched().filter(smaller).collect();
+            touched.sort_unstable_by_key(Piece::rank);
+            let found = touched.into_iter().find(&mut falls).or(before);
+            found.map(|piece| Found::of(&piece, short))
         });
         found.collect()
     }
 
-    fn falls_on(&self, piece: &Piece, zone: Zone) -> bool {
-        let mut parts: Vec<Part> = Vec::with_capacity(piece.holders.len());
-        self.table.sound(piece.holders, &self.away, &mut parts);
-        let mut on = On { zone, share: |zone| self.share(zone), sum: 0 };
-        fall(piece.load, &parts, &mut on);
+    fn falls_on(&self, piece: &Piece, zone: usize, parts: &mut Vec<Part>) -> bool {
+        self.table.sound(piece.holders, &self.away, parts);
+        let mut on = On { zone, shares: &self.shares, sum: 0 };
+        fall(piece.load, parts, &mut on);
         on.sum > 0
     }
 
@@ -284,13 +325,17 @@
         Counterexample { keys, block, short, holders }
     }
 
+    fn leads(&self, zone: Zone) -> bool {
+        self.table.zones.slot(zone).is_some_and(|slot| self.shares[slot as usize] < ONE)
+    }
+
     fn lost(&self, store: Store, led: bool) -> Lost {
         let slot = self.table.stores.slot(store);
         match self.table.site(store) {
             None => Lost::State(State::Gone),
             Some(site) if !site.state.sound() => Lost::State(site.state),
-            Some(_) if slot.is_some_and(|slot| self.away.contains(&slot)) => Lost::Proposed,
-            Some(site) if led && self.share(site.zone) < ONE => Lost::Share(site.zone),
+            Some(_) if slot.is_some_and(|slot| self.away.has(slot)) => Lost::Proposed,
+            Some(site) if led && self.leads(site.zone) => Lost::Share(site.zone),
             Some(_) => Lost::Sound,
         }
     }
--- a/crates/coverage/src/coverage.rs
+++ b/crates/coverage/src/coverage.rs
@@ -7,7 +7,7 @@
 use rustc_hash::FxHashSet;
 
 use crate::load::{self, Part, StoreLoad, Tally, ONE};
-use crate::slots::Slots;
+use crate::slots::{Marks, Slots};
 use crate::types::{Block, Bounds, Cover, Full, Held, Keys, Region, Site, Store, Unfit, Zone};
 
 /// Holders that one block may have, whatever the bound says: sums of their capacities stay far from overflow.
@@ -21,12 +21,12 @@
     pub(crate) stores: Slots<Store, StoreEntry>,
     /// Stores that are set; sites by zone.
     pub(crate) set: usize,
-    pub(crate) zones: BTreeMap<Zone, usize>,
+    pub(crate) zones: Slots<Zone, usize>,
     pub(crate) blocks: Slots<Block, BlockEntry>,
-    /// By sound holders and zones, and therein by count of keys and first.
-    pub(crate) classes: BTreeMap<(u32, u32), BTreeSet<Ranked>>,
-    /// By first key; with what lies between neighbours.
-    pub(crate) order: BTreeMap<(u64, Block), u64>,
+    /// By sound holders and zones, and therein by count of keys and first, with slots.
+    pub(crate) classes: BTreeMap<(u32, u32), BTreeMap<Ranked, u32>>,
+    /// By first key, with the end and the slot; and what lies between neighbours.
+    pub(crate) order: BTreeMap<(u64, Block), (u64, u32)>,
     pub(crate) gaps: BTreeSet<(u64, u64)>,
     pub(crate) overlaps: usize,
     /// Other than 1 only.
@@ -43,6 +43,8 @@
 pub(crate) struct StoreEntry {
     pub(crate) store: Store,
     pub(crate) site: Option<Site>,
+    /// Its zone's slot, while it is set.
+    pub(crate) zone: usize,
     /// In millionths, as it stands.
     pub(crate) capacity: u64,
     pub(crate) blocks: FxHashSet<u32>,
@@ -89,8 +91,8 @@
         if was.is_none() && self.set >= self.bounds.stores {
             return Err(Full::Stores { store: site.store, most: self.bounds.stores });
         }
-        let leaves = usize::from(was.is_some_and(|was| self.zones.get(&was.zone) == Some(&1)));
-        if !self.zones.contains_key(&site.zone) && self.zones.len() - leaves >= self.bounds.zones {
+        let leaves = usize::from(was.is_some_and(|was| self.zones.get(was.zone) == Some(&1)));
+        if self.zones.slot(site.zone).is_none() && self.zones.len() - leaves >= self.bounds.zones {
             return Err(Full::Zones { store: site.store, zone: site.zone, most: self.bounds.zones });
         }
         self.stands(site.store, Some(site));
@@ -128,7 +130,7 @@
         let holders = holders.into_iter().map(|store| self.slot_of(store)).collect();
         let entry = BlockEntry { block, keys, load: load::amount(load), holders, sound: 0, zones: 0 };
         let slot = self.blocks.put(block, entry);
-        self.link(block, keys);
+        self.link(block, keys, slot);
         if let Some(entry) = self.blocks.at(slot) {
             for holder in &entry.holders {
                 if let Some(store) = self.stores.at_mut(*holder) {
@@ -168,35 +170,38 @@
         let below = self.order.range(..=(key, Block(u32::MAX))).rev();
         // Without overlaps only the last that begins can hold it.
         let look = if self.overlaps == 0 { 1 } else { usize::MAX };
-        let holding = below
-            .take(look)
-            .filter(|(_, end)| key < **end)
-            .filter_map(|((_, block), _)| self.blocks.get(*block));
-        let weakest = holding
-            .min_by_key(|entry| (entry.sound, entry.zones, self.spare(entry), entry.keys.first, entry.block));
-        weakest.map(|entry| self.cover(entry))
+        let holding = below.take(look).filter(|(_, (end, _))| key < *end);
+        let holding = holding.filter_map(|(_, (_, slot))| self.blocks.at(*slot));
+        let shares = self.shares_by_slot();
+        let spare = |entry: &BlockEntry| entry.holders.iter().map(|slot| self.spare(*slot, &shares)).sum();
+        let covers = holding.map(|entry| (entry, spare(entry)));
+        let weakest = covers
+            .min_by_key(|(entry, spare)| (entry.sound, entry.zones, *spare, entry.keys.first, entry.block));
+        weakest.map(|(entry, spare)| self.cover(entry, spare))
     }
 
     /// The weakest ranges: fewest sound holders first, then zones, then what they have to spare, then the first key.
     pub fn weakest(&self, most: usize) -> Vec<Cover> {
+        let shares = self.shares_by_slot();
+        let spares: Vec<i128> =
+            (0..self.stores.places() as u32).map(|slot| self.spare(slot, &shares)).collect();
+        let spare =
+            |entry: &BlockEntry| entry.holders.iter().map(|slot| spares[*slot as usize]).sum::<i128>();
         let mut found = Vec::new();
         for class in self.classes.values() {
             let left = most - found.len();
             if left == 0 {
                 break;
             }
-            let mut entries: Vec<_> = class
-                .iter()
-                .filter_map(|(_, first, block)| {
-                    self.blocks.get(*block).map(|entry| ((self.spare(entry), *first, *block), entry))
-                })
-                .collect();
+            let entries = class.values().filter_map(|slot| self.blocks.at(*slot));
+            let mut entries: Vec<_> =
+                entries.map(|entry| ((spare(entry), entry.keys.first, entry.block), entry)).collect();
             if left < entries.len() {
                 entries.select_nth_unstable_by_key(left - 1, |(key, _)| *key);
                 entries.truncate(left);
             }
             entries.sort_unstable_by_key(|(key, _)| *key);
-            found.extend(entries.into_iter().map(|(_, entry)| self.cover(entry)));
+            found.extend(entries.into_iter().map(|((spare, ..), entry)| self.cover(entry, spare)));
         }
         found
     }
@@ -220,7 +225,7 @@
 
     /// Every block, by first key.
     pub fn blocks(&self) -> impl Iterator<Item = (Block, Keys)> + '_ {
-        self.order.iter().map(|((first, block), end)| (*block, Keys { first: *first, end: *end }))
+        self.order.iter().map(|((first, block), (end, _))| (*block, Keys { first: *first, end: *end }))
     }
 
     /// The blocks that a store is named as a holder of, in no order.
@@ -242,28 +247,34 @@
         self.shares.get(&zone).copied().unwrap_or(ONE)
     }
 
+    /// Shares by zones' slots.
+    pub(crate) fn shares_by_slot(&self) -> Vec<u64> {
+        let mut shares = vec![ONE; self.zones.places()];
+        for (zone, slot) in self.zones.names() {
+            shares[slot as usize] = self.share_of(zone);
+        }
+        shares
+    }
+
     /// The sound ones of holders, by number, without those that are away.
-    pub(crate) fn sound(&self, holders: &[u32], away: &FxHashSet<u32>, parts: &mut Vec<Part>) {
+    pub(crate) fn sound(&self, holders: &[u32], away: &Marks, parts: &mut Vec<Part>) {
         parts.clear();
-        for slot in holders.iter().filter(|slot| !away.contains(slot)) {
+        for slot in holders.iter().filter(|slot| !away.has(**slot)) {
             let Some(entry) = self.stores.at(*slot) else { continue };
-            let Some(Site { zone, region, state, .. }) = entry.site else { continue };
+            let Some(Site { region, state, .. }) = entry.site else { continue };
             if state.sound() {
-                parts.push(Part { slot: *slot, zone, region, capacity: entry.capacity });
+                parts.push(Part { slot: *slot, zone: entry.zone, region, capacity: entry.capacity });
             }
         }
     }
 
-    fn spare(&self, entry: &BlockEntry) -> i128 {
-        let of = |slot: &u32| {
-            let store = self.stores.at(*slot)?;
-            let site = store.site.filter(|site| site.state.sound())?;
-            Some((i128::from(store.capacity) - store.load.sum(site.zone, |zone| self.share_of(zone))).max(0))
-        };
-        entry.holders.iter().filter_map(of).sum()
+    /// What a store can do above what falls on it; nothing, unless it is sound.
+    fn spare(&self, slot: u32, shares: &[u64]) -> i128 {
+        let sound = self.stores.at(slot).filter(|store| store.site.is_some_and(|site| site.state.sound()));
+        sound.map_or(0, |store| (i128::from(store.capacity) - store.load.sum(store.zone, shares)).max(0))
     }
 
-    fn cover(&self, entry: &BlockEntry) -> Cover {
+    fn cover(&self, entry: &BlockEntry, spare: i128) -> Cover {
         let site = |slot: &u32| self.stores.at(*slot)?.site.filter(|site| site.state.sound());
         let regions: BTreeSet<Region> =
             entry.holders.iter().filter_map(site).map(|site| site.region).collect();
@@ -273,7 +284,7 @@
             sound: entry.sound,
             zones: entry.zones,
             regions: regions.len() as u32,
-            spare: load::units(self.spare(entry)),
+            spare: load::units(spare),
         }
     }
 }
--- a/crates/coverage/src/increments.rs
+++ b/crates/coverage/src/increments.rs
@@ -2,13 +2,12 @@
 //! what was put in leaves no trace, so that only the facts count and not the way to them.
 
 use std::collections::btree_map;
-use std::ops::Bound;
 
 use rustc_hash::FxHashSet;
 
 use crate::coverage::{class, Coverage, StoreEntry};
 use crate::load::{self, add, fall, Falls, Onto, Part, StoreLoad};
-use crate::slots::Slots;
+use crate::slots::{Marks, Slots};
 use crate::types::{Block, Keys, Site, Store};
 
 /// Lets load fall on stores and on the tally.
@@ -42,6 +41,7 @@
         let new = || StoreEntry {
             store,
             site: None,
+            zone: 0,
             capacity: 0,
             blocks: FxHashSet::default(),
             load: StoreLoad::default(),
@@ -64,24 +64,27 @@
         for block in &blocks {
             self.count_out(*block);
         }
-        if let Some(entry) = self.stores.at_mut(slot) {
-            let capacity = site.map_or(0, |site| load::capacity(site.capacity, site.state));
-            if let Some(was) = entry.site {
-                self.set -= 1;
-                add(&mut self.tally.capacity, was.zone, -i128::from(entry.capacity));
-                if let btree_map::Entry::Occupied(mut count) = self.zones.entry(was.zone) {
-                    *count.get_mut() -= 1;
-                    if *count.get() == 0 {
-                        count.remove();
-                    }
-                }
+        let capacity = site.map_or(0, |site| load::capacity(site.capacity, site.state));
+        let was = self.stores.at(slot).and_then(|entry| Some((entry.site?.zone, entry.zone, entry.capacity)));
+        if let Some((name, zone, capacity)) = was {
+            self.set -= 1;
+            add(&mut self.tally.capacity, zone, -i128::from(capacity));
+            if self.zones.get_mut(name).is_some_and(|count| std::mem::replace(count, *count - 1) == 1) {
+                self.zones.take(name);
             }
-            if let Some(site) = site {
-                self.set += 1;
-                add(&mut self.tally.capacity, site.zone, i128::from(capacity));
-                *self.zones.entry(site.zone).or_default() += 1;
+        }
+        let mut zone = 0;
+        if let Some(site) = site {
+            self.set += 1;
+            let found = self.zones.slot(site.zone);
+            zone = found.unwrap_or_else(|| self.zones.put(site.zone, 0)) as usize;
+            add(&mut self.tally.capacity, zone, i128::from(capacity));
+            if let Some(count) = self.zones.get_mut(site.zone) {
+                *count += 1;
             }
-            (entry.site, entry.capacity) = (site, capacity);
+        }
+        if let Some(entry) = self.stores.at_mut(slot) {
+            (entry.site, entry.zone, entry.capacity) = (site, zone, capacity);
         }
         for block in &blocks {
             self.count_in(*block);
@@ -106,13 +109,13 @@
         let (sound, zones) = self.falls(slot, 1);
         let Some(entry) = self.blocks.at_mut(slot) else { return };
         (entry.sound, entry.zones) = (sound, zones);
-        self.classes.entry((sound, zones)).or_default().insert(entry.ranked());
+        self.classes.entry((sound, zones)).or_default().insert(entry.ranked(), slot);
     }
 
     fn falls(&mut self, slot: u32, sign: i128) -> (u32, u32) {
         let Some(entry) = self.blocks.at(slot) else { return (0, 0) };
         let mut parts = std::mem::take(&mut self.parts);
-        self.sound(&entry.holders, &FxHashSet::default(), &mut parts);
+        self.sound(&entry.holders, &Marks::default(), &mut parts);
         let load = entry.load;
         let onto = Onto { tally: &mut self.tally, sign };
         fall(load, &parts, &mut Everywhere { stores: &mut self.stores, onto });
@@ -121,39 +124,45 @@
         class
     }
 
-    pub(crate) fn link(&mut self, block: Block, keys: Keys) {
-        self.neighbours(block, keys, false);
-        self.order.insert((keys.first, block), keys.end);
-        self.neighbours(block, keys, true);
+    pub(crate) fn link(&mut self, block: Block, keys: Keys, slot: u32) {
+        let (before, after) = self.neighbours(block, keys);
+        self.between(before, after, false);
+        self.order.insert((keys.first, block), (keys.end, slot));
+        self.between(before, Some(keys.first), true);
+        self.between(Some(keys.end), after, true);
     }
 
     pub(crate) fn unlink(&mut self, block: Block, keys: Keys) {
-        self.neighbours(block, keys, false);
         self.order.remove(&(keys.first, block));
-        self.neighbours(block, keys, true);
+        let (before, after) = self.neighbours(block, keys);
+        self.between(before, Some(keys.first), false);
+        self.between(Some(keys.end), after, false);
+        self.between(before, after, true);
     }
 
-    /// Notes, or forgets, what lies between the neighbours about a place.
-    fn neighbours(&mut self, block: Block, keys: Keys, notes: bool) {
+    /// Where the range before a place ends, and the one behind it begins.
+    fn neighbours(&self, block: Block, keys: Keys) -> (Option<u64>, Option<u64>) {
         let place = (keys.first, block);
-        let before = self.order.range(..place).next_back().map(|(_, end)| *end);
-        let here = self.order.get(&place).copied();
-        let after = self.order.range((Bound::Excluded(place), Bound::Unbounded)).next();
-        let after = after.map(|((first, _), _)| *first);
-        let pairs = match here {
-            Some(end) => [before.map(|before| (before, keys.first)), after.map(|after| (end, after))],
-            None => [before.zip(after), None],
-        };
-        for (end, first) in pairs.into_iter().flatten() {
-            if end < first && notes {
-                self.gaps.insert((first - end, end));
-            } else if end < first {
-                self.gaps.remove(&(first - end, end));
-            } else if end > first && notes {
-                self.overlaps += 1;
-            } else if end > first {
-                self.overlaps -= 1;
-            }
+        // Maps come in order: mostly a new range is the last.
+        if let Some((_, (end, _))) = self.order.last_key_value().filter(|(last, _)| **last < place) {
+            return (Some(*end), None);
+        }
+        let before = self.order.range(..place).next_back().map(|(_, (end, _))| *end);
+        let after = self.order.range(place..).next().map(|((first, _), _)| *first);
+        (before, after)
+    }
+
+    /// Notes, or forgets, what lies between two neighbours.
+    fn between(&mut self, end: Option<u64>, first: Option<u64>, notes: bool) {
+        let (Some(end), Some(first)) = (end, first) else { return };
+        if end < first && notes {
+            self.gaps.insert((first - end, end));
+        } else if end < first {
+            self.gaps.remove(&(first - end, end));
+        } else if end > first && notes {
+            self.overlaps += 1;
+        } else if end > first {
+            self.overlaps -= 1;
         }
     }
 }
--- a/crates/coverage/src/load.rs
+++ b/crates/coverage/src/load.rs
@@ -2,9 +2,7 @@
 //! nothing is lost in dividing, and that shares need no look at blocks: what would leave each zone for each other one, were it
 //! led away whole, is summed by pairs, and a share takes its part of the sums.
 
-use rustc_hash::FxHashMap;
-
-use crate::types::{Region, State, Zone};
+use crate::types::{Region, State};
 
 /// Millionths in one.
 pub(crate) const ONE: u64 = 1_000_000;
@@ -50,15 +48,22 @@
 
 /// What is left of a sum without a share of it, rounded down; of a zone's load, what is led away.
 pub(crate) fn without(sum: i128, share: u64) -> i128 {
-    sum * i128::from(ONE - share) / i128::from(ONE)
+    match ONE - share {
+        0 => 0,
+        ONE => sum,
+        rest => match i64::try_from(sum).ok().and_then(|sum| sum.checked_mul(rest as i64)) {
+            Some(product) => i128::from(product / ONE as i64),
+            None => sum * i128::from(rest) / i128::from(ONE),
+        },
+    }
 }
 
 /// A sound holder.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Part {
-    /// Its slot in the table.
+    /// Its slot in the table, and its zone's.
     pub(crate) slot: u32,
-    pub(crate) zone: Zone,
+    pub(crate) zone: usize,
     pub(crate) region: Region,
     /// In millionths, as it stands.
     pub(crate) capacity: u64,
@@ -105,47 +110,41 @@
     });
 }
 
-/// Sums by zones. What is no longer there leaves no trace.
-#[derive(Clone, Debug, Default, PartialEq)]
+/// Sums by zones' slots. A slot that is let go has sums of 0, as nothing falls on a zone without stores.
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Tally {
-    pub(crate) near: FxHashMap<Zone, i128>,
-    pub(crate) led: FxHashMap<(Zone, Zone), i128>,
-    pub(crate) capacity: FxHashMap<Zone, i128>,
+    pub(crate) near: Vec<i128>,
+    /// From, to.
+    pub(crate) led: Vec<Vec<i128>>,
+    pub(crate) capacity: Vec<i128>,
 }
 
-/// Adds to a sum, which is dropped at 0.
-pub(crate) fn add<K: std::hash::Hash + Eq>(sums: &mut FxHashMap<K, i128>, key: K, amount: i128) {
-    if amount == 0 {
-        return;
-    }
-    match sums.entry(key) {
-        std::collections::hash_map::Entry::Occupied(mut sum) => {
-            *sum.get_mut() += amount;
-            if *sum.get() == 0 {
-                sum.remove();
-            }
-        }
-        std::collections::hash_map::Entry::Vacant(place) => {
-            place.insert(amount);
-        }
+/// Adds to a sum.
+pub(crate) fn add(sums: &mut Vec<i128>, at: usize, amount: i128) {
+    if sums.len() <= at {
+        sums.resize(at + 1, 0);
     }
+    sums[at] += amount;
+}
+
+/// A sum.
+pub(crate) fn sum(sums: &[i128], at: usize) -> i128 {
+    sums.get(at).copied().unwrap_or(0)
 }
 
 impl Tally {
-    /// What falls on each zone by sums and shares. Zones that nothing is at are left out.
-    pub(crate) fn loads(&self, more: &Tally, share: impl Fn(Zone) -> u64) -> FxHashMap<Zone, i128> {
-        let mut loads: FxHashMap<Zone, i128> = FxHashMap::default();
-        for (zone, amount) in self.near.iter().chain(&more.near) {
-            add(&mut loads, *zone, *amount);
-        }
-        // A pair's two sums are one before a share takes its part: rounding must not tell whence they come.
-        let extra = |pair: &(Zone, Zone)| more.led.get(pair).copied().unwrap_or(0);
-        let new = more.led.iter().filter(|(pair, _)| !self.led.contains_key(pair));
-        let all = self.led.iter().map(|(pair, sum)| (*pair, sum + extra(pair)));
-        for ((from, to), sum) in all.chain(new.map(|(pair, sum)| (*pair, *sum))) {
-            let amount = without(sum, share(from));
-            add(&mut loads, from, -amount);
-            add(&mut loads, to, amount);
+    /// What falls on each zone by both tallies' sums and the shares.
+    pub(crate) fn loads(&self, more: &Tally, shares: &[u64]) -> Vec<i128> {
+        let both = |of: fn(&Tally) -> &Vec<i128>, at| sum(of(self), at) + sum(of(more), at);
+        let mut loads: Vec<i128> = (0..shares.len()).map(|zone| both(|tally| &tally.near, zone)).collect();
+        let pair = |tally: &Tally, from: usize, to| tally.led.get(from).map_or(0, |row| sum(row, to));
+        for (from, share) in shares.iter().enumerate().filter(|(_, share)| **share < ONE) {
+            for to in 0..shares.len() {
+                // Both sums are one before the share takes its part: rounding must not tell whence they come.
+                let amount = without(pair(self, from, to) + pair(more, from, to), *share);
+                loads[from] -= amount;
+                loads[to] += amount;
+            }
         }
         loads
     }
@@ -164,18 +163,21 @@
     }
 
     fn led(&mut self, from: &Part, to: &Part, amount: u64) {
-        add(&mut self.tally.led, (from.zone, to.zone), self.sign * i128::from(amount));
+        if self.tally.led.len() <= from.zone {
+            self.tally.led.resize(from.zone + 1, Vec::new());
+        }
+        add(&mut self.tally.led[from.zone], to.zone, self.sign * i128::from(amount));
     }
 }
 
 /// What of one block falls on one zone, in millionths of millionths: whether it is more than nothing is what is asked.
-pub(crate) struct On<F: Fn(Zone) -> u64> {
-    pub(crate) zone: Zone,
-    pub(crate) share: F,
+pub(crate) struct On<'a> {
+    pub(crate) zone: usize,
+    pub(crate) shares: &'a [u64],
     pub(crate) sum: i128,
 }
 
-impl<F: Fn(Zone) -> u64> Falls for On<F> {
+impl Falls for On<'_> {
     fn near(&mut self, on: &Part, amount: u64) {
         if on.zone == self.zone {
             self.sum += i128::from(amount) * i128::from(ONE);
@@ -184,26 +186,26 @@
 
     fn led(&mut self, from: &Part, to: &Part, amount: u64) {
         if from.zone == self.zone || to.zone == self.zone {
-            let amount = i128::from(amount) * i128::from(ONE - (self.share)(from.zone));
+            let amount = i128::from(amount) * i128::from(ONE - self.shares[from.zone]);
             self.sum += if to.zone == self.zone { amount } else { -amount };
         }
     }
 }
 
 /// What falls on one store.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct StoreLoad {
     pub(crate) near: i128,
     /// What leaves it once its zone is led away whole.
     pub(crate) out: i128,
     /// What comes to it once another zone is.
-    pub(crate) into: FxHashMap<Zone, i128>,
+    pub(crate) into: Vec<i128>,
 }
 
 impl StoreLoad {
     /// All that falls on it, by shares.
-    pub(crate) fn sum(&self, zone: Zone, share: impl Fn(Zone) -> u64) -> i128 {
-        let into = self.into.iter().map(|(from, sum)| without(*sum, share(*from)));
-        self.near - without(self.out, share(zone)) + into.sum::<i128>()
+    pub(crate) fn sum(&self, zone: usize, shares: &[u64]) -> i128 {
+        let into = self.into.iter().zip(shares).map(|(sum, share)| without(*sum, *share));
+        self.near - without(self.out, shares[zone]) + into.sum::<i128>()
     }
 }
--- a/crates/coverage/src/slots.rs
+++ b/crates/coverage/src/slots.rs
@@ -33,10 +33,24 @@
         self.at(self.slot(name)?)
     }
 
+    pub(crate) fn get_mut(&mut self, name: K) -> Option<&mut T> {
+        self.at_mut(self.slot(name)?)
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = &T> {
         self.entries.iter().flatten()
     }
 
+    /// Every name with its slot, in no order.
+    pub(crate) fn names(&self) -> impl Iterator<Item = (K, u32)> + '_ {
+        self.by_name.iter().map(|(name, slot)| (*name, *slot))
+    }
+
+    /// As many as there are places, free ones too.
+    pub(crate) fn places(&self) -> usize {
+        self.entries.len()
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.by_name.len()
     }
@@ -59,3 +73,24 @@
         self.entries.get_mut(slot as usize)?.take()
     }
 }
+
+/// A mark for slots.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Marks(Vec<u64>);
+
+impl Marks {
+    /// Marks a slot; whether it was not.
+    pub(crate) fn mark(&mut self, slot: u32) -> bool {
+        let (word, bit) = (slot as usize / 64, 1 << (slot % 64));
+        if self.0.len() <= word {
+            self.0.resize(word + 1, 0);
+        }
+        let new = self.0[word] & bit == 0;
+        self.0[word] |= bit;
+        new
+    }
+
+    pub(crate) fn has(&self, slot: u32) -> bool {
+        self.0.get(slot as usize / 64).is_some_and(|word| word >> (slot % 64) & 1 == 1)
+    }
+}
--- a/crates/coverage/src/sweep.rs
+++ b/crates/coverage/src/sweep.rs
@@ -16,6 +16,7 @@
 pub(crate) fn sweep(ranges: impl Iterator<Item = (Keys, Block)>, hull: Keys) -> Faults {
     let mut faults = Faults::default();
     let mut open: BTreeSet<(u64, Block)> = BTreeSet::new();
+    let mut alone = None;
     let mut reach = hull.first;
     let mut gap = |first: u64, end: u64| {
         let found = Keys { first, end };
@@ -26,6 +27,14 @@
     };
     for (keys, block) in ranges {
         gap(reach, keys.first);
+        // Mostly one range ends where the next begins: only those that reach further are kept in order.
+        if keys.first >= reach {
+            open.clear();
+            alone = Some((keys.end, block));
+            reach = keys.end;
+            continue;
+        }
+        open.extend(alone.take());
         while open.first().is_some_and(|(end, _)| *end <= keys.first) {
             open.pop_first();
         }
