Hold the blocks at each store against the plain reference

A mutant that left a removed block in its stores' lists was not caught: answers only looked at more than they had to.

--- a/crates/coverage/tests/against_plain.rs
+++ b/crates/coverage/tests/against_plain.rs
@@ -180,6 +180,17 @@
             assert_eq!(table.at(key), here);
             assert_eq!(anew.at(key), here);
         }
+        for store in (0..STORES).map(Store) {
+            let mut here: Vec<Block> = table.blocks_at(store).collect();
+            here.sort();
+            assert!(plain
+                .held
+                .values()
+                .filter(|held| held.holders.contains(&store))
+                .map(|held| held.block)
+                .eq(here));
+            assert_eq!(table.site(store), plain.sites.get(&store).copied());
+        }
         for (proposal, least) in &case.proposals {
             assert_eq!(table.check(proposal, least), anew.check(proposal, least));
             assert_eq!(table.carries(proposal, least), anew.carries(proposal, least));
