Keep the value of a part whose second copy ends later and fails

Where a part may have two attempts out at once, the core took what the second to end brought, mostly nothing, for the part's value: a whole answer lacked it, an answer in part fell below its floor, and a second step named fewer shards than were in. What came first stays.

--- a/broker/src/core/mod.rs
+++ b/broker/src/core/mod.rs
@@ -400,7 +400,8 @@
             if !ended.outcome.never_ran() {
                 part.ran = Some(part.ran.map_or(flight.sent, |first| first.min(flight.sent)));
             }
-            part.served = ended.served;
+            // Of two copies the second to end may well have failed: what came stays.
+            part.served = part.served.take().or(ended.served);
         }
         let event = Event::Outcome {
             part: attempt.part,
--- a/broker/tests/core.rs
+++ b/broker/tests/core.rs
@@ -15,6 +15,10 @@
 use stoatlane::{Class, Entry, ListKind, Outcome, Settings};
 
 fn core(class: Class) -> Core {
+    with(class, Settings::default())
+}
+
+fn with(class: Class, settings: Settings) -> Core {
     let class = Class { aim_ms: 1000.0, deadline_ms: 2000.0, late_share: 0.3, worth: 1.0, ..class };
     let settings = Settings {
         aggregators: 1,
@@ -26,7 +30,7 @@
         batch: 1,
         max_attempts: 3,
         withdrawals: true,
-        ..Settings::default()
+        ..settings
     };
     let mut core = Core::new(7, settings, 0.0);
     let entries = (0..3).map(|n| Entry { server: n, cell: n, ..Entry::default() }).collect();
@@ -114,6 +118,31 @@
     assert!(matches!(ended[..], [(at, Final::Refused { .. })] if at < 1500.0), "{ended:?}");
 }
 
+/// Where two attempts may be out at once, the one that was not waited for ends later, and may fail.
+#[test]
+fn the_value_of_a_part_stays_when_its_second_copy_fails() {
+    let mut core = with(Class::default(), Settings { parallel: true, ..Settings::default() });
+    for (id, now) in [(1, 1.0), (2, 20.0)] {
+        let sent = orders(&core.turn(now, [Happening::Asked(id, question("q", &[0, 1], now + 1900.0))]));
+        let ends: Vec<_> = sent.iter().map(|order| good(order.attempt, 1, b"x")).collect();
+        core.turn(now + 10.0, ends.into_iter().take(if id == 1 { 2 } else { 1 }));
+        if id == 1 {
+            continue;
+        }
+        // The other part is late at one store, and a copy goes to the next.
+        let (mut at, mut copy) = (now + 10.0, Vec::new());
+        while copy.is_empty() && at < 1000.0 {
+            at += 5.0;
+            copy = orders(&core.turn(at, []));
+        }
+        let late = sent.iter().find(|order| order.shard == copy[0].shard).unwrap();
+        let failed = |order: &Order| Happening::Ended(order.attempt, Outcome::Failure.into());
+        let end = core.turn(at, [good(copy[0].attempt, 1, b"y"), failed(late)]);
+        let end = finals(&end);
+        assert!(matches!(&end[..], [Final::Answered { values, .. }] if values.len() == 2), "{end:?}");
+    }
+}
+
 #[test]
 fn a_query_whose_client_left_is_forgotten() {
     let mut core = core(Class::default());
