Let the parts of one turn at one store share a call, up to the number in the settings

The sends of a turn are noted and made when it is over: those at one store are queued together on one connection with room for all of them, and the frame is put together when it is written. What has been given up, has met a drain or has become too late to be repeated by then is not in it; what is written ends part by part, each with its own task and timer as before. With a batch of 1 the bytes are the same. After a spoilt answer parts share no calls, as they share no connections.

An attempt of a keyed part that may have run bears the time by which it must be out, so that one that waits for its connection past what its stores remember stays unsent. A counter tells how many calls were written.

--- a/broker/src/core/guard.rs
+++ b/broker/src/core/guard.rs
@@ -35,13 +35,14 @@
         }
     }
 
-    /// Whether an attempt may be made.
-    pub fn allows(&self, now: Millis, tried: Tried) -> bool {
-        let again = |first: Millis| match self.repeats.get(tried.class) {
-            Some((Repeat::Keyed, memory)) => now <= first + memory,
-            Some((Repeat::Unsafe, _)) => false,
-            Some((Repeat::Safe, _)) | None => true,
-        };
-        tried.attempts < self.max_attempts && (self.parallel || !tried.out) && tried.first.is_none_or(again)
+    /// For how long from now an attempt may go out; `None` if it must not be made.
+    pub fn allows(&self, now: Millis, tried: Tried) -> Option<Millis> {
+        let left = tried.first.map_or(f64::INFINITY, |first| match self.repeats.get(tried.class) {
+            Some((Repeat::Keyed, memory)) => first + memory - now,
+            Some((Repeat::Unsafe, _)) => f64::NEG_INFINITY,
+            Some((Repeat::Safe, _)) | None => f64::INFINITY,
+        });
+        let may = tried.attempts < self.max_attempts && (self.parallel || !tried.out) && left >= 0.0;
+        may.then_some(left)
     }
 }
--- a/broker/src/core/mod.rs
+++ b/broker/src/core/mod.rs
@@ -189,6 +189,8 @@
     pub form: Form,
     /// How long to wait.
     pub patience_ms: Millis,
+    /// It must not go out later than that from now: its store may have forgotten an attempt before it.
+    pub within_ms: Option<Millis>,
     /// What the store tells its repeats by.
     pub key: Option<IdempotencyKey>,
     /// Set for a part of the second step.
@@ -548,9 +550,7 @@
         let out = self.flights.range(before).map(|(_, flight)| flight.sent);
         let first = out.chain(part.ran).reduce(f64::min);
         let tried = Tried { class: query.question.class, attempts: number, out: part.out, first };
-        if left <= 0.0 || !self.guard.allows(now, tried) {
-            return Err(number);
-        }
+        let within = self.guard.allows(now, tried).filter(|_| left > 0.0).ok_or(number)?;
         part.out = true;
         let fence = self.routes.as_ref().map(|routes| Fence {
             epoch: routes.epoch(part.shard).unwrap_or_default(),
@@ -569,6 +569,7 @@
             shard: part.shard,
             text: query.question.text.clone(),
             form: query.question.form,
+            within_ms: within.is_finite().then_some(within),
             key: query.question.key.clone(),
             patience_ms: if patience_ms > 0.0 { patience_ms.min(left) } else { left },
             second: query.second.clone(),
--- a/broker/src/counters.rs
+++ b/broker/src/counters.rs
@@ -71,6 +71,8 @@
     unwritten,
     /// Attempts sent to stores.
     attempts,
+    /// Calls written to stores, each for one attempt or several.
+    calls,
     /// Attempts served.
     served,
     /// Attempts answered with an error.
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -118,6 +118,7 @@
         let lifecycle = Lifecycle::new();
         let limits = Limits {
             streams: config.streams,
+            batch: config.setup.settings.batch.max(1) as usize,
             links: config.sockets / LINKS_SHARE,
             dial: millis(config.dial_timeout_ms),
             idle: millis(config.idle_ms * IDLE_SHARE),
@@ -366,6 +367,7 @@
                 Command::Finish(query, answer) => drop(exchange.finish(query, answer)),
             }
         }
+        stores.turn_over();
         happened = exchange.happened(core.due()).await;
     }
 }
--- a/broker/src/store/frame.rs
+++ b/broker/src/store/frame.rs
@@ -10,7 +10,7 @@
 /// No frame is longer: a longer value would fit no client's answer.
 pub const FRAME_MAX: usize = BODY_MAX + LINE_MAX;
 
-/// A call for one part.
+/// A call, for one part or several.
 pub const CALL: u8 = b'm';
 /// A part given up.
 pub const GIVE_UP: u8 = b'n';
@@ -79,11 +79,11 @@
     bytes
 }
 
-/// Writes a call for one part: its line, then the query's text as it came.
-pub fn call(id: &str, shard: u32, list: &str, text: &[u8]) -> Vec<u8> {
-    let mut rest = format!("{id} {shard} {list} {}\n", text.len()).into_bytes();
-    rest.extend_from_slice(text);
-    frame(CALL, &rest)
+/// Writes a part of a call: its line, then the query's text as it came.
+pub fn part(id: &str, shard: u32, list: &str, text: &[u8]) -> Vec<u8> {
+    let mut bytes = format!("{id} {shard} {list} {}\n", text.len()).into_bytes();
+    bytes.extend_from_slice(text);
+    bytes
 }
 
 /// A frame's letter, its rest, and the length of it all.
--- a/broker/src/store/link.rs
+++ b/broker/src/store/link.rs
@@ -32,6 +32,8 @@
 pub struct Limits {
     /// How many parts it carries at once.
     pub streams: usize,
+    /// How many parts of one turn may share a call, which is a frame.
+    pub batch: usize,
     /// How many links there may be, to all stores together, before parts have to share them.
     pub links: usize,
     /// It has failed if it is not up by then.
@@ -49,11 +51,24 @@
     since: Instant,
 }
 
+/// What waits to be written.
 #[derive(Debug)]
-struct Outgoing {
-    bytes: Vec<u8>,
-    /// The part whose call this is.
-    id: Option<Rc<str>>,
+enum Outgoing {
+    /// A part; those of one call lie next to each other.
+    Part(Part, u64),
+    /// A whole frame.
+    Frame(Vec<u8>),
+}
+
+/// A part that has not been written.
+#[derive(Debug)]
+pub struct Part {
+    /// Its id.
+    pub id: Rc<str>,
+    /// Its line and its text.
+    pub bytes: Vec<u8>,
+    /// It must not be written later.
+    pub by: Option<Instant>,
 }
 
 /// A connection, or one that is being opened.
@@ -62,6 +77,8 @@
     counters: Rc<Counters>,
     flights: RefCell<HashMap<Rc<str>, Flight>>,
     queue: RefCell<VecDeque<Outgoing>>,
+    /// Numbers the calls.
+    calls: Cell<u64>,
     /// Parts that ended here lately: an answer to one of them is late or a second copy, no more.
     ended: RefCell<VecDeque<Rc<str>>>,
     wake: (Sender<()>, Receiver<()>),
@@ -98,6 +115,7 @@
             counters,
             flights: RefCell::default(),
             queue: RefCell::default(),
+            calls: Cell::new(0),
             ended: RefCell::default(),
             wake: async_channel::bounded(1),
             used: Cell::new(Instant::now()),
@@ -107,13 +125,13 @@
         })
     }
 
-    /// Whether it can carry one more part now. One that has stood idle for nearly as long as the store
+    /// Whether it can carry so many more parts now. One that has stood idle for nearly as long as the store
     /// bears is not used: a call that crosses the store's close would end as a reset. Nor is one in the
     /// midst of an answer: if that never ends, the next answer would be taken for its rest.
-    pub fn has_room(&self, limits: &Limits) -> bool {
+    pub fn has_room(&self, parts: usize, limits: &Limits) -> bool {
         !self.closing.get()
             && !self.partial.get()
-            && self.flights.borrow().len() < limits.streams
+            && self.flights.borrow().len() + parts <= limits.streams
             && (!self.idle() || self.used.get().elapsed() < limits.idle)
     }
 
@@ -137,34 +155,39 @@
         let _ = self.wake.0.try_send(());
     }
 
-    /// Queues a call. Its end comes on the channel.
-    pub fn call(&self, id: Rc<str>, bytes: Vec<u8>) -> Receiver<Ended> {
+    /// Queues parts that share a call. The end of each comes on its channel.
+    pub fn call(&self, parts: impl IntoIterator<Item = Part>) -> Vec<Receiver<Ended>> {
+        self.calls.set(self.calls.get() + 1);
+        parts.into_iter().map(|part| self.join(part)).collect()
+    }
+
+    /// Queues a part for the last call.
+    fn join(&self, part: Part) -> Receiver<Ended> {
         let (send, ended) = async_channel::bounded(1);
+        let id = part.id.clone();
         // Guards against a client that uses an id again while a part of that id is still out here: the
         // answer to the one would be taken for the other's.
         if self.flights.borrow().contains_key(&id) {
             let _ = send.try_send(Outcome::Void.into());
             return ended;
         }
-        self.flights
-            .borrow_mut()
-            .insert(id.clone(), Flight { ended: send, written: false, since: Instant::now() });
-        self.queue.borrow_mut().push_back(Outgoing { bytes, id: Some(id) });
+        self.flights.borrow_mut().insert(id, Flight { ended: send, written: false, since: Instant::now() });
+        self.queue.borrow_mut().push_back(Outgoing::Part(part, self.calls.get()));
         self.used.set(Instant::now());
         self.wake();
         ended
     }
 
-    /// Gives a part up: takes its call back if no byte of it has been written (true), or tells the store.
+    /// Gives a part up: takes it back if no byte of its call has been written (true), or tells the store.
     pub fn give_up(&self, id: &Rc<str>) -> bool {
         let mut queue = self.queue.borrow_mut();
-        let queued = queue.iter().position(|out| out.id.as_ref() == Some(id));
+        let queued = queue.iter().position(|out| matches!(out, Outgoing::Part(part, _) if part.id == *id));
         if let Some(at) = queued {
             queue.remove(at);
             self.flights.borrow_mut().remove(id);
             return true;
         }
-        queue.push_back(Outgoing { bytes: frame::frame(frame::GIVE_UP, id.as_bytes()), id: None });
+        queue.push_back(Outgoing::Frame(frame::frame(frame::GIVE_UP, id.as_bytes())));
         drop(queue);
         self.wake();
         false
@@ -229,20 +252,11 @@
 
     async fn write(&self, socket: &Async<TcpStream>, limits: &Limits) -> Ending {
         loop {
-            // Bound first: a guard held over the write would lock out whoever queues meanwhile.
-            let next = self.queue.borrow_mut().pop_front();
-            if let Some(out) = next {
-                // Guards the rule on drains: a call that waited too long behind others stays unsent.
-                if out.id.is_some() && !self.site.may_send() {
-                    if let Some(flight) = out.id.and_then(|id| self.flights.borrow_mut().remove(&id)) {
-                        let _ = flight.ended.try_send(Outcome::Void.into());
-                    }
-                    continue;
-                }
-                if let Err(e) = http::write_all(socket, &out.bytes, WRITE_WITHIN).await {
+            if let Some((bytes, parts)) = self.next_frame(limits) {
+                if let Err(e) = http::write_all(socket, &bytes, WRITE_WITHIN).await {
                     return Ending::broke(format!("writing: {e}"));
                 }
-                if let Some(id) = out.id {
+                for id in parts {
                     self.flights.borrow_mut().entry(id).and_modify(|flight| flight.written = true);
                 }
                 continue;
@@ -260,6 +274,45 @@
         }
     }
 
+    /// The next frame to be written, and the parts in it. A call is put together now, so that what has been given up
+    /// meanwhile is not in it.
+    fn next_frame(&self, limits: &Limits) -> Option<(Vec<u8>, Vec<Rc<str>>)> {
+        let mut queue = self.queue.borrow_mut();
+        let (mut rest, mut ids, mut joint) = (Vec::new(), Vec::new(), None);
+        loop {
+            match queue.pop_front() {
+                None if ids.is_empty() => return None,
+                Some(Outgoing::Frame(bytes)) if ids.is_empty() => return Some((bytes, ids)),
+                // Guards the rules on drains and on repeats: what waited too long behind others stays unsent.
+                Some(Outgoing::Part(part, _)) if !self.may_write(&part) => {
+                    if let Some(flight) = self.flights.borrow_mut().remove(&part.id) {
+                        let _ = flight.ended.try_send(Outcome::Void.into());
+                    }
+                }
+                Some(Outgoing::Part(part, call))
+                    if ids.is_empty()
+                        || (joint == Some(call)
+                            && ids.len() < limits.batch
+                            && rest.len() + part.bytes.len() < frame::FRAME_MAX) =>
+                {
+                    joint = Some(call);
+                    rest.extend_from_slice(&part.bytes);
+                    ids.push(part.id);
+                }
+                other => {
+                    // Of another call.
+                    other.into_iter().for_each(|out| queue.push_front(out));
+                    count(&self.counters.calls);
+                    return Some((frame::frame(frame::CALL, &rest), ids));
+                }
+            }
+        }
+    }
+
+    fn may_write(&self, part: &Part) -> bool {
+        self.site.may_send() && part.by.is_none_or(|by| Instant::now() < by)
+    }
+
     async fn read(&self, mut socket: &Async<TcpStream>, limits: &Limits) -> Ending {
         let (mut buffer, mut piece) = (Vec::new(), [0; 4096]);
         loop {
--- a/broker/src/store/mod.rs
+++ b/broker/src/store/mod.rs
@@ -1,41 +1,32 @@
 //! The store side: who the stores are ([`Site`]), the connections to them ([`link`]), and the
-//! attempts on those connections. Each attempt is a task with a timer of its own; its end goes to the
-//! [`Exchange`].
+//! attempts on those connections ([`attempts`]). Each attempt is a task with a timer of its own; its end
+//! goes to the [`Exchange`].
 
+pub mod attempts;
 pub mod features;
 pub mod frame;
 pub mod link;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
-use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
-use async_io::Timer;
-use futures_lite::future::or;
-use stoatlane::{Outcome, ServerId};
+use stoatlane::ServerId;
 
-use crate::clock::millis;
-use crate::core::{AttemptId, Ended, Form, Order};
-use crate::counters::{count, Counters};
+use crate::core::{AttemptId, Order};
+use crate::counters::Counters;
 use crate::exchange::Exchange;
 use crate::handover::Presence;
 use crate::routes::{Routes, Told};
 use link::{Limits, Link};
 
-/// After an attempt has been given up, its answer may still be under way, and another attempt that goes
-/// out at once could reach its store before this one learns of it. Both are waited for so long: twice
-/// the longest way between zones and a little more.
-const GIVING_UP: Duration = Duration::from_millis(8);
-/// After a spoilt answer, from any store, parts share no connections for so long where others can be had,
-/// up to so many for a store: the next one then takes no more parts down with it.
-const SPOILT_MEMORY: Duration = Duration::from_secs(30);
-const LINKS_APART: usize = 6;
-/// Nothing is written to a store so much before the grace after its drain ends.
+/// Nothing is written to a store so much before the grace after its drain ends: that counts from when discovery told
+/// it, which may be read late, to the first byte, which may leave late. Neither follows from the length of the grace.
+/// Where little or nothing of it remains, what still waits for its connection is placed anew at once, and no more lost.
 const DRAIN_MARGIN: Duration = Duration::from_millis(200);
 
 /// A store as discovery names it.
@@ -74,6 +65,8 @@
     /// Stores that offer the feature form, and where.
     offers: HashMap<String, SocketAddr>,
     stops: RefCell<HashMap<AttemptId, Sender<()>>>,
+    /// What is to be sent once the turn is over.
+    orders: RefCell<Vec<(Order, Receiver<()>)>>,
     /// Told of the numbers that stores have, where blocks move.
     routes: Option<Rc<Routes>>,
     /// Links open, and when one ended by a spoilt answer.
@@ -105,6 +98,7 @@
             numbered: Cell::new(0),
             offers,
             stops: RefCell::default(),
+            orders: RefCell::default(),
             links: Cell::new(0),
             spoilt: Cell::new(None),
         })
@@ -201,139 +195,12 @@
         }
     }
 
-    /// Begins an attempt; its end goes to the exchange.
-    pub fn send(self: &Rc<Self>, order: Order) {
-        count(&self.counters.attempts);
-        let (stop, stopped) = async_channel::bounded(1);
-        self.stops.borrow_mut().insert(order.attempt, stop);
-        let this = self.clone();
-        let attempt = async move {
-            let id = order.attempt;
-            // Nobody pays for the text where it is not logged.
-            let told = log::log_enabled!(log::Level::Debug).then(|| {
-                let sites = this.sites.borrow();
-                let store = sites.get(&order.server).map_or("?", |site| site.name.as_str());
-                format!("{}.{} attempt {} at {store}", order.query, order.shard, id.number)
-            });
-            let began = Instant::now();
-            let ended = this.attempt(order, stopped).await;
-            if let Some(told) = told {
-                log::debug!("{told}: {:?} after {:?}", ended.outcome, began.elapsed());
-            }
-            this.stops.borrow_mut().remove(&id);
-            count(match ended.outcome {
-                Outcome::Success => &this.counters.served,
-                Outcome::Failure => &this.counters.errors,
-                Outcome::Overloaded => &this.counters.turned_away,
-                Outcome::TimedOut => &this.counters.timed_out,
-                Outcome::Unreachable => &this.counters.unreachable,
-                Outcome::Broken => &this.counters.broken,
-                Outcome::Withdrawn => &this.counters.withdrawn,
-                Outcome::Void => &this.counters.void,
-            });
-            this.exchange.ended(id, ended);
-        };
-        self.executor.spawn(attempt).detach();
-    }
-
     /// Stops waiting for an attempt; its end still goes to the exchange.
     pub fn give_up(&self, attempt: AttemptId) {
         if let Some(stop) = self.stops.borrow().get(&attempt) {
             let _ = stop.try_send(());
         }
     }
-
-    async fn attempt(self: &Rc<Self>, order: Order, stopped: Receiver<()>) -> Ended {
-        let Some(site) = self.sites.borrow().get(&order.server).cloned() else {
-            return Outcome::Void.into();
-        };
-        let patience = millis(order.patience_ms);
-        let patience = async {
-            Timer::after(patience).await;
-            Outcome::TimedOut
-        };
-        let withdrawn = async {
-            let _ = stopped.recv().await;
-            Outcome::Withdrawn
-        };
-        let stop = or(patience, withdrawn);
-        if let Some(driver) = site.features.as_ref().filter(|_| order.form == Form::Features) {
-            return self.ask(&site, driver, &order, stop).await;
-        }
-        let link = self.link(&site);
-        let (id, bytes) = call(&order);
-        let ended = link.call(id.clone(), bytes);
-        let end = async { Ok(ended.recv().await.unwrap_or(Outcome::Broken.into())) };
-        let outcome = match or(end, async { Err(stop.await) }).await {
-            Ok(ended) => return ended,
-            Err(outcome) => outcome,
-        };
-        if link.give_up(&id) {
-            return Outcome::Void.into();
-        }
-        let settled = async {
-            Timer::after(GIVING_UP).await;
-            outcome.into()
-        };
-        let last = async { ended.recv().await.unwrap_or(outcome.into()) };
-        let ended = or(last, settled).await;
-        link.forget(&id, &self.limits);
-        ended
-    }
-
-    /// The same in feature form. Its connection carries nothing else: closing it gives the attempt up.
-    async fn ask(
-        &self,
-        site: &Site,
-        driver: &features::Driver,
-        order: &Order,
-        stop: impl Future<Output = Outcome>,
-    ) -> Ended {
-        let written = Cell::new(false);
-        let end = async { Ok(driver.ask(site, order, &written, &self.counters).await) };
-        match or(end, async { Err(stop.await) }).await {
-            Ok(ended) => ended,
-            Err(_) if !written.get() => Outcome::Void.into(),
-            Err(outcome) => {
-                Timer::after(GIVING_UP).await;
-                outcome.into()
-            }
-        }
-    }
-
-    /// A connection with room for one more part; a new one where none has.
-    fn link(self: &Rc<Self>, site: &Rc<Site>) -> Rc<Link> {
-        let mut links = site.links.borrow_mut();
-        let mut room = links.iter().filter(|link| link.has_room(&self.limits));
-        let apart = self.spoilt.get().is_some_and(|at| at.elapsed() < SPOILT_MEMORY);
-        if !apart {
-            if let Some(link) = room.next() {
-                return link.clone();
-            }
-        } else if let Some(link) = room.min_by_key(|link| link.load()) {
-            let more =
-                links.len() < LINKS_APART && self.links.get() < self.limits.links / self.presence.processes();
-            if link.load() == 0 || !more {
-                return link.clone();
-            }
-        }
-        if !apart {
-            links.iter().filter(|link| link.idle()).for_each(|link| link.retire());
-        }
-        let link = Link::new(site.clone(), self.counters.clone());
-        links.push(link.clone());
-        self.links.set(self.links.get() + 1);
-        let (this, site, running) = (self.clone(), site.clone(), link.clone());
-        let run = async move {
-            if running.clone().run(this.limits.clone()).await {
-                this.spoilt.set(Some(Instant::now()));
-            }
-            this.links.set(this.links.get() - 1);
-            site.links.borrow_mut().retain(|link| !Rc::ptr_eq(link, &running));
-        };
-        self.executor.spawn(run).detach();
-        link
-    }
 }
 
 fn set_ready(site: &Site, ready: bool) {
@@ -347,36 +214,3 @@
         (false, Some(_)) => {}
     }
 }
-
-/// A part's id and the frame that calls for it.
-fn call(order: &Order) -> (Rc<str>, Vec<u8>) {
-    let shard = order.shard;
-    let mut id = format!("{}.{shard}", order.query);
-    let mut list = format!("d={}", order.patience_ms.max(1.0).floor());
-    if let Some(key) = &order.key {
-        list.push_str(&format!(",k={}", key.as_str()));
-    }
-    if let Some(fence) = &order.fence {
-        // The entry's key is what stands before the last dash: the same wherever its block goes.
-        if fence.named != shard {
-            id = format!("{}.{}-{shard}", order.query, fence.named);
-        }
-        list.push_str(&format!(",e={}", fence.epoch.0));
-        if let Some(slice) = fence.slice {
-            list.push_str(&format!(",s={}-{}", slice.first, slice.end));
-        }
-        if let Some(weigher) = fence.weigher {
-            list.push_str(&format!(",i={weigher}"));
-        }
-        if fence.entry {
-            list.push_str(",w=1");
-        }
-    }
-    if let Some(first) = &order.second {
-        id.push_str(".r");
-        let from: Vec<String> = first.from.iter().map(u32::to_string).collect();
-        list.push_str(&format!(",from={},whole={}", from.join("+"), u8::from(first.whole)));
-    }
-    let bytes = frame::call(&id, shard, &list, &order.text);
-    (id.into(), bytes)
-}
--- a/broker/tests/common/mod.rs
+++ b/broker/tests/common/mod.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_executor::LocalExecutor;
 use gingerledge::clock::Clock;
 use gingerledge::counters::Counters;
 use gingerledge::discovery::{self, Discovery};
@@ -26,23 +27,29 @@
     pub exchange: Rc<Exchange>,
     pub stores: Rc<Stores>,
     pub discovery: Rc<Discovery>,
+    pub executor: Rc<LocalExecutor<'static>>,
 }
 
 impl Sides {
     /// With room for so many queries and parts.
     pub fn new(open_most: usize) -> Self {
+        let second = Duration::from_secs(1);
+        let limits = Limits { streams: 32, batch: 1, links: 64, dial: second, idle: second };
+        Self::within(open_most, limits, second)
+    }
+
+    /// The same with other limits of links, and another grace after a drain.
+    pub fn within(open_most: usize, limits: Limits, grace: Duration) -> Self {
         let counters = Rc::new(Counters::default());
         let exchange = Exchange::new(Clock::new(), counters.clone(), open_most, alone(), None);
-        let second = Duration::from_secs(1);
-        let limits = Limits { streams: 32, links: 64, dial: second, idle: second };
-        let executor = Rc::new(async_executor::LocalExecutor::new());
+        let executor = Rc::new(LocalExecutor::new());
         let (known, noted) = (exchange.clone(), counters.clone());
-        let stores = Stores::new(executor, known, noted, limits, alone(), second, Default::default());
+        let stores = Stores::new(executor.clone(), known, noted, limits, alone(), grace, Default::default());
         let at = ([127, 0, 0, 1], 9).into();
         let rotation = Rc::new(Rotation::open(None, at, 0.0));
         let (told, noted) = (exchange.clone(), stores.clone());
         let discovery = Discovery::new(at, Default::default(), told, noted, rotation, counters);
-        Self { exchange, stores, discovery }
+        Self { exchange, stores, discovery, executor }
     }
 
     /// Has discovery tell of stores: cell, number and state of each.
--- a/broker/tests/descriptions.rs
+++ b/broker/tests/descriptions.rs
@@ -101,9 +101,11 @@
         let rest = example["payload"]["rest"].as_str().unwrap();
         assert!(frame::parse(frame::ANSWER, rest.as_bytes()).is_ok(), "{rest}");
     }
-    let call = &api["components"]["messages"]["call"]["examples"][0]["payload"]["rest"];
-    let made = frame::call("9b1f03aa5c7e2d41.3", 3, "d=240", b"c41e77d0");
-    assert_eq!(call.as_str().unwrap().as_bytes(), &made[5..]);
+    let calls = &api["components"]["messages"]["call"]["examples"];
+    for (call, list) in [(0, "d=240"), (1, "d=240,k=5c0f6e1a2b3d4c59a8b7c6d5e4f30211")] {
+        let made = frame::part("9b1f03aa5c7e2d41.3", 3, list, b"c41e77d0");
+        assert_eq!(calls[call]["payload"]["rest"].as_str().unwrap().as_bytes(), made);
+    }
 }
 
 #[test]
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -101,6 +101,8 @@
     pub features: bool,
     /// The key that came with it.
     pub key: Option<String>,
+    /// Which call it came in, counted over all stores.
+    pub call: usize,
 }
 
 pub struct World {
@@ -108,6 +110,8 @@
     pub mood: RefCell<Vec<Mood>>,
     pub sent: RefCell<Vec<Sent>>,
     pub given_up: RefCell<Vec<String>>,
+    /// How many calls came.
+    pub calls: Cell<usize>,
     /// Features of block 0 that a store gives on a page at the most, whatever the limit.
     pub store_page: Cell<usize>,
     pub service: Cell<Service>,
@@ -167,6 +171,7 @@
             mood: RefCell::new(vec![Mood::Serves; stores]),
             sent: RefCell::default(),
             given_up: RefCell::default(),
+            calls: Cell::default(),
             store_page: Cell::new(usize::MAX),
             service: Cell::default(),
             listed: RefCell::new(frames.iter().enumerate().map(listed).collect()),
@@ -380,29 +385,29 @@
                     continue;
                 }
                 assert_eq!(letter, frame::CALL);
-                let end = rest.iter().position(|b| *b == b'\n').unwrap();
-                let line = std::str::from_utf8(&rest[..end]).unwrap();
-                let [id, shard, list, size] = line.split(' ').collect::<Vec<_>>()[..] else {
-                    panic!("a call's line: {line}")
-                };
-                let text = String::from_utf8(rest[end + 1..].to_vec()).unwrap();
-                assert_eq!(size.parse(), Ok(text.len()), "the text's length");
-                let (id, list, shard) = (id.to_owned(), list.to_owned(), shard.parse().unwrap());
-                let key = list.split(',').find_map(|pair| pair.strip_prefix("k=")).map(str::to_owned);
-                let sent = Sent { store: n, id, shard, list, text, features: false, key };
-                self.sent.borrow_mut().push(sent.clone());
+                let call = self.call();
+                let parts: Vec<Sent> =
+                    parts(&rest).into_iter().map(|part| Sent { store: n, call, ..part }).collect();
+                self.sent.borrow_mut().extend_from_slice(&parts);
                 match self.mood.borrow()[n] {
                     Mood::Resets => return None,
                     Mood::Silences if !fresh => continue,
                     _ => {}
                 }
-                let (this, socket) = (self.clone(), socket.clone());
-                let serve = async move { this.answer_frame(sent, &socket).await };
-                self.executor.spawn(serve).detach();
+                for part in parts {
+                    let (this, socket) = (self.clone(), socket.clone());
+                    let serve = async move { this.answer_frame(part, &socket).await };
+                    self.executor.spawn(serve).detach();
+                }
             }
         }
     }
 
+    fn call(&self) -> usize {
+        self.calls.set(self.calls.get() + 1);
+        self.calls.get()
+    }
+
     async fn answer_frame(&self, sent: Sent, socket: &Async<std::net::TcpStream>) -> Option<()> {
         let mood = self.mood.borrow()[sent.store];
         let (end, value) = match mood {
@@ -459,7 +464,7 @@
             let id = head.header("X-Request-ID").unwrap().to_owned();
             let list = head.header("X-Timeout-Ms").unwrap().to_owned();
             let (shard, key) = (shard.parse().unwrap(), head.header("Idempotency-Key").map(str::to_owned));
-            let sent = Sent { store: n, id, shard, list, text, features: true, key };
+            let sent = Sent { store: n, id, shard, list, text, features: true, key, call: self.call() };
             self.sent.borrow_mut().push(sent.clone());
             let mood = self.mood.borrow()[n];
             let (status, body) = match mood {
@@ -503,6 +508,25 @@
     }
 }
 
+/// The parts of a call: a line and a text each.
+pub fn parts(mut rest: &[u8]) -> Vec<Sent> {
+    let mut parts = Vec::new();
+    while !rest.is_empty() {
+        let end = rest.iter().position(|b| *b == b'\n').unwrap();
+        let line = std::str::from_utf8(&rest[..end]).unwrap();
+        let [id, shard, list, size] = line.split(' ').collect::<Vec<_>>()[..] else {
+            panic!("a call's line: {line}")
+        };
+        let (text, left) = rest[end + 1..].split_at(size.parse().unwrap());
+        let (text, list) = (String::from_utf8(text.to_vec()).unwrap(), list.to_owned());
+        let key = list.split(',').find_map(|pair| pair.strip_prefix("k=")).map(str::to_owned);
+        let (id, shard) = (id.to_owned(), shard.parse().unwrap());
+        parts.push(Sent { store: 0, id, shard, list, text, features: false, key, call: 0 });
+        rest = left;
+    }
+    parts
+}
+
 fn yard(n: usize, block: usize) -> Value {
     let [west, south, ..] = extent(block);
     json!({ "type": "Feature", "id": format!("yard-{n:03}"),
