Watch pushed lists from the first moment, and open a silent watch anew in time

Seen: where lists are pushed (`registry_mode` automatic) the module never asks, and nobody else began a watch: the broker never heard its agent, sent on the configuration's list, or never became ready. Where lists are asked for, a silent watch was left after 4.5 s, the module's wait of up to 1.5 s and a connection of up to 1 s came on top: 7 s, where what was missed counts as told after 6 s. And an object over several lines on a watch could not be read.

The times are decisions now, in a machine without I/O (discovery/watching.rs, its arithmetic in front); calls.rs carries them out, with no times of its own. Silence is 3.4 s where lists are asked for: 5.9 s until the next call is out. Where they are pushed the watch begins with the process, silence is 2.5 s, and a call that is not answered is followed by the next within half of a drain's grace. There the configuration's list is held back until the agent was asked, for 1 s at the most. Lists are found by their brackets, however laid out and cut; each byte is looked at once. What is begun has to come whole, empty lines behind it or not. While nothing is heard the list stays in use: docs/design/standing.md says why.

Tests: the machine in virtual time against moods in any order (7 tests, 0.3 s), loopback with injected waits (11 tests, 7 s).

--- a/broker/src/config.rs
+++ b/broker/src/config.rs
@@ -16,6 +16,7 @@
 use stoatlane::Setup;
 
 use crate::clock::Millis;
+use crate::discovery::watching;
 
 /// What is wrong with which key.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -85,6 +86,8 @@
     pub idle_ms: Millis,
     /// How long clients may take.
     pub waits: Waits,
+    /// How long discovery may.
+    pub calls: watching::Waits,
     /// What goes to the log.
     pub log: LevelFilter,
     /// Whether as JSON lines.
@@ -239,6 +242,7 @@
             streams: number(&pairs, "limits.streams_per_conn", 32.0, 1.0, 100_000.0)? as usize,
             dial_timeout_ms: number(&pairs, "limits.dial_timeout_ms", 250.0, 1.0, 60_000.0)?,
             idle_ms: number(&pairs, "limits.conn_idle_ms", 30_000.0, 1.0, 86_400_000.0)?,
+            calls: watching::Waits::of(&setup.settings),
             setup,
             waits,
             log,
--- a/broker/src/discovery/calls.rs
+++ b/broker/src/discovery/calls.rs
@@ -1,72 +1,120 @@
-//! The calls: a watch for as long as it stands, and where none can be had the whole list once instead. The core
-//! is told of a failure and asks again, after a wait of its own.
+//! The calls: carries out what [`Watching`] asks for. A call has no time of its own: when it is silent the machine
+//! says, and it is dropped.
 
+use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use futures_lite::future::or;
+use async_io::Timer;
+use futures_lite::future::{or, pending};
 use stoatlane::ListKind;
 
-use super::list::{Lines, LIST_MAX};
+use super::list::{Lists, LIST_MAX};
+use super::watching::{Action, Call, Event};
 use super::{parse, Discovery, List};
 use crate::counters::count;
 use crate::faults;
 use crate::http::{self, Kind, Stream};
 
-const CONNECT_WITHIN: Duration = Duration::from_millis(1000);
-/// A call waits in turn with those of other brokers.
-const HEAD_WITHIN: Duration = Duration::from_millis(2500);
-/// An empty line comes every 2 s: after so long without one the watch is dead, though its connection
-/// may not show it. What it would have told counts as told 6 s later.
-const SILENCE: Duration = Duration::from_millis(4500);
+/// Longer than the machine waits for anything.
+const LONG: Duration = Duration::from_secs(3600);
 /// What a call ends with that had to wait too long.
 const BUSY: &str = "status 503";
 
+type Calling = Pin<Box<dyn Future<Output = String>>>;
+
 impl Discovery {
-    /// Waits until a watch is to be begun.
-    async fn wanted(&self) -> bool {
-        or(async { self.asks.1.recv().await.is_ok() }, self.moved()).await
+    /// Calls discovery whenever that is due, and keeps a watch for as long as it stands.
+    pub async fn run(self: Rc<Self>) {
+        let mut calling: Option<(Call, Calling)> = None;
+        loop {
+            let moved = async {
+                let _ = self.moved.1.recv().await;
+                (Event::Moved, None)
+            };
+            let wanted = async {
+                let _ = self.asks.1.recv().await;
+                (Event::Wanted, None)
+            };
+            let ended = async {
+                match calling.as_mut() {
+                    Some((_, calling)) => {
+                        let fault = calling.await;
+                        (Event::Ended { busy: fault == BUSY }, Some(fault))
+                    }
+                    None => pending().await,
+                }
+            };
+            let late = async {
+                let due = self.watching.borrow().due();
+                match due {
+                    Some(due) => drop(Timer::at(due).await),
+                    None => pending().await,
+                }
+                (Event::Due, None)
+            };
+            let (event, fault) = or(or(moved, ended), or(wanted, late)).await;
+            if let (Some(fault), Some((call, _))) =
+                (fault, calling.take_if(|_| matches!(event, Event::Ended { .. })))
+            {
+                self.note_fault(call, &fault);
+            }
+            for action in self.happened(event) {
+                match action {
+                    Action::Leave => {
+                        if let Some((call, _)) = calling.take().filter(|_| event == Event::Due) {
+                            self.note_fault(call, "silent");
+                        }
+                    }
+                    Action::Call(call) => {
+                        if call == Call::Watch {
+                            count(&self.counters.watches);
+                        }
+                        calling = Some((call, Box::pin(self.clone().call(call))));
+                    }
+                    Action::Failed => self.exchange.listed(ListKind::Failed, Vec::new()),
+                }
+            }
+        }
     }
 
-    async fn moved(&self) -> bool {
-        self.moved.1.recv().await.is_ok()
+    fn happened(&self, event: Event) -> Vec<Action> {
+        self.watching.borrow_mut().handle(event, Instant::now())
     }
 
-    /// Serves requests for a watch, one at a time, and begins one of its own accord where discovery has
-    /// moved.
-    pub async fn run(self: Rc<Self>) {
-        while self.wanted().await {
-            let call = async {
-                self.call().await;
-                false
-            };
-            if or(call, self.moved()).await {
-                let _ = self.moved.0.try_send(());
-                continue;
-            }
-            // What was asked for meanwhile is answered by this failure.
-            let _ = self.asks.1.try_recv();
-            self.exchange.listed(ListKind::Failed, Vec::new());
+    fn note_fault(&self, call: Call, fault: &str) {
+        if call == Call::Watch {
+            count(&self.counters.list_failures);
         }
+        // An agent that is silent is called several times a second.
+        let level =
+            if self.watching.borrow().unanswered() < 2 { log::Level::Info } else { log::Level::Debug };
+        log::log!(level, "discovery: {call:?} ended: {fault}");
     }
 
-    /// Watches until the watch ends; if it told nothing, perhaps the whole list can be had.
-    async fn call(&self) {
-        count(&self.counters.watches);
-        let before = self.since.get();
-        let Err(fault) = self.watch().await;
-        log::info!("discovery: watch ended: {fault}");
-        count(&self.counters.list_failures);
-        // A 503 says that too many call: one more call at once would only add to them. The next time it is the
-        // list that is asked for, in case that watches are what it refuses.
-        if fault == BUSY && !self.list_next.replace(!self.list_next.get()) {
-            return;
+    /// Calls; resolves with what ended it.
+    async fn call(self: Rc<Self>, call: Call) -> String {
+        match call {
+            Call::Watch => match self.watch().await {
+                Err(fault) => fault,
+            },
+            Call::List => match self.fetch().await {
+                Ok(list) => {
+                    self.hear(&list);
+                    "the list was given, and no watch".to_owned()
+                }
+                Err(fault) => fault,
+            },
         }
-        if self.since.get() == before {
-            match self.fetch().await {
-                Ok(list) => self.tell(&list, false),
-                Err(fault) => log::info!("discovery: list not fetched: {fault}"),
-            }
+    }
+
+    /// Tells the core of a list that came.
+    fn hear(&self, list: &List) {
+        let before = self.since.get();
+        self.tell(list, false);
+        if self.since.get() != before {
+            self.happened(Event::Told);
         }
     }
 
@@ -75,14 +123,18 @@
         if faults::point("discovery.call") {
             return Err("no call: a fault on demand".to_owned());
         }
-        let socket = http::connect(address, CONNECT_WITHIN).await.map_err(|e| e.to_string())?;
+        let socket = http::connect(address, LONG).await.map_err(|e| e.to_string())?;
+        self.happened(Event::Connected);
         // Guards a large fleet: the list of a thousand stores, in one chunk, is longer than any other body.
         let mut stream = Stream::new(socket).up_to(LIST_MAX);
         let request = format!("GET {target} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
-        stream.write(request.as_bytes(), CONNECT_WITHIN).await.map_err(|e| e.to_string())?;
-        let head = stream.head(Kind::Answer, HEAD_WITHIN).await.map_err(|e| format!("{e:?}"))?;
+        stream.write(request.as_bytes(), LONG).await.map_err(|e| e.to_string())?;
+        let head = stream.head(Kind::Answer, LONG).await.map_err(|e| format!("{e:?}"))?;
         match head.status {
-            200 => Ok((stream, head)),
+            200 => {
+                self.happened(Event::Answered);
+                Ok((stream, head))
+            }
             503 => Err(BUSY.to_owned()),
             status => Err(format!("status {status}")),
         }
@@ -90,7 +142,7 @@
 
     async fn fetch(&self) -> Result<List, String> {
         let (mut stream, head) = self.get("/v1/endpoints").await?;
-        let body = stream.body(head.framing, HEAD_WITHIN).await.map_err(|e| format!("{e:?}"))?;
+        let body = stream.body(head.framing, LONG).await.map_err(|e| format!("{e:?}"))?;
         parse(&body).map_err(|fault| fault.to_string())
     }
 
@@ -104,22 +156,26 @@
         if head.framing != http::Framing::Chunked {
             return Err("a watch that is not chunked".to_owned());
         }
-        let mut lines = Lines::default();
+        let mut lists = Lists::default();
         loop {
-            let chunk = stream.chunk(SILENCE).await.map_err(|e| format!("{e:?}"))?;
+            let chunk = stream.chunk(LONG).await.map_err(|e| format!("{e:?}"))?;
             let chunk = chunk.ok_or("ended")?;
-            for line in lines.push(&chunk).map_err(|fault| fault.to_string())? {
-                if line.is_empty() {
-                    continue;
-                }
-                let list = parse(&line).map_err(|fault| fault.to_string())?;
+            lists.push(&chunk);
+            let mut whole = false;
+            while let Some(list) = lists.next().map_err(|fault| fault.to_string())? {
+                whole = true;
                 if let Some(held) = self.since.get().filter(|held| !list.reset && list.generation < *held) {
                     // Guards against changes to a list that is no longer held: they would bring back what is gone, or take
                     // out what came since. Only a whole list may be older, of a service that began anew; it is asked for next.
                     self.since.set(None);
+                    self.happened(Event::Told);
                     return Err(format!("changes of generation {} to a list of {held}", list.generation));
                 }
-                self.tell(&list, false);
+                self.hear(&list);
+            }
+            // Guards against the beginning of a list with empty lines behind it: what began has to come whole.
+            if whole || !lists.begun() {
+                self.happened(Event::Heard);
             }
         }
     }
--- a/broker/src/discovery/list.rs
+++ b/broker/src/discovery/list.rs
@@ -70,22 +70,58 @@
     Ok(list)
 }
 
-/// Lines of a watch, put together from chunks that may cut them anywhere.
+/// The lists of a watch, put together from chunks that may cut them anywhere. Each is an object, on one line or indented
+/// over several; blank space between them says only that the watch stands.
 #[derive(Debug, Default)]
-pub struct Lines(Vec<u8>);
+pub struct Lists {
+    bytes: Vec<u8>,
+    /// So many of them have been looked at.
+    seen: usize,
+    /// Brackets that are open there, and whether it is inside a text, behind a backslash.
+    depth: usize,
+    text: bool,
+    escaped: bool,
+}
+
+impl Lists {
+    /// Takes a chunk in.
+    pub fn push(&mut self, chunk: &[u8]) {
+        self.bytes.extend_from_slice(chunk);
+    }
 
-impl Lines {
-    /// Takes a chunk in; returns the lines that are whole now.
-    pub fn push(&mut self, chunk: &[u8]) -> Result<Vec<Vec<u8>>, Fault> {
-        self.0.extend_from_slice(chunk);
-        let mut lines = Vec::new();
-        while let Some(end) = self.0.iter().position(|&b| b == b'\n') {
-            let line: Vec<u8> = self.0.drain(..=end).collect();
-            lines.push(line.trim_ascii().to_vec());
+    /// Whether a list has begun and is not whole.
+    pub fn begun(&self) -> bool {
+        self.seen > 0
+    }
+
+    /// The next list that is whole. Every byte is looked at once, however small the chunks.
+    #[allow(clippy::should_implement_trait)]
+    pub fn next(&mut self) -> Result<Option<List>, Fault> {
+        if self.seen == 0 {
+            let blank = self.bytes.iter().take_while(|byte| byte.is_ascii_whitespace()).count();
+            self.bytes.drain(..blank);
+            if self.bytes.first().is_some_and(|byte| *byte != b'{') {
+                return Err(Fault("what is no list on a watch".to_owned()));
+            }
+        }
+        while let Some(&byte) = self.bytes.get(self.seen) {
+            self.seen += 1;
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' => self.escaped = self.text,
+                b'"' => self.text = !self.text,
+                b'{' | b'[' if !self.text => self.depth += 1,
+                b'}' | b']' if !self.text => self.depth = self.depth.saturating_sub(1),
+                _ => {}
+            }
+            if self.depth == 0 {
+                let list: Vec<u8> = self.bytes.drain(..std::mem::take(&mut self.seen)).collect();
+                return parse(&list).map(Some);
+            }
         }
-        if self.0.len() > LIST_MAX {
-            return Err(Fault("a line of a watch is too long".to_owned()));
+        if self.bytes.len() > LIST_MAX {
+            return Err(Fault("a list on a watch is too long".to_owned()));
         }
-        Ok(lines)
+        Ok(None)
     }
 }
--- a/broker/src/discovery/mod.rs
+++ b/broker/src/discovery/mod.rs
@@ -1,15 +1,17 @@
 //! Discovery: what is listed, less what was taken out by hand, and the core told of it. A watch on the list is
-//! begun when the core asks for one, and where discovery has moved to another address.
+//! begun when the core asks for one, and where discovery has moved to another address; where lists are pushed,
+//! from the first moment.
 
 mod calls;
 mod list;
+pub mod watching;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
@@ -21,7 +23,8 @@
 use crate::rotation::Rotation;
 use crate::store::Stores;
 
-pub use list::{parse, Fault, Instance, Lifecycle, Lines, List};
+pub use list::{parse, Fault, Instance, Lifecycle, List, Lists};
+use watching::{Waits, Watching};
 
 /// How often, and how long apart, a lock that another process holds is tried.
 const LOCK_TRIES: u32 = 50;
@@ -63,8 +66,7 @@
     /// What it told last of each store, and those that were taken out by hand.
     listed: RefCell<BTreeMap<String, Instance>>,
     rotation: Rc<Rotation>,
-    /// Whether the next call that is refused is to be followed by one for the list.
-    list_next: Cell<bool>,
+    watching: RefCell<Watching>,
     /// Closed once discovery itself has told its list.
     told: (RefCell<Option<Sender<()>>>, Receiver<()>),
 }
@@ -78,6 +80,7 @@
         stores: Rc<Stores>,
         rotation: Rc<Rotation>,
         counters: Rc<Counters>,
+        waits: Waits,
     ) -> Rc<Self> {
         let (asks, moved) = (async_channel::bounded(1), async_channel::bounded(1));
         let (address, since) = (Cell::new(address), Cell::new(None));
@@ -94,7 +97,7 @@
             moved,
             listed: RefCell::default(),
             rotation,
-            list_next: Cell::new(false),
+            watching: RefCell::new(Watching::new(waits, Instant::now())),
             told,
         })
     }
@@ -120,7 +123,8 @@
         let _ = self.told.1.recv().await;
     }
 
-    fn has_told(&self) -> bool {
+    /// Whether discovery has told its list.
+    pub fn has_told(&self) -> bool {
         self.told.0.borrow().is_none()
     }
 
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -18,7 +18,7 @@
 use crate::config::{Config, Error};
 use crate::core::{Command, Core};
 use crate::counters::Counters;
-use crate::discovery::Discovery;
+use crate::discovery::{self, Discovery, List};
 use crate::exchange::Exchange;
 use crate::faults;
 use crate::fleet::Fleet;
@@ -49,9 +49,6 @@
 /// A connection is left to stand for this share of the time after which a store would close it.
 const IDLE_SHARE: f64 = 0.8;
 
-/// Discovery may be down at the start: the list in the configuration will do from so long on.
-const KNOWN_AFTER: Duration = Duration::from_millis(1000);
-
 /// How often what another process was told is looked for; either may be called, and both have to follow in 1 s.
 const FOLLOW: Duration = Duration::from_millis(100);
 
@@ -145,12 +142,12 @@
         );
         let rotation = Rotation::open(config.state_dir.as_deref(), config.listen, settings.cold_ms);
         let (told, noted) = (exchange.clone(), stores.clone());
-        let discovery =
-            Discovery::new(config.discovery, setup.zones, told, noted, Rc::new(rotation), counters.clone());
-        if let Some(known) = &config.known {
-            let known = crate::discovery::parse(known.to_string().as_bytes());
-            let known = known.map_err(|fault| Error::new("known", fault.to_string()))?;
-            discovery.tell(&known, true);
+        let (calls, rotation, counted) = (config.calls, Rc::new(rotation), counters.clone());
+        let discovery = Discovery::new(config.discovery, setup.zones, told, noted, rotation, counted, calls);
+        let known = config.known.map(|known| discovery::parse(known.to_string().as_bytes())).transpose();
+        let mut known = known.map_err(|fault| Error::new("known", fault.to_string()))?;
+        if !calls.pushed {
+            known.take().iter().for_each(|known| discovery.tell(known, true));
         }
 
         let feature_clients = set.as_ref().map_or(0, |set| set.connections);
@@ -236,7 +233,9 @@
         let core = Core::with_routes(config.seed, settings, clock.now(), routes);
         executor.spawn(discovery.clone().run()).detach();
         let beside = presence.other() != Other::None;
-        executor.spawn(become_able(lifecycle.clone(), discovery.clone(), beside)).detach();
+        executor
+            .spawn(become_able(lifecycle.clone(), discovery.clone(), (beside, calls.first), known))
+            .detach();
         executor.spawn(follow_rotation(discovery.clone())).detach();
         let sharing = exchange.clone();
         let share = move |other| sharing.shared(if other == Other::Serves { 2 } else { 1 });
@@ -319,18 +318,28 @@
 }
 
 /// Waits until discovery has told its list. Where an older one is known that will do: at once where no other
-/// process serves meanwhile, and beside one after a while.
-async fn become_able(lifecycle: Rc<Lifecycle>, discovery: Rc<Discovery>, beside: bool) {
+/// process serves meanwhile, and beside one after a while. Where lists are pushed the older one is `held` back for that
+/// while: what the agent has counts as told from the first moment, so that no part goes out before it was asked.
+async fn become_able(
+    lifecycle: Rc<Lifecycle>,
+    discovery: Rc<Discovery>,
+    (beside, first): (bool, Duration),
+    held: Option<List>,
+) {
     if beside {
         // Guards the start of an upgrade in a large fleet, whose first calls for the list are spread over seconds: what
         // discovery has to tell counts as told soon after this process is ready.
         discovery.subscribe();
     }
     let fallback = async {
-        match discovery.known() {
-            true if beside => drop(Timer::after(KNOWN_AFTER).await),
-            true => {}
-            false => futures_lite::future::pending().await,
+        if let Some(held) = held {
+            Timer::after(first).await;
+            discovery.tell(&held, true);
+        } else if beside {
+            Timer::after(first).await;
+        }
+        if !discovery.known() {
+            futures_lite::future::pending::<()>().await;
         }
     };
     futures_lite::future::or(discovery.told(), fallback).await;
--- a/broker/tests/common/mod.rs
+++ b/broker/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use async_executor::LocalExecutor;
 use gingerledge::clock::Clock;
 use gingerledge::counters::Counters;
+use gingerledge::discovery::watching::Waits;
 use gingerledge::discovery::{self, Discovery};
 use gingerledge::exchange::Exchange;
 use gingerledge::handover::Presence;
@@ -48,7 +49,8 @@
         let at = ([127, 0, 0, 1], 9).into();
         let rotation = Rc::new(Rotation::open(None, at, 0.0));
         let (told, noted) = (exchange.clone(), stores.clone());
-        let discovery = Discovery::new(at, Default::default(), told, noted, rotation, counters);
+        let waits = Waits::of(&stoatlane::Settings::default());
+        let discovery = Discovery::new(at, Default::default(), told, noted, rotation, counters, waits);
         Self { exchange, stores, discovery, executor }
     }
 
--- a/broker/tests/parsers.rs
+++ b/broker/tests/parsers.rs
@@ -6,7 +6,7 @@
 use common::cuts::{cuts, garbage};
 use gingerledge::admin;
 use gingerledge::config::Config;
-use gingerledge::discovery::{self, Lines};
+use gingerledge::discovery::{self, Lists};
 use gingerledge::front::features::{link, query};
 use gingerledge::front::platform::{answer, question, Names};
 use gingerledge::geojson::{self, page, Id};
@@ -161,19 +161,46 @@
     assert!(frame::split(&[0, 0, 0, 0, b'q']).is_err() && frame::split(&[255; 5]).is_err());
 }
 
+/// All lists that these pieces hold, and whether something is left that is not whole.
+fn lists(pieces: &[&[u8]]) -> (Vec<discovery::List>, bool) {
+    let (mut lists, mut all) = (Lists::default(), Vec::new());
+    for piece in pieces {
+        lists.push(piece);
+        while let Some(list) = lists.next().unwrap() {
+            all.push(list);
+        }
+    }
+    (all, lists.begun())
+}
+
 #[test]
-fn lists_are_read_however_they_are_cut() {
-    let stream = [LIST, b"\n\n", LIST, b"\n"].concat();
-    let read = |pieces: &[&[u8]]| {
-        let mut lines = Lines::default();
-        let all: Vec<_> = pieces.iter().flat_map(|piece| lines.push(piece).unwrap()).collect();
-        all.iter().map(|line| discovery::parse(line).ok()).collect::<Vec<_>>()
-    };
-    let found = read(&[&stream]);
-    assert!(found.len() == 3 && found[0].is_some() && found[1].is_none() && found[0] == found[2]);
-    cuts(&stream, read);
-    garbage(LIST, |bytes| drop(discovery::parse(bytes)));
-    assert!(Lines::default().push(&vec![b'x'; (1 << 20) + 1]).is_err(), "a line without end is not kept");
+fn lists_are_read_however_they_are_cut_and_laid_out() {
+    let mut tricky: serde_json::Value = serde_json::from_slice(LIST).unwrap();
+    tricky["note"] = r#"}{ "[ \\"#.into();
+    let indented = serde_json::to_string_pretty(&tricky).unwrap();
+    let stream = [b"\n\n", LIST, b"\n\r\n", indented.as_bytes(), b"\n", LIST, b"\n"].concat();
+    let list = discovery::parse(LIST).unwrap();
+    assert_eq!(lists(&[&stream]), (vec![list.clone(); 3], false));
+    cuts(&stream, lists);
+    let bytes: Vec<&[u8]> = stream.chunks(1).collect();
+    assert_eq!(lists(&bytes), (vec![list.clone(); 3], false));
+    assert_eq!(lists(&[LIST, &LIST[..LIST.len() - 1]]), (vec![list], true), "what is cut short waits");
+    garbage(&stream, |bytes| {
+        drop(discovery::parse(bytes));
+        let mut lists = Lists::default();
+        lists.push(bytes);
+        while let Ok(Some(_)) = lists.next() {}
+    });
+    for (bad, why) in [
+        (b"  x".to_vec(), "no list"),
+        (b"[]".to_vec(), "no list"),
+        (b"{\"generation\":true}".to_vec(), "not of its form"),
+        (vec![b'{'; (1 << 20) + 1], "without end"),
+    ] {
+        let mut lists = Lists::default();
+        lists.push(&bad);
+        assert!(lists.next().is_err(), "{why}");
+    }
 }
 
 fn names() -> Names {
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -13,6 +13,7 @@
 use futures_lite::AsyncReadExt;
 use gingerledge::clock::Clock;
 use gingerledge::config::Config;
+use gingerledge::discovery::watching::Waits;
 use gingerledge::http::{self, Framing, Kind, Stream};
 use gingerledge::service::Broker;
 use gingerledge::store::frame;
@@ -71,8 +72,14 @@
     Refuses,
     /// Connections end without an answer.
     Resets,
-    /// Calls get no answer.
+    /// Calls get no answer, and open watches fall silent.
     Hangs,
+    /// Of an answer the first byte comes.
+    Begins,
+    /// Of a watch's first list the first byte comes, and then empty lines; of a list the first byte.
+    Opens,
+    /// Lists come indented, and on a watch each byte is a chunk.
+    Indented,
     /// Lists end in their midst.
     Cuts,
     /// Lists are no lists.
@@ -115,6 +122,12 @@
     /// Features of block 0 that a store gives on a page at the most, whatever the limit.
     pub store_page: Cell<usize>,
     pub service: Cell<Service>,
+    /// Calls that discovery has had.
+    pub calls: Cell<usize>,
+    /// How often a watch tells that nothing changed.
+    pub beat: Cell<Duration>,
+    /// How long the broker waits for discovery, if not as its settings have it.
+    pub waits: Cell<Option<Waits>>,
     /// What discovery lists, by cell.
     pub listed: RefCell<Vec<Listed>>,
     /// The list that the broker finds in its configuration.
@@ -174,6 +187,9 @@
             calls: Cell::default(),
             store_page: Cell::new(usize::MAX),
             service: Cell::default(),
+            calls: Cell::default(),
+            beat: Cell::new(Duration::from_secs(2)),
+            waits: Cell::default(),
             listed: RefCell::new(frames.iter().enumerate().map(listed).collect()),
             known: RefCell::default(),
             sockets: Cell::new(1024),
@@ -252,6 +268,13 @@
 
     /// Starts a broker and waits until it has a list of stores, be it the one that it finds in its configuration.
     pub async fn broker(&self, settings: Value, operator: Option<String>) -> Broker {
+        let broker = self.start(settings, operator);
+        until(|| broker.counters.lists.get() > 0).await;
+        broker
+    }
+
+    /// Starts a broker.
+    pub fn start(&self, settings: Value, operator: Option<String>) -> Broker {
         let mut config = json!({
             "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.to_string(),
             "seed": "8c1f30d27a5be964", "limits": { "sockets": self.sockets.get() }, "settings": settings,
@@ -267,10 +290,9 @@
         let read = |path: &str| {
             Ok(if path == "config" { config.to_string() } else { operator.clone().unwrap_or_default() })
         };
-        let config = Config::read(var, read).unwrap();
-        let broker = Broker::start(config, Clock::new(), self.executor.clone()).unwrap();
-        until(|| broker.counters.lists.get() > 0).await;
-        broker
+        let mut config = Config::read(var, read).unwrap();
+        config.calls = self.waits.get().unwrap_or(config.calls);
+        Broker::start(config, Clock::new(), self.executor.clone()).unwrap()
     }
 
     /// Has discovery tell that a store drains, and waits until the broker has been told.
@@ -288,13 +310,18 @@
     /// Has discovery tell of a store, whatever it listed so far, and waits until the broker has been told.
     pub async fn tell(&self, store: usize, listed: Listed, broker: &Broker) {
         let lists = broker.counters.lists.get();
+        self.change(store, listed);
+        until(|| broker.counters.lists.get() > lists).await;
+    }
+
+    /// Has discovery list a store otherwise, and tell its watchers if it can.
+    pub fn change(&self, store: usize, listed: Listed) {
         self.listed.borrow_mut()[store] = listed;
         self.generation.set(self.generation.get() + 1);
         for watcher in self.watchers.borrow().iter() {
             // A full channel, or a watch that has ended.
             let _ = watcher.try_send(());
         }
-        until(|| broker.counters.lists.get() > lists).await;
     }
 
     /// The whole list.
@@ -322,7 +349,12 @@
         let mut stream = Stream::new(socket);
         let head = stream.head(Kind::Request, WITHIN).await.ok()?;
         let (service, watch) = (self.service.get(), head.query().contains("follow=1"));
+        self.calls.set(self.calls.get() + 1);
         match service {
+            Service::Begins => {
+                stream.write(b"H", WITHIN).await.ok()?;
+                return futures_lite::future::pending().await;
+            }
             Service::Resets => return None,
             Service::Hangs => return futures_lite::future::pending().await,
             _ => {}
@@ -330,9 +362,18 @@
         if service == Service::Refuses || (watch && service == Service::NoWatch) {
             return stream.write(&http::answer(503, "", b"", false), WITHIN).await.ok();
         }
+        let text = || match service {
+            Service::Indented => format!("{:#}\n", self.list()),
+            _ => format!("{}\n", self.list()),
+        };
         if !watch {
-            let mut bytes = http::answer(200, "", self.list().to_string().as_bytes(), false);
+            let mut bytes = http::answer(200, "", text().as_bytes(), false);
             match service {
+                Service::Opens => {
+                    let end = bytes.iter().position(|byte| *byte == b'{').unwrap_or_default();
+                    stream.write(&bytes[..=end], WITHIN).await.ok()?;
+                    return futures_lite::future::pending().await;
+                }
                 Service::Cuts => bytes.truncate(bytes.len() / 2),
                 Service::Garbles => bytes = http::answer(200, "", b"{\"generation\":true}", false),
                 _ => {}
@@ -343,14 +384,18 @@
         stream.write(head, WITHIN).await.ok()?;
         let (watcher, changed) = async_channel::bounded(8);
         self.watchers.borrow_mut().push(watcher);
-        let mut line = format!("{}\n", self.list());
+        let mut line = text();
         match service {
+            Service::Opens => line = "{".to_owned(),
             Service::Garbles => line = "{\"generation\":true}\n".to_owned(),
             Service::GoesBack => line += &format!("{}\n", self.older()),
             _ => {}
         }
         loop {
-            let chunk = format!("{:x}\r\n{line}\r\n", line.len());
+            let chunk = match service {
+                Service::Indented => line.chars().map(|byte| format!("1\r\n{byte}\r\n")).collect(),
+                _ => format!("{:x}\r\n{line}\r\n", line.len()),
+            };
             if service == Service::Cuts {
                 return stream.write(&chunk.as_bytes()[..chunk.len() / 2], WITHIN).await.ok();
             }
@@ -359,14 +404,17 @@
                 return futures_lite::future::pending().await;
             }
             let beat = async {
-                Timer::after(Duration::from_secs(2)).await;
+                Timer::after(self.beat.get()).await;
                 "\n".to_owned()
             };
             let change = async {
                 let _ = changed.recv().await;
-                format!("{}\n", self.list())
+                text()
             };
             line = futures_lite::future::or(change, beat).await;
+            if self.service.get() == Service::Hangs {
+                return futures_lite::future::pending().await;
+            }
         }
     }
 
