Run a deployment from a file of our own, at stores that see what breaks a rule

The second organisation's deployment differs in shape: sets of stores, keyed classes, partial answers, pushed lists, reports in answers, shared calls. The stand-ins knew one shape, and their stores answered whatever came: no test could see that a key was missing.

--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -78,6 +78,18 @@
     timeout_ms: u64,
     parts: &[(u32, Option<u64>)],
     predicate: &str,
+) -> Vec<u8> {
+    request(id, class, timeout_ms, "X-Tenant-Id: west-shore-club\r\n", parts, predicate)
+}
+
+/// The same with these further header lines.
+pub fn request(
+    id: &str,
+    class: &str,
+    timeout_ms: u64,
+    headers: &str,
+    parts: &[(u32, Option<u64>)],
+    predicate: &str,
 ) -> Vec<u8> {
     let portion = 1.0 / parts.len() as f64;
     let range = |(block, weigher): &(u32, Option<u64>)| match weigher {
@@ -88,7 +100,7 @@
     let body = json!({ "ranges": ranges, "predicate": predicate }).to_string();
     format!(
         "POST /{class} HTTP/1.1\r\nHost: test\r\nX-Request-ID: {id}\r\nX-Priority-Class: {class}\r\n\
-         X-Tenant-Id: west-shore-club\r\nX-Timeout-Ms: {timeout_ms}\r\nConnection: close\r\n\
+         {headers}X-Timeout-Ms: {timeout_ms}\r\nConnection: close\r\n\
          Content-Length: {}\r\n\r\n{body}",
         body.len()
     )
--- a/crates/standin/src/discovery.rs
+++ b/crates/standin/src/discovery.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use gingerledge::http::{self, Kind, Stream};
@@ -21,18 +21,20 @@
     /// The store.
     pub store: Rc<Store>,
     /// Its zone.
-    pub zone: &'static str,
+    pub zone: String,
+    /// Its cell.
+    pub cell: usize,
     /// Its state on the list.
     pub state: Cell<&'static str>,
 }
 
 /// How one caller sees the service.
 #[derive(Clone, Default)]
-struct View {
+pub struct View {
     /// Where it is to connect for each store, in the order of the list.
-    through: Vec<SocketAddr>,
+    pub through: Vec<SocketAddr>,
     /// Where its calls are noted.
-    noted: Option<(Rc<Ledger>, Who)>,
+    pub noted: Option<(Rc<Ledger>, Who)>,
 }
 
 /// The service.
@@ -65,17 +67,15 @@
         Ok(this)
     }
 
-    /// A door of its own for one broker, which finds the stores at these addresses and whose calls are noted.
+    /// A door of its own for one broker, which has this view.
     pub fn door(
         self: &Rc<Self>,
         executor: &Rc<LocalExecutor<'static>>,
-        through: Vec<SocketAddr>,
-        ledger: &Rc<Ledger>,
-        who: Who,
+        view: View,
     ) -> std::io::Result<SocketAddr> {
         let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0))?;
         let address = listener.get_ref().local_addr()?;
-        self.accept(executor, listener, View { through, noted: Some((ledger.clone(), who)) });
+        self.accept(executor, listener, view);
         Ok(address)
     }
 
@@ -98,12 +98,26 @@
         executor.spawn(accept).detach();
     }
 
-    /// Puts a store on the list.
-    pub fn list(&self, store: &Rc<Store>, zone: &'static str) {
-        self.stores.borrow_mut().push(Listed { store: store.clone(), zone, state: Cell::new("up") });
+    /// Puts a store on the list, in a cell of its own.
+    pub fn list(&self, store: &Rc<Store>, zone: &str) {
+        let cell = self.stores.borrow().len();
+        self.list_in(store, zone, cell);
+    }
+
+    /// Puts a store on the list, in a cell.
+    pub fn list_in(&self, store: &Rc<Store>, zone: &str, cell: usize) {
+        let (store, zone, state) = (store.clone(), zone.to_owned(), Cell::new("up"));
+        self.stores.borrow_mut().push(Listed { store, zone, cell, state });
         self.changed();
     }
 
+    /// Told whenever the list changes.
+    pub fn watch(&self) -> Receiver<()> {
+        let (watcher, changed) = async_channel::bounded(1);
+        self.watchers.borrow_mut().push(watcher);
+        changed
+    }
+
     /// Sets a store's state.
     pub fn set_state(&self, store: usize, state: &'static str) {
         if let Some(listed) = self.stores.borrow().get(store) {
@@ -121,16 +135,21 @@
         }
     }
 
-    fn text(&self, view: &View) -> String {
-        let entry = |(cell, listed): (usize, &Listed)| {
-            let at = view.through.get(cell).copied().unwrap_or(listed.store.address);
+    /// The list as one caller sees it.
+    pub fn list_for(&self, view: &View) -> Value {
+        let entry = |(n, listed): (usize, &Listed)| {
+            let at = view.through.get(n).copied().unwrap_or(listed.store.address);
             json!({ "instanceId": listed.store.name, "hostPort": at.to_string(),
-                "zone": listed.zone, "machineType": "small", "cell": cell, "lifecycle": listed.state.get(),
+                "zone": listed.zone, "machineType": "small", "cell": listed.cell, "lifecycle": listed.state.get(),
                 "weight": 1.0, "startedAtMs": listed.store.started_ms.get() })
         };
         let stores = self.stores.borrow();
         let all: Vec<Value> = stores.iter().enumerate().map(entry).collect();
-        json!({ "generation": self.generation.get(), "reset": true, "instances": all }).to_string() + "\n"
+        json!({ "generation": self.generation.get(), "reset": true, "instances": all })
+    }
+
+    fn text(&self, view: &View) -> String {
+        self.list_for(view).to_string() + "\n"
     }
 
     async fn serve(&self, socket: Async<TcpStream>, view: &View) -> Option<()> {
@@ -148,8 +167,7 @@
             return stream.write(&bytes, WITHIN).await.ok();
         }
         stream.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", WITHIN).await.ok()?;
-        let (watcher, changed) = async_channel::bounded(1);
-        self.watchers.borrow_mut().push(watcher);
+        let changed = self.watch();
         let mut line = self.text(view);
         loop {
             let chunk = format!("{:x}\r\n{line}\r\n", line.len());
--- a/crates/standin/src/fleet/ledger.rs
+++ b/crates/standin/src/fleet/ledger.rs
@@ -15,6 +15,12 @@
     Dialled(usize),
     /// A part's call came whole to a store: its id, with the query's name before the first dot.
     Began(usize, String),
+    /// A part ran at a store of a site.
+    Ran(usize, String),
+    /// So many parts came to a store of a site as one call.
+    Shared(usize, usize),
+    /// A rule of the platform was broken, as the witness of a site saw.
+    Breach(String),
     /// A store was asked how it does.
     Probed(usize),
     /// Discovery was called: for a watch (true) or for the list.
@@ -84,7 +90,8 @@
     }
 
     /// What breaks a rule of the platform, a sentence each: a part begun more than `attempts` times, and a part of an entry,
-    /// whose query's name begins with `e`, begun twice. It knows no answers: where stores turn parts away, the latter is none.
+    /// whose query's name begins with `e`, begun twice, and what a site's witness saw. It knows no answers: where stores turn
+    /// parts away, the second is none.
     pub fn breaches(&self, attempts: usize) -> Vec<String> {
         let mut begun: BTreeMap<(Who, String), usize> = BTreeMap::new();
         for line in self.lines.borrow().iter() {
@@ -96,6 +103,10 @@
             let most = if id.starts_with('e') { 1 } else { attempts };
             (*times > most).then(|| format!("part {id} begun {times} times by broker {by}, at most {most}"))
         };
-        begun.iter().filter_map(breach).collect()
+        let seen = |line: &Line| match &line.deed {
+            Deed::Breach(what) => Some(format!("broker {}: {what}", line.by)),
+            _ => None,
+        };
+        begun.iter().filter_map(breach).chain(self.pick(Duration::ZERO, seen)).collect()
     }
 }
--- a/crates/standin/src/fleet/load.rs
+++ b/crates/standin/src/fleet/load.rs
@@ -91,14 +91,23 @@
         let blocks = fleet.plan.stores as u32;
         let (first, asked) = (rng.u32(..blocks), rng.u32(1..4).min(blocks));
         let parts: Vec<_> = (0..asked).map(|k| ((first + k) % blocks, None)).collect();
+        let at_site = fleet.witness.as_ref().map(|witness| {
+            let name = format!("q{who}n{number}");
+            (witness.draw(&mut rng, &name), name)
+        });
         let (fleet, tally) = (fleet.clone(), tally.clone());
         let runs = fleet.executor.clone();
         open.retain(|task: &async_executor::Task<()>| !task.is_finished());
         open.push(runs.spawn(async move {
             let before = fleet.undisturbed(who);
             count(&tally.asked);
-            let text = client::query(&name, CLASSES[class], TIMEOUT_MS[class], &parts, "all");
-            match fleet.ask(who, &text).await.map(|got| got.status) {
+            let text = || client::query(&name, CLASSES[class], TIMEOUT_MS[class], &parts, "all");
+            let (text, name) = at_site.unwrap_or_else(|| (text(), name.clone()));
+            let got = fleet.ask(who, &text).await;
+            if let (Some(witness), Some(got)) = (&fleet.witness, &got) {
+                witness.judge(who, &name, got);
+            }
+            match got.map(|got| got.status) {
                 Some(200) => count(&tally.answered),
                 Some(429 | 503) => count(&tally.refused),
                 Some(_) => count(&tally.failed),
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -26,9 +26,12 @@
 
 use crate::broker::{own_address, Broker};
 use crate::client;
-use crate::discovery::Discovery;
+use crate::discovery::{Discovery, View};
 use crate::settings::{self, ZONES};
+use crate::site::Site;
 use crate::store::{Runs, Store};
+use crate::witness::Witness;
+use crate::world::Installed;
 use ledger::{Ledger, Who};
 use relay::{Fault, Pair, Relay};
 
@@ -55,13 +58,20 @@
     pub seed: u64,
     /// The program that the brokers are: this one, unless it is a test's.
     pub program: Option<PathBuf>,
+    /// The site that it is, with as many stores; without one, the small installation of [`settings`].
+    pub site: Option<Site>,
 }
 
 impl Plan {
     /// A fleet of so many, with nothing in the operator's file.
     pub fn of(brokers: usize, stores: usize, seed: u64) -> Self {
         let (work, operator) = (Duration::from_millis(4), String::new());
-        Self { brokers, stores, work, operator, level: "info", seed, program: None }
+        Self { brokers, stores, work, operator, level: "info", seed, program: None, site: None }
+    }
+
+    /// So many brokers at a site.
+    pub fn at(site: Site, brokers: usize, seed: u64) -> Self {
+        Self { site: Some(site.clone()), ..Self::of(brokers, site.stores.count, seed) }
     }
 }
 
@@ -78,6 +88,8 @@
     pub stores: Vec<Rc<Store>>,
     /// Its discovery.
     pub discovery: Rc<Discovery>,
+    /// The witness, where it is a site.
+    pub witness: Option<Rc<Witness>>,
     /// What it was made of.
     pub plan: Plan,
     executor: Rc<LocalExecutor<'static>>,
@@ -107,9 +119,13 @@
     /// Starts it, and waits until every broker can serve.
     pub async fn start(executor: &Rc<LocalExecutor<'static>>, plan: Plan) -> io::Result<Rc<Self>> {
         let (dir, ledger, runs) = (tempfile::tempdir()?, Rc::new(Ledger::default()), Runs::default());
-        let discovery = Discovery::start(executor)?;
-        let mut stores = Vec::new();
-        for n in 0..plan.stores {
+        let installed =
+            plan.site.clone().map(|site| Installed::start(executor, site, &ledger)).transpose()?;
+        let (discovery, mut stores) = match &installed {
+            Some(site) => (site.discovery.clone(), site.stores.clone()),
+            None => (Discovery::start(executor)?, Vec::new()),
+        };
+        for n in stores.len()..plan.stores {
             let store = Store::start(executor, &format!("s-{n}"), &[], plan.work, &runs)?;
             discovery.list(&store, ZONES[n % ZONES.len()]);
             stores.push(store);
@@ -122,7 +138,11 @@
                 relays.push(Relay::start(executor, &ledger, who, Some(n), door)?);
             }
             let through = relays.iter().map(|relay| relay.address).collect();
-            let door = discovery.door(executor, through, &ledger, who)?;
+            let view = View { through, noted: Some((ledger.clone(), who)) };
+            let door = match &installed {
+                Some(site) => site.door(executor, view)?,
+                None => discovery.door(executor, view)?,
+            };
             to_discovery.push(Relay::start(executor, &ledger, who, None, door)?);
             to_stores.push(relays);
         }
@@ -141,6 +161,9 @@
         for who in 0..plan.brokers {
             let mut settings = settings::settings(plan.brokers, plan.stores, plan.stores);
             settings["index"] = json!(who);
+            if let Some(site) = &plan.site {
+                settings = site.settings(plan.brokers, who);
+            }
             let name = format!("n{who}");
             let (platform, admin) = doors[who];
             let mut config = settings::config(&name, to_discovery[who].address, platform, admin, settings);
@@ -159,6 +182,7 @@
             ledger,
             stores,
             discovery,
+            witness: installed.map(|site| site.witness),
             executor: executor.clone(),
             brokers: RefCell::new(brokers),
             doors,
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -3,9 +3,10 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
+use std::future::Future;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::{Rc, Weak};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
@@ -21,6 +22,7 @@
 
 use crate::data;
 use crate::fleet::ledger::{Deed, Ledger, Who};
+use crate::strict::Strict;
 
 /// Blocks a store may hold.
 const BLOCKS_MOST: usize = 1000;
@@ -67,6 +69,8 @@
     /// When it last started, in Unix time; 0 for long ago.
     pub started_ms: Cell<u64>,
     up: Cell<bool>,
+    /// Of a site's store, the layer that takes its frames.
+    strict: RefCell<Option<Rc<Strict>>>,
     /// Where single brokers connect, and where what they do is noted.
     doors: RefCell<Vec<(SocketAddr, Door)>>,
 }
@@ -125,6 +129,7 @@
             runs: runs.clone(),
             started_ms: Cell::new(0),
             up: Cell::new(false),
+            strict: RefCell::default(),
             doors: RefCell::default(),
         });
         store.index(0);
@@ -138,6 +143,23 @@
         self.holdings.borrow()
     }
 
+    /// Has a layer take its frames from now on.
+    pub fn put(&self, strict: Rc<Strict>) {
+        *self.strict.borrow_mut() = Some(strict);
+    }
+
+    /// Runs something for as long as the store is up.
+    pub fn run(&self, future: impl Future<Output = ()> + 'static) {
+        let task = self.executor.spawn(future);
+        self.spawn(task);
+    }
+
+    /// How long ago it last started, if not long ago.
+    pub fn since_start(&self) -> Option<Duration> {
+        let started = SystemTime::UNIX_EPOCH + Duration::from_millis(self.started_ms.get());
+        (self.started_ms.get() > 0).then(|| started.elapsed().unwrap_or_default())
+    }
+
     /// Whether it runs.
     pub fn is_up(&self) -> bool {
         self.up.get()
@@ -224,12 +246,18 @@
     async fn serve(this: Weak<Self>, socket: Rc<Async<TcpStream>>, door: Option<Door>) -> Option<()> {
         let _ = socket.get_ref().set_nodelay(true);
         let (mut buffer, mut piece) = (Vec::new(), vec![0; 16 * 1024]);
+        let strict = this.upgrade()?.strict.borrow().clone();
+        let conn = strict.map(|strict| strict.conn(door.as_ref().map_or(0, |door| door.who)));
         loop {
             let n = (&*socket).read(&mut piece).await.ok().filter(|n| *n > 0)?;
             buffer.extend_from_slice(&piece[..n]);
             while let Some((letter, rest, length)) = frame::split(&buffer).ok()? {
                 let rest = rest.to_vec();
                 buffer.drain(..length);
+                if let Some(conn) = &conn {
+                    conn.take(&this.upgrade()?, letter, &rest, &socket)?;
+                    continue;
+                }
                 if let Some(door) = &door {
                     door.note(letter, &rest);
                 }
@@ -279,7 +307,7 @@
     }
 
     /// Waits while nothing moves here.
-    async fn moves(&self) {
+    pub async fn moves(&self) {
         if let Fault::Stalled(until) = self.fault.get() {
             Timer::at(until).await;
         }
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -1,6 +1,8 @@
 //! A small installation on loopback: discovery, stores with data, and who holds what at the beginning.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,11 +12,17 @@
 use gingerledge::config::Config;
 use gingerledge::service::Broker;
 use gingerledge_blocks::Span;
+use serde_json::Value;
 
+use crate::agent::Agent;
 use crate::client;
-use crate::discovery::Discovery;
+use crate::discovery::{Discovery, View};
+use crate::fleet::ledger::Ledger;
 use crate::settings::{self, ZONES};
+use crate::site::{Mode, Site};
 use crate::store::{Runs, Store};
+use crate::strict::Strict;
+use crate::witness::Witness;
 
 /// How large it is.
 #[derive(Clone, Copy, Debug)]
@@ -78,33 +86,14 @@
         &self,
         executor: &Rc<LocalExecutor<'static>>,
         name: &str,
-        dir: &std::path::Path,
+        dir: &Path,
         operator: &str,
     ) -> Result<Broker, Box<dyn std::error::Error>> {
-        let any = ([127, 0, 0, 1], 0).into();
         let settings = settings::settings(1, self.size.stores, self.size.blocks as usize);
-        let config = settings::config(name, self.discovery.address, any, any, settings);
-        let home = dir.display().to_string();
-        let var = |key: &str| match key {
-            "LB_CONFIG" => Some("config".to_owned()),
-            "LB_OPERATOR" => Some("operator".to_owned()),
-            "TMPDIR" => Some(home.clone()),
-            _ => std::env::var(key).ok().filter(|_| key == "LB_LOG"),
-        };
-        let read = |path: &str| Ok(if path == "config" { config.to_string() } else { operator.to_owned() });
-        let (config, clock) = (Config::read(var, read)?, Clock::new());
-        gingerledge::logger::start(&config.name, config.log, clock);
-        let broker = Broker::start(config, clock, executor.clone())?;
+        let broker = in_process(executor, name, dir, self.discovery.address, settings, Some(operator))?;
         let probe =
             client::query(&format!("probe-{name}"), settings::CLASSES[1], 2000, &[(0, None)], "hello");
-        let end = std::time::Instant::now() + Duration::from_secs(20);
-        while client::exchange(broker.platform, &probe).await.is_none_or(|got| got.status != 200) {
-            if std::time::Instant::now() > end {
-                return Err("the broker does not serve".into());
-            }
-            Timer::after(Duration::from_millis(20)).await;
-        }
-        Ok(broker)
+        serves(broker, &probe).await
     }
 
     /// Whether some store lets reads of a weigher in, though it may be away just then.
@@ -124,3 +113,91 @@
         Span::new(block * size, block * size + size)
     }
 }
+
+/// Starts a broker on this thread.
+fn in_process(
+    executor: &Rc<LocalExecutor<'static>>,
+    name: &str,
+    dir: &Path,
+    discovery: SocketAddr,
+    settings: Value,
+    operator: Option<&str>,
+) -> Result<Broker, Box<dyn std::error::Error>> {
+    let any = ([127, 0, 0, 1], 0).into();
+    let config = settings::config(name, discovery, any, any, settings);
+    let home = dir.display().to_string();
+    let var = |key: &str| match key {
+        "LB_CONFIG" => Some("config".to_owned()),
+        "LB_OPERATOR" => operator.map(|_| "operator".to_owned()),
+        "TMPDIR" => Some(home.clone()),
+        _ => std::env::var(key).ok().filter(|_| key == "LB_LOG"),
+    };
+    let read = |path: &str| match operator.filter(|_| path != "config") {
+        Some(operator) => Ok(operator.to_owned()),
+        None => Ok(config.to_string()),
+    };
+    let (config, clock) = (Config::read(var, read)?, Clock::new());
+    gingerledge::logger::start(&config.name, config.log, clock);
+    Ok(Broker::start(config, clock, executor.clone())?)
+}
+
+/// Waits until a broker answers this with 200.
+async fn serves(broker: Broker, probe: &[u8]) -> Result<Broker, Box<dyn std::error::Error>> {
+    let end = std::time::Instant::now() + Duration::from_secs(20);
+    while client::exchange(broker.platform, probe).await.is_none_or(|got| got.status != 200) {
+        if std::time::Instant::now() > end {
+            return Err("the broker does not serve".into());
+        }
+        Timer::after(Duration::from_millis(20)).await;
+    }
+    Ok(broker)
+}
+
+/// A site's stores and discovery, without its brokers.
+pub struct Installed {
+    /// The witness.
+    pub witness: Rc<Witness>,
+    /// Its stores.
+    pub stores: Vec<Rc<Store>>,
+    /// Its discovery; where lists are pushed, what the agents are sent from.
+    pub discovery: Rc<Discovery>,
+}
+
+impl Installed {
+    /// Starts them.
+    pub fn start(
+        executor: &Rc<LocalExecutor<'static>>,
+        site: Site,
+        ledger: &Rc<Ledger>,
+    ) -> std::io::Result<Self> {
+        let (discovery, witness) = (Discovery::start(executor)?, Witness::new(site, ledger));
+        let (site, mut stores) = (&witness.site, Vec::new());
+        for n in 0..site.stores.count {
+            let store = Store::start(executor, &format!("s-{n}"), &[], Duration::ZERO, &Runs::default())?;
+            store.put(Strict::new(&witness, n));
+            discovery.list_in(&store, &site.zones[site.zone(n)], site.cell(n));
+            stores.push(store);
+        }
+        Ok(Self { witness, stores, discovery })
+    }
+
+    /// Where a broker with this view finds the list: at the service, or at an agent of its own.
+    pub fn door(&self, executor: &Rc<LocalExecutor<'static>>, view: View) -> std::io::Result<SocketAddr> {
+        match self.witness.site.discovery {
+            Mode::Asked => self.discovery.door(executor, view),
+            Mode::Pushed => Ok(Agent::start(executor, &self.discovery, view)?.address),
+        }
+    }
+
+    /// Starts a broker on this thread, and waits until it has its list.
+    pub async fn broker(
+        &self,
+        executor: &Rc<LocalExecutor<'static>>,
+        dir: &Path,
+    ) -> Result<Broker, Box<dyn std::error::Error>> {
+        let door = self.door(executor, View::default())?;
+        let settings = self.witness.site.settings(1, 0);
+        let broker = in_process(executor, &self.witness.site.name, dir, door, settings, None)?;
+        serves(broker, b"GET /ready HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n").await
+    }
+}
