--- a/crates/standin/src/bin/world.rs
+++ b/crates/standin/src/bin/world.rs
@@ -85,7 +85,7 @@
         let mut signals = Signals::new([Signal::Int, Signal::Term])?;
         signals.next().await;
         broker.stop().await;
-        let breaches = ledger.breaches(usize::MAX);
+        let breaches = ledger.seen();
         println!("{} breaches", breaches.len());
         breaches.iter().for_each(|breach| println!("  {breach}"));
         Ok(())
