--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -18,6 +18,7 @@
 use gingerledge_standin::fleet::load::Load;
 use gingerledge_standin::fleet::{pause, run, Plan};
 use gingerledge_standin::site::{Repeat, Site};
+use gingerledge_standin::store::Fault;
 use gingerledge_standin::witness::{score, value};
 use gingerledge_standin::world::Installed;
 
@@ -362,12 +363,17 @@
 }
 
 #[test]
-fn two_brokers_at_the_sets_give_one_answer_each_and_breach_nothing_while_a_store_dies() {
-    let site = Site::parse(ARCHIVE).unwrap();
+fn two_brokers_at_the_sets_give_one_answer_each_and_breach_nothing_while_a_store_stalls_and_one_dies() {
+    // So short that a part which waited in vain at the store that stalls may not go again.
+    let site = Site::parse(&ARCHIVE.replace("memory_ms = 3000.0", "memory_ms = 100.0")).unwrap();
     let plan = Plan { program: Some(env!("CARGO_BIN_EXE_soak").into()), ..Plan::at(site, 2, 46) };
     run(plan, |fleet| async move {
         let load = Load::start(&fleet, |_| 25.0);
         assert!(fleet.until(|| async { load.tally.answered.get() > 30 }).await, "{:?}", load.tally);
+        let until = std::time::Instant::now() + Duration::from_millis(1500);
+        fleet.stores[0].set_fault(Fault::Stalled(until));
+        let then = load.tally.answered.get();
+        assert!(fleet.until(|| async { load.tally.answered.get() > then + 60 }).await, "{:?}", load.tally);
         fleet.stores[1].kill();
         let then = load.tally.answered.get();
         assert!(fleet.until(|| async { load.tally.answered.get() > then + 30 }).await, "{:?}", load.tally);
