--- a/broker/tests/discovery.rs
+++ b/broker/tests/discovery.rs
@@ -52,8 +52,8 @@
     until(|| broker.counters.list_failures.get() > 0).await;
     world.service.set(service);
     drains(&world);
-    let calls = world.calls.get();
-    until(|| world.calls.get() >= calls + 2).await;
+    let calls = world.asked.get();
+    until(|| world.asked.get() >= calls + 2).await;
     assert_eq!(broker.counters.lists.get(), told, "{service:?}: nothing to hear");
     assert_eq!(ask(&world, &broker, "meanwhile").await.0, 200, "{service:?}: the list stays in use");
     world.service.set(Service::Serves);
@@ -124,7 +124,7 @@
         *world.known.borrow_mut() = Some(world.list());
         world.service.set(Service::Hangs);
         let broker = world.start(settings(&world, true), None);
-        until(|| world.calls.get() >= 2).await;
+        until(|| world.asked.get() >= 2).await;
         assert_eq!(get(broker.platform, "/ready", "").await.status, 503);
         assert_eq!(ask(&world, &broker, "early").await.0, 503, "refused: trying again is harmless");
         assert!(world.sent.borrow().is_empty());
@@ -144,7 +144,7 @@
         let settings = settings(&world, true);
         world.waits.set(Some(Waits { first: Duration::from_millis(100), ..short(true) }));
         let broker = world.broker(settings, None).await;
-        assert!(world.calls.get() > 0, "it was asked");
+        assert!(world.asked.get() > 0, "it was asked");
         while get(broker.platform, "/ready", "").await.status != 200 {}
         assert_eq!(ask(&world, &broker, "known").await.0, 200);
         world.service.set(Service::Serves);
--- a/broker/tests/drawn/host.rs
+++ b/broker/tests/drawn/host.rs
@@ -23,6 +23,7 @@
         tenant: asked.tenant,
         deadline: base + asked.deadline,
         repeated: asked.repeated,
+        key: None,
         parts,
         text: Rc::from(&b"text"[..]),
         form: Form::Opaque,
--- a/broker/tests/drawn/least.rs
+++ b/broker/tests/drawn/least.rs
@@ -36,8 +36,8 @@
     let parts = (0..parts).map(|shard| Ask { shard, weight, ..Ask::default() }).collect();
     let (name, text) = (format!("q{id}").into(), Rc::from(&b"x"[..]));
     let deadline = now + 1900.0;
-    let (tenant, repeated, form) = (None, false, Form::Opaque);
-    let question = Question { name, class, tenant, deadline, repeated, parts, text, form };
+    let (tenant, repeated, key, form) = (None, false, None, Form::Opaque);
+    let question = Question { name, class, tenant, deadline, repeated, key, parts, text, form };
     orders(core.turn(now, [Happening::Asked(id, question)]))
 }
 
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -123,7 +123,7 @@
     pub store_page: Cell<usize>,
     pub service: Cell<Service>,
     /// Calls that discovery has had.
-    pub calls: Cell<usize>,
+    pub asked: Cell<usize>,
     /// How often a watch tells that nothing changed.
     pub beat: Cell<Duration>,
     /// How long the broker waits for discovery, if not as its settings have it.
@@ -187,7 +187,7 @@
             calls: Cell::default(),
             store_page: Cell::new(usize::MAX),
             service: Cell::default(),
-            calls: Cell::default(),
+            asked: Cell::default(),
             beat: Cell::new(Duration::from_secs(2)),
             waits: Cell::default(),
             listed: RefCell::new(frames.iter().enumerate().map(listed).collect()),
@@ -349,7 +349,7 @@
         let mut stream = Stream::new(socket);
         let head = stream.head(Kind::Request, WITHIN).await.ok()?;
         let (service, watch) = (self.service.get(), head.query().contains("follow=1"));
-        self.calls.set(self.calls.get() + 1);
+        self.asked.set(self.asked.get() + 1);
         match service {
             Service::Begins => {
                 stream.write(b"H", WITHIN).await.ok()?;
