Hold the agreement log to every byte, every promise sent, and peers that lie in good form

A log cut at each byte (with zeros behind it too) is read to its last whole record; each byte changed is refused, and no record is forgotten for it. Each message sent is held against the disk as a crash would leave it. Random messages in good form, with numbers near those in force, are sent to all voters: they found that an append at an index beyond the log with term 0 matched in the library and stopped the program; such a message is dropped now. A flood of 100,000 leaves the tables at their bounds.

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -3,10 +3,16 @@
 //! crate's; what is ours is what stands around it: the file, what is taken from peers, the bounds, and how a voter that
 //! lost its disk comes back without voting as if it remembered. Design: `docs/design/agreement.md`.
 
+// The tests inside share their world with those outside, which know the package by its name.
+#[cfg(test)]
+extern crate self as gingerledge_agreement;
+
 mod bounds;
 mod disk;
 mod file;
 mod frame;
+#[cfg(test)]
+mod hostile;
 mod member;
 mod newcomer;
 mod store;
--- a/crates/agreement/src/voter.rs
+++ b/crates/agreement/src/voter.rs
@@ -383,3 +383,14 @@
     }
     disk.replace(&bytes)
 }
+
+#[cfg(test)]
+impl<D: Disk, M: Machine> Voter<D, M> {
+    pub(crate) fn pending_reads(&self) -> usize {
+        self.member().map_or(0, |member| member.node.raft.pending_read_count())
+    }
+
+    pub(crate) fn message_most(&self) -> usize {
+        self.bounds.message_most()
+    }
+}
--- a/crates/agreement/src/wire.rs
+++ b/crates/agreement/src/wire.rs
@@ -135,7 +135,8 @@
             plain.snapshot.is_none()
                 && plain.context.is_empty()
                 && plain.log_term <= plain.term
-                && (plain.index > 0 || plain.log_term == 0)
+                // An index that isn't known has term 0 to the library, and would match.
+                && (plain.index > 0) == (plain.log_term > 0)
                 && terms().all(|term| term > 0 && term <= plain.term)
                 && terms().try_fold(plain.log_term, |before, term| (term >= before).then_some(term)).is_some()
         }
--- a/crates/agreement/tests/world/mod.rs
+++ b/crates/agreement/tests/world/mod.rs
@@ -99,6 +99,12 @@
     /// Leaders by term.
     pub terms: BTreeMap<u64, VoterId>,
     pub trace: u64,
+    /// Sees each message with its sender, before it goes out.
+    pub audit: Option<fn(&Node, VoterId, &[u8])>,
+    /// Some of what was sent.
+    pub sent: Vec<Vec<u8>>,
+    /// Whether peers may lie: then only that nobody falls is held.
+    pub liars: bool,
 }
 
 impl World {
@@ -136,6 +142,9 @@
             crashes: 0,
             terms: BTreeMap::new(),
             trace: seed,
+            audit: None,
+            sent: Vec::new(),
+            liars: false,
         };
         for who in 0..count {
             let later = 200.0 * world.rng.f64();
@@ -287,8 +296,14 @@
         self.seats[who].voted = false;
     }
 
-    pub fn garbage(&mut self, to: usize, from: usize, bytes: Vec<u8>) {
-        self.tell(to, Event::Message { from: self.ids[from], bytes });
+    /// A peer says this; the actions that it causes, or `None` if the voter died of it.
+    pub fn garbage(&mut self, to: usize, from: usize, bytes: Vec<u8>) -> Option<usize> {
+        let (now, from) = (self.local(to), self.ids[from]);
+        let node = self.seats[to].node.as_mut()?;
+        let actions = node.handle(now, Event::Message { from, bytes }).ok()?;
+        let count = actions.len();
+        actions.into_iter().for_each(|action| self.act(to, action));
+        Some(count)
     }
 
     pub fn propose(&mut self, who: usize) -> u64 {
@@ -331,8 +346,17 @@
 
     fn act(&mut self, who: usize, action: Action) {
         let seed = self.seed;
+        if self.liars && !matches!(action, Action::Send { .. }) {
+            return;
+        }
         match action {
             Action::Send { to, bytes } => {
+                if let Some((audit, node)) = self.audit.zip(self.node(who)) {
+                    audit(node, to, &bytes);
+                }
+                if self.liars && self.sent.len() < 10_000 {
+                    self.sent.push(bytes.clone());
+                }
                 let to = to.0 as usize - 1;
                 self.trace =
                     self.trace.rotate_left(5) ^ u64::from(crc32fast::hash(&bytes)) ^ (self.now * 1e3) as u64;
@@ -383,6 +407,9 @@
             return;
         };
         seat.voted |= node.votes();
+        if self.liars {
+            return;
+        }
         let (seen, applied) = (&node.machine().seen, node.applied());
         if seat.checked > seen.len() {
             seat.checked = 0;
