Leave it to the calculus of cover to count a document's holders and zones

Nobody else is to count cover. The validator sets a document's stores in a `gingerledge_coverage::Coverage` and asks it for each block, one at a time: a document's rows may overlap, be reversed or have a number twice, which a table of cover can't hold. What falls on a store against its capacity is still reckoned here, for cover knows zones' room and not stores'.

--- a/crates/blocks/src/validate/draft.rs
+++ b/crates/blocks/src/validate/draft.rs
@@ -1,6 +1,7 @@
 //! What the validator looks at: a map as somebody wrote it, sound or not. It owns the rows, the stores and the lines that they
 //! stand on. It promises nothing of what is in it: overlaps, unknown stores and reversed ranges can all be said here.
 
+use gingerledge_coverage::State;
 use rustc_hash::FxHashMap;
 
 use crate::map::{Block, Replica, ReplicaState};
@@ -22,7 +23,17 @@
 impl Standing {
     /// Whether it counts as a holder.
     pub fn sound(self) -> bool {
-        matches!(self, Self::Listed | Self::Cold)
+        self.state().sound()
+    }
+
+    /// As the calculus of cover has it. A map is for when all are warm.
+    pub(crate) fn state(self) -> State {
+        match self {
+            Self::Listed => State::Listed,
+            Self::Cold => State::Cold { share: 1.0 },
+            Self::Draining => State::Draining,
+            Self::Gone => State::Gone,
+        }
     }
 
     /// Whether it can be read: what drains still has all that it had.
--- a/crates/blocks/src/validate/map.rs
+++ b/crates/blocks/src/validate/map.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 
+use gingerledge_coverage::{Bounds, Cover, Coverage, Held, Keys, Region, Store, Zone};
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use super::draft::{Draft, Row, Site, Standing};
@@ -11,6 +12,9 @@
 use crate::map::REPLICAS_MOST;
 use crate::types::{BlockId, Span, StoreId};
 
+/// More holders of one block are not counted; that they are too many is said anyway.
+const HOLDERS_MOST: usize = 1000;
+
 /// What is known of stores.
 pub(crate) struct Known<'a> {
     /// What one is fit for; nothing for a store that nobody has named.
@@ -41,6 +45,7 @@
         let reversed = draft.keys.end < draft.keys.first;
         found.push(Finding::new(if reversed { Fault::Reversed } else { Fault::Empty }, draft.keys));
     }
+    let mut cover = cover(&sites);
     stores(draft, text, &mut found);
     numbers(draft, &mut found);
     for row in &draft.rows {
@@ -48,7 +53,7 @@
             found.push(at(row, Fault::Outside { all: draft.keys }));
         }
         row_stores(row, &known, |_| true, &mut found);
-        goal(row, draft, &sites, &mut found);
+        goal(row, draft, &mut cover, &mut found);
     }
     tiling(&draft.rows, Some(draft.keys), &mut found);
     capacity(draft, &sites, text, &mut found);
@@ -136,14 +141,38 @@
     found
 }
 
-fn goal(row: &Row, draft: &Draft, sites: &FxHashMap<StoreId, &Site>, found: &mut Vec<Finding>) {
+/// The stores as the calculus of cover has them, which alone counts holders and zones.
+fn cover(sites: &FxHashMap<StoreId, &Site>) -> Coverage {
+    let stores = sites.len();
+    let mut cover = Coverage::new(Bounds { stores, blocks: 1, holders: HOLDERS_MOST, zones: stores });
+    for site in sites.values() {
+        let (store, zone, region) = (Store(site.store.0), Zone(site.zone), Region(site.region));
+        // There is room for just as many as there are.
+        let _ = cover.set_site(gingerledge_coverage::Site {
+            store,
+            zone,
+            region,
+            capacity: site.capacity,
+            state: site.standing.state(),
+        });
+    }
+    cover
+}
+
+fn goal(row: &Row, draft: &Draft, cover: &mut Coverage, found: &mut Vec<Finding>) {
     // An empty list has been named already.
     if row.holders.is_empty() {
         return;
     }
-    let holders = sound(row, sites);
-    let zones: FxHashSet<u16> = holders.iter().map(|site| site.zone).collect();
-    let (sound, zones) = (holders.len() as u32, zones.len() as u32);
+    let mut holders: Vec<Store> = row.holders.iter().map(|store| Store(store.0)).collect();
+    holders.sort_unstable();
+    holders.dedup();
+    // One block at a time, over keys of its own: rows may overlap, be reversed, or have a number twice.
+    let held = Held { block: Default::default(), keys: Keys::new(0, 1), holders, load: 0.0 };
+    if cover.set_held(held).is_err() {
+        return;
+    }
+    let Some(Cover { sound, zones, .. }) = cover.at(0) else { return };
     if sound < draft.least.holders {
         found.push(at(row, Fault::Holders { sound, least: draft.least.holders }));
     }
