--- /dev/null
+++ b/broker/src/http/parse.rs
@@ -0,0 +1,144 @@
+//! Heads and chunks off the front of a buffer: pure, bounded, and without any I/O. What frames a body is read strictly:
+//! whoever reads it otherwise would see another message in it.
+
+use super::{Fault, Framing, Head, BODY_MAX, HEAD_MAX};
+
+const HEADERS_MAX: usize = 64;
+/// No line that names a chunk's length is longer, extensions included.
+const CHUNK_LINE_MAX: usize = 256;
+
+/// Which end's messages are read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Requests, by a server.
+    Request,
+    /// Answers, by a client.
+    Answer,
+}
+
+/// Reads a head; `None` until it is whole. Returns its length too.
+pub fn parse_head(bytes: &[u8], kind: Kind) -> Result<Option<(Head, usize)>, Fault> {
+    let seen = &bytes[..bytes.len().min(HEAD_MAX)];
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let (status, method, target, code, version, headers) = match kind {
+        Kind::Request => {
+            let mut request = httparse::Request::new(&mut headers);
+            let status = request.parse(seen);
+            (status, request.method, request.path, 0, request.version, &*request.headers)
+        }
+        Kind::Answer => {
+            let mut answer = httparse::Response::new(&mut headers);
+            let status = answer.parse(seen);
+            (status, None, None, answer.code.unwrap_or(0), answer.version, &*answer.headers)
+        }
+    };
+    let length = match status {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) if bytes.len() >= HEAD_MAX => return Err(Fault::HeadTooLong),
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(Fault::HeadTooLong),
+        Err(_) => return Err(Fault::Malformed),
+    };
+    let headers: Vec<(String, Vec<u8>)> =
+        headers.iter().map(|h| (h.name.to_owned(), h.value.to_vec())).collect();
+    let has = |name: &str, word: &str| {
+        headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name)).any(|(_, value)| {
+            let text = String::from_utf8_lossy(value);
+            text.split(',').any(|part| part.trim().eq_ignore_ascii_case(word))
+        })
+    };
+    let keep_alive = !has("connection", "close") && (version == Some(1) || has("connection", "keep-alive"));
+    let head = Head {
+        method: method.unwrap_or_default().to_owned(),
+        target: target.unwrap_or_default().to_owned(),
+        status: code,
+        expects: has("expect", "100-continue"),
+        framing: framing(&headers, kind, code)?,
+        keep_alive,
+        headers,
+    };
+    Ok(Some((head, length)))
+}
+
+/// How the body ends. A length beside a coding, or two lengths that differ, could hide a second
+/// message from somebody on the way, so both end the connection.
+fn framing(headers: &[(String, Vec<u8>)], kind: Kind, status: u16) -> Result<Framing, Fault> {
+    let of = |name: &'static str| headers.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name));
+    let mut length = None;
+    for (_, value) in of("content-length") {
+        let digits = std::str::from_utf8(value).map_err(|_| Fault::Malformed)?.trim();
+        if digits.is_empty() || !digits.bytes().all(|b| b.is_ascii_digit()) {
+            return Err(Fault::Malformed);
+        }
+        let value: usize = digits.parse().map_err(|_| Fault::BodyTooLong)?;
+        if length.is_some_and(|length| length != value) {
+            return Err(Fault::Malformed);
+        }
+        length = Some(value);
+    }
+    let mut codings = of("transfer-encoding");
+    match (codings.next(), codings.next(), length) {
+        // An answer's length is held against its stream's bound once the body is read.
+        (None, _, Some(length)) if length > BODY_MAX && kind == Kind::Request => Err(Fault::BodyTooLong),
+        (None, _, Some(length)) => Ok(Framing::Length(length)),
+        (None, _, None) if kind == Kind::Request || status == 204 || status == 304 => Ok(Framing::Length(0)),
+        (None, _, None) => Ok(Framing::Close),
+        (Some((_, coding)), None, None) if coding.trim_ascii().eq_ignore_ascii_case(b"chunked") => {
+            Ok(Framing::Chunked)
+        }
+        (Some(_), _, Some(_)) => Err(Fault::Malformed),
+        (Some(_), _, None) => Err(Fault::Coding),
+    }
+}
+
+/// One step through a chunked body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Chunk {
+    /// The chunk's data is `bytes[from..to]`; the next one begins at `next`.
+    Data {
+        /// Where it begins.
+        from: usize,
+        /// Where it ends.
+        to: usize,
+        /// Where the next chunk begins.
+        next: usize,
+    },
+    /// The body ended; the next message begins at `next`.
+    Last {
+        /// Where the next message begins.
+        next: usize,
+    },
+}
+
+/// Reads the chunk at the front, of so many bytes at the most; `None` until it is whole. Trailers are passed over.
+pub fn parse_chunk(bytes: &[u8], most: usize) -> Result<Option<Chunk>, Fault> {
+    let (from, size) = match httparse::parse_chunk_size(bytes) {
+        Ok(httparse::Status::Complete((from, size))) => (from, size),
+        Ok(httparse::Status::Partial) if bytes.len() > CHUNK_LINE_MAX => return Err(Fault::Malformed),
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return Err(Fault::Malformed),
+    };
+    if size > most as u64 {
+        return Err(Fault::BodyTooLong);
+    }
+    if size > 0 {
+        let to = from + size as usize;
+        return match bytes.get(to..to + 2) {
+            Some(b"\r\n") => Ok(Some(Chunk::Data { from, to, next: to + 2 })),
+            Some(_) => Err(Fault::Malformed),
+            None => Ok(None),
+        };
+    }
+    // Trailers, up to an empty line.
+    let mut at = from;
+    while let Some(end) = bytes[at..].windows(2).position(|pair| pair == b"\r\n") {
+        at += end + 2;
+        if end == 0 {
+            return Ok(Some(Chunk::Last { next: at }));
+        }
+    }
+    if bytes.len() - from > HEAD_MAX {
+        return Err(Fault::HeadTooLong);
+    }
+    Ok(None)
+}
