Hold parts back while a call is out, so that they share the next one

At fault: `fill` placed every part in the turn in which it came; `rank` drew lots between an open call and a new one.

Now a new part goes at once while no call is out at its best replica; else it waits for one to be answered, up to the share of its aim that a call of its own is of its work (0.3 at most), and goes with what came meanwhile. Nothing waits where calls cost nothing or carry one part. The replica is chosen when the part goes, fewest calls out first as before. The limit on parts out compares their latency with what the wait leaves of the aim.

--- a/src/aggregator/admission.rs
+++ b/src/aggregator/admission.rs
@@ -143,7 +143,9 @@
         let Some(query) = self.queries.get(&id).filter(|query| query.admitted) else { return };
         let class = &self.set.classes[query.class];
         let lenience = if class.floor < class.need { PARTIAL_LENIENCE } else { 1.0 };
-        let share = self.typical[query.class] / (class.aim_ms.max(1.0) * lenience);
+        // Waiting for company takes its share of the aim first.
+        let left = 1.0 - self.gather(query.class);
+        let share = self.typical[query.class] / (class.aim_ms.max(1.0) * lenience * left);
         let (seldom, missed) = (self.seldom(), !served || now > query.aim);
         let gain = if seldom { MISS_GAIN_SELDOM } else { MISS_GAIN };
         self.limit.misses += gain * (f64::from(missed) - self.limit.misses);
--- a/src/aggregator/mod.rs
+++ b/src/aggregator/mod.rs
@@ -176,7 +176,10 @@
         let open: Vec<RequestId> = self.queries.keys().copied().collect();
         open.iter().for_each(|&id| self.settle(now, id, actions));
         open.iter().for_each(|&id| self.admit(now, id, actions));
-        open.iter().for_each(|&id| self.fill(now, id, actions));
+        // Twice where parts share calls: what is held back joins a call that a later query opens.
+        for _ in 0..self.set.batch.min(2) {
+            open.iter().for_each(|&id| self.fill(now, id, actions));
+        }
         self.copies(now, actions);
         let tick = (!self.queries.is_empty()).then_some(now + self.set.turn_ms * TICK_TURNS);
         let next = [tick, self.asking.at()].into_iter().flatten().fold(f64::INFINITY, f64::min);
--- a/src/aggregator/placement.rs
+++ b/src/aggregator/placement.rs
@@ -18,6 +18,8 @@
 const FLAKY_MEMORY_AIMS: f64 = 10.0;
 /// Among distrusted replicas, fewer failures in a row come first, up to so many.
 const DISTRUST_LEVELS: u32 = 3;
+/// The most of its aim that a part waits for company.
+const GATHER_MOST: f64 = 0.3;
 
 impl Aggregator {
     /// The share of its full capacity that a server surely has by now.
@@ -52,13 +54,13 @@
     /// How good a place a server is for a part; the least is chosen.
     /// First trust, then the count after the placement, by call. The count of a slow or a cold server
     /// is scaled by how much longer work takes there, which acts only from `SLOW` on. Ties go to fewer
-    /// failures since a success, the better pace, the own zone, and a rotation by seed.
+    /// failures since a success, a call that it joins, the better pace, the own zone, and a rotation by seed.
     pub(super) fn rank(&self, now: Millis, sid: ServerId, class: usize) -> Option<Rank> {
         let server = self.servers.get(&sid)?;
         if !self.cold_room(now, server, class) {
             return None;
         }
-        let joins = server.open.is_some_and(|(_, members)| members < self.set.batch);
+        let joins = server.room(self.set.batch).is_some();
         let process = server.faults.last().unwrap_or(&server.faults[class]);
         let doubt = server.faults[class].count.max(process.count).min(DISTRUST_LEVELS);
         let until = server.faults[class].until.max(process.until);
@@ -75,6 +77,7 @@
             distrust: if kept_out { doubt } else { 0 },
             count: (f64::from(calls) * scale).round() as u32,
             doubt,
+            alone: !joins,
             pace: (pace * PACE_STEPS).round().max(PACE_STEPS) as u32,
             far: server.zone != self.set.zone,
             turn: mix(self.random ^ u64::from(sid)),
@@ -94,6 +97,7 @@
     pub(super) fn fill(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
         let Some(query) = self.queries.get(&id) else { return };
         let (class, aim) = (query.class, query.aim);
+        let gathers = now < query.arrived + self.gather(class) * (aim - query.arrived);
         let mut heap = BinaryHeap::new();
         for (order, p) in query.parts.clone().into_iter().enumerate() {
             let Some(part) = self.parts.get(&p).filter(|part| part.state == PartState::Waiting) else {
@@ -115,6 +119,10 @@
                 continue;
             }
             let shut = rank.distrust > 0 && now + HASTE * self.typical[class] <= aim;
+            let open = |server: &Server| server.room(self.set.batch).is_some() || server.calls() == 0;
+            if part.tried.is_empty() && gathers && !self.servers.get(&sid).is_some_and(open) {
+                continue;
+            }
             if !part.tried.is_empty() && (shut || !self.may_spend(self.set.budget, 0.0)) {
                 continue;
             }
@@ -122,6 +130,20 @@
         }
     }
 
+    /// For which share of its aim a new part may wait for a call to share: what a call of its own would add
+    /// to its work, up to a most. While no call is out at its replica it goes at once; else a call out is
+    /// answered first, and what came meanwhile goes as one. This guards against servers that spend on calls
+    /// what parts need: the longer they take, the fuller the calls. It could harm where a call is stuck and
+    /// its replica shows no worse than the others.
+    pub(super) fn gather(&self, class: usize) -> f64 {
+        let part = self.light[class];
+        if self.set.batch > 1 && part > 0.0 {
+            (self.set.call_cost_ms / part).clamp(0.0, GATHER_MOST)
+        } else {
+            0.0
+        }
+    }
+
     /// A part that may not be sent again is lost; a spare one takes its place.
     fn give_up_part(&mut self, id: RequestId, part: RequestId) {
         self.parts.entry(part).and_modify(|part| part.state = PartState::Dead);
@@ -144,8 +166,7 @@
             return;
         }
         let class = &self.set.classes[query.class];
-        let joined = server.open.filter(|&(_, members)| members < self.set.batch);
-        let (call, members) = joined.unwrap_or((self.last_call + 1, 0));
+        let (call, members) = server.room(self.set.batch).unwrap_or((self.last_call + 1, 0));
         self.last_call = self.last_call.max(call);
         server.open = Some((call, members + 1));
         let attempt = part.tried.len() as u32;
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -58,6 +58,11 @@
 }
 
 impl Server {
+    /// The call opened this turn, where it has room, and how many parts it carries.
+    pub(crate) fn room(&self, batch: u32) -> Option<(u64, u32)> {
+        self.open.filter(|&(_, members)| members < batch)
+    }
+
     /// Calls out: parts of one call lie next to each other.
     pub(crate) fn calls(&self) -> u32 {
         let mut last = None;
@@ -139,6 +144,8 @@
     pub(crate) distrust: u32,
     pub(crate) count: u32,
     pub(crate) doubt: u32,
+    /// Begins a call of its own.
+    pub(crate) alone: bool,
     pub(crate) pace: u32,
     pub(crate) far: bool,
     pub(crate) turn: u64,
