Take from the least share how late parts may get before the limit acts

At fault: PARTIAL_LENIENCE in src/aggregator/admission.rs, a factor of 3 for every class that may be answered in part, found where three parts in ten would do. Here seven in ten are needed, and one late part in four leaves nothing to give.

Now the lenience is the whole answer's share over the least one, 3 at most. No class of the first deployment may be answered in part: unchanged there.

--- a/src/aggregator/admission.rs
+++ b/src/aggregator/admission.rs
@@ -9,7 +9,8 @@
 /// cut the limit, at most once in the time that a query takes; below the first they raise it.
 const SHORT_SHARE: f64 = 0.25;
 const LONG_SHARE: f64 = 0.3;
-/// Where an answer in part may be given, a late part costs little, and the limit acts so much later.
+/// Where an answer in part may be given, a late part costs less the smaller the least share is: the limit
+/// acts so many times later as that share goes into a whole answer, up to so many.
 const PARTIAL_LENIENCE: f64 = 3.0;
 /// While few recent queries miss their aim, latency may be so much longer uncut. Where there are as many
 /// aggregators as servers, each sees too little to go round slow ones, which end most queries of many parts
@@ -142,7 +143,7 @@
     pub(super) fn learn_limit(&mut self, now: Millis, id: RequestId, served: bool) {
         let Some(query) = self.queries.get(&id).filter(|query| query.admitted) else { return };
         let class = &self.set.classes[query.class];
-        let lenience = if class.floor < class.need { PARTIAL_LENIENCE } else { 1.0 };
+        let lenience = (class.need / class.floor).min(PARTIAL_LENIENCE);
         // Waiting for company takes its share of the aim first.
         let left = 1.0 - self.gather(query.class);
         let share = self.typical[query.class] / (class.aim_ms.max(1.0) * lenience * left);
--- a/tests/company.rs
+++ b/tests/company.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::{settings, Rig};
-use stoatlane::{Action, Outcome, Settings};
+use common::{class, settings, Rig};
+use stoatlane::{Action, Class, Outcome, Settings};
 
 const PART_MS: f64 = 100.0;
 
@@ -112,3 +112,11 @@
     assert_eq!(refused(set(0.0), takes), 0);
     assert!(refused(set(300.0), takes) > 0);
 }
+
+#[test]
+fn the_limit_bears_as_much_more_as_the_least_share_goes_into_a_whole_answer() {
+    let with = |floor| Settings { classes: vec![Class { floor, ..class() }], ..settings(4, 4, 1) };
+    let takes = 700.0;
+    assert_eq!(refused(with(0.3), takes), 0, "three parts in ten will do: a late one costs little");
+    assert!(refused(with(0.7), takes) > 0, "seven in ten are needed");
+}
