Move a late part only from a server that has served nothing since

Seen: with parts one at a time a part out for half its aim is withdrawn and sent elsewhere. On both deployments many of these moves were from servers that went on answering: the part only waited its turn, waited anew elsewhere, and where running work is not cancelled it was done twice. Ruled out: a ration of moves scaled by the price of waste (no gain), moving at three quarters of the aim (no gain), no moves while parts wait for a call (a smaller gain, and none on the first deployment). At fault: `copies` in src/aggregator/attempts.rs, which took any long wait for a stall.

Now a part moves only where its server has answered nothing since it was sent.

--- a/src/aggregator/attempts.rs
+++ b/src/aggregator/attempts.rs
@@ -97,9 +97,13 @@
             let Some((rank, sid)) = self.best(now, part, query.class) else { continue };
             let ready = |held: &&ServerId| self.servers.get(held).is_some_and(|s| s.status == Status::Ready);
             let held = part.tried.last().filter(ready).and_then(|&held| self.rank(now, held, query.class));
+            // A server that has served since is not stuck: elsewhere the part would wait anew, and what was
+            // done for it is wasted.
+            let last = part.tried.last().and_then(|held| self.servers.get(held));
+            let serves = !self.set.parallel && last.is_some_and(|held| held.served > part.last);
             let known = self.servers.get(&sid).is_some_and(|s| self.kept(now, s) > KNOWN);
             let worse = |held: Rank| rank.count > held.count || rank.pace * 2 > held.pace;
-            if rank.distrust > 0 || held.is_some_and(worse) || !known {
+            if rank.distrust > 0 || held.is_some_and(worse) || !known || serves {
                 continue;
             }
             if self.set.parallel {
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -625,6 +625,23 @@
     assert!(withdrawals(&unsafe_part).is_empty());
 }
 
+/// Moved, it would wait anew elsewhere, and its server works on for nothing.
+#[test]
+fn a_late_part_stays_with_a_server_that_goes_on_serving() {
+    let mut rig = one_at_a_time(Repeat::Safe);
+    let part = rig.query(1, 0, &[0])[0];
+    let (held, from) = (rig.sent[0].server, rig.sent.len());
+    for id in 2..6 {
+        // The other server serves as well, so that all is known of both.
+        rig.query(id, 0, &[0, 0, 0]);
+        rig.pass(80.0);
+        rig.end_from(rig.sent.len() - 3, Outcome::Success);
+    }
+    assert!(rig.sent[from..].iter().any(|sent| sent.server == held));
+    rig.pass(300.0);
+    assert!(withdrawals(&rig).is_empty(), "{part} moved: {:?}", withdrawals(&rig));
+}
+
 #[test]
 fn an_answer_that_overtakes_its_withdrawal_counts() {
     let mut rig = one_at_a_time(Repeat::Safe);
