Decide at one place whether a repeat is harmless, for sends and for refusals

A refusal tells the client that asking again does no harm, but the servers remember a keyed part for `memory_span_ms` from its first attempt only. `may_repeat` knew that; `end` decided apart from it, and refused every keyed query, also one whose part may have run and whose client may come back after the servers forgot. At fault: `end` in src/aggregator/settle.rs, which asked for unsafe classes alone.

`repeatable_until` now says for safe, keyed and unsafe parts until when a repeat has no effect twice; `may_repeat` holds it against the time of a send, `end` against the latest time at which the client may come back (its class's deadline). A keyed query past that fails.

--- a/src/aggregator/attempts.rs
+++ b/src/aggregator/attempts.rs
@@ -30,20 +30,24 @@
         })
     }
 
-    /// Whether a part may be sent once more. Keyed parts only while the servers surely remember the
-    /// first attempt, unsafe ones only when every attempt is proved never to have run.
-    pub(super) fn may_repeat(&self, now: Millis, part: &Part, class: &Class) -> bool {
-        if part.tried.is_empty() {
-            return true;
+    /// Until when a part that is asked once more, by this aggregator or by its client, has no effect twice:
+    /// for ever where it is safe or every attempt is proved never to have run; a keyed one while the servers
+    /// surely remember the first attempt; an unsafe one never. Whatever repeats or invites to asks here.
+    pub(super) fn repeatable_until(part: &Part, class: &Class) -> Millis {
+        let running = part.out > 0 || part.state == PartState::In;
+        let first = part.may_have_run.into_iter().chain(running.then_some(part.sent)).reduce(f64::min);
+        match (class.repeat, first) {
+            (Repeat::Safe, _) | (_, None) => f64::INFINITY,
+            (Repeat::Keyed, Some(first)) => first + class.memory_ms,
+            (Repeat::Unsafe, Some(_)) => f64::NEG_INFINITY,
         }
-        let first = if part.out > 0 { Some(part.sent) } else { None };
-        let first = part.may_have_run.into_iter().chain(first).fold(f64::INFINITY, f64::min);
-        part.tried.len() < self.set.max_attempts as usize
-            && match class.repeat {
-                Repeat::Safe => true,
-                Repeat::Keyed => now < first + class.memory_ms - self.set.turn_ms,
-                Repeat::Unsafe => part.out == 0 && part.may_have_run.is_none(),
-            }
+    }
+
+    /// Whether a part may be sent once more.
+    pub(super) fn may_repeat(&self, now: Millis, part: &Part, class: &Class) -> bool {
+        part.tried.is_empty()
+            || (part.tried.len() < self.set.max_attempts as usize
+                && now + self.set.turn_ms < Self::repeatable_until(part, class))
     }
 
     /// Sends further copies of parts that are late, first ones and the queries with fewest missing first;
--- a/src/aggregator/settle.rs
+++ b/src/aggregator/settle.rs
@@ -82,15 +82,17 @@
     }
 
     /// Gives a query up, at once and with advice on when to return. A refusal says that a repeat
-    /// does no harm, so it is not given where an unsafe part may have run.
+    /// does no harm, so it is not given where a part may have run and its class does not bear that.
     pub(super) fn end(&mut self, id: RequestId, why: Why, actions: &mut Vec<Action>) {
         let Some(query) = self.queries.get(&id) else { return };
         actions.push(Action::Because { query: id, why });
-        let unsafe_class = self.set.classes[query.class].repeat == Repeat::Unsafe;
-        let ran = |p: &Part| p.out > 0 || p.may_have_run.is_some() || p.state == PartState::In;
-        let may_have_run =
-            query.second_step || query.parts.iter().any(|p| self.parts.get(p).is_some_and(ran));
-        if unsafe_class && may_have_run {
+        let class = &self.set.classes[query.class];
+        // A client may come back as long as it waits, all its tries together, but for the last turn, which is
+        // too short for an answer. A first step's parts are gone.
+        let step = query.second_step.then(|| Part { may_have_run: Some(query.arrived), ..Part::default() });
+        let mut parts = query.parts.iter().filter_map(|p| self.parts.get(p)).chain(&step);
+        let back = query.arrived + class.deadline_ms - self.set.turn_ms;
+        if parts.any(|part| Self::repeatable_until(part, class) < back) {
             actions.push(Action::Fail { query: id });
         } else {
             // Room comes as parts end: in about the usual latency of one. Longer advice would use up the
