--- a/tests/company.rs
+++ b/tests/company.rs
@@ -88,6 +88,18 @@
     assert_ne!(rig.sent[0].server, rig.sent[1].server, "the fewest calls out come before company");
 }
 
+#[test]
+fn a_part_that_failed_waits_for_no_company() {
+    let mut rig = costly(2, 46.0);
+    let out = rig.query(1, 0, &[0])[0];
+    let part = rig.query(2, 0, &[0])[0];
+    let failed = *rig.sent.iter().find(|sent| sent.part == part).unwrap();
+    rig.end(failed, Outcome::Failure);
+    rig.turn();
+    let again = rig.sent.iter().rfind(|sent| sent.part == part).unwrap();
+    assert_eq!((again.attempt, again.at), (1, rig.now), "beside {out}, which is still out there");
+}
+
 /// How many of 40 queries that come soon after one another are refused, after 20 that each took so long.
 fn refused(set: Settings, takes: f64) -> usize {
     let mut rig = warm(set, 4, takes);
