Stop what is out at stores for a client that has left, and think no worse of them

The core now stops what is out for it where the settings allow that; a store that can drop work does.

An attempt that ends so tells nothing of its store: the module hears of it as void, where a withdrawal would count as waited for in vain, and its connection is not taken for one that fell silent.

--- a/broker/src/core/answer.rs
+++ b/broker/src/core/ending.rs
@@ -1,11 +1,11 @@
-//! What a query is answered with: the values of the parts that are in, or, after the first step of a class with two, the
-//! parts of the second.
+//! How a query ends: with the values of the parts that are in, or with its client, who has left; and what comes after the
+//! first step of a class with two.
 
 use std::rc::Rc;
 
 use stoatlane::{Event, RequestId};
 
-use super::{Ask, Core, Final, FirstStep, QueryId, Served};
+use super::{Ask, AttemptId, Core, Final, FirstStep, Query, QueryId, Served};
 use crate::routes::Target;
 
 /// A part in answers: the client's number, where its weighers begin, its block, and what came.
@@ -46,4 +46,24 @@
         }
         Err(next.into_iter().map(|(ask, target)| self.part(id, &ask, target, 0)).collect())
     }
+
+    /// Stops what is out for a query whose client has left: a store that can drop it is spared the work.
+    pub(super) fn abandon(&mut self, query: QueryId) {
+        let Some(open) = self.queries.get(&query).filter(|_| self.withdrawals) else { return };
+        for part in &open.parts {
+            let of = |number| AttemptId { part: *part, number };
+            for (attempt, flight) in self.flights.range_mut(of(0)..=of(u32::MAX)) {
+                flight.abandoned = true;
+                self.abandoned.push(*attempt);
+            }
+        }
+    }
+
+    pub(super) fn forget(&mut self, query: QueryId) -> Option<Query> {
+        let open = self.queries.remove(&query)?;
+        for part in &open.parts {
+            self.parts.remove(part);
+        }
+        Some(open)
+    }
 }
--- a/broker/src/core/messages.rs
+++ b/broker/src/core/messages.rs
@@ -194,6 +194,8 @@
     Send(Order),
     /// Stop waiting for an attempt; its end is still owed.
     GiveUp(AttemptId),
+    /// Stop working on an attempt that nobody waits for any more, through no fault of its store's; its end is still owed.
+    Abandon(AttemptId),
     /// Close the idle connections to a store.
     Release(ServerId),
     /// Ask for news of the block map: a store knows more.
--- a/broker/src/core/mod.rs
+++ b/broker/src/core/mod.rs
@@ -3,7 +3,7 @@
 //! knows no wire, socket or text format, and decides nothing of its own beyond the checks that a host
 //! owes the module ([`Guard`]).
 
-mod answer;
+mod ending;
 mod guard;
 mod heirs;
 mod key;
@@ -53,6 +53,8 @@
     sent: Millis,
     /// The epoch that it was placed under.
     epoch: Option<Epoch>,
+    /// Its client has left.
+    abandoned: bool,
 }
 
 /// How often a turn is played again for what came of it at once: second steps, void attempts.
@@ -66,6 +68,9 @@
     /// By class, whether no part may run twice.
     entries: Vec<bool>,
     guard: Guard,
+    /// Whether attempts may be given up, and those that are because their clients have left.
+    withdrawals: bool,
+    abandoned: Vec<AttemptId>,
     routes: Option<Rc<Routes>>,
     held: Vec<Held>,
     /// Queries given up here: their blocks have no heirs that could be asked.
@@ -93,6 +98,8 @@
         Self {
             entries: settings.classes.iter().map(|class| class.repeat == Repeat::Unsafe).collect(),
             guard: Guard::new(&settings),
+            withdrawals: settings.withdrawals,
+            abandoned: Vec::new(),
             routes,
             held: Vec::new(),
             ended: Vec::new(),
@@ -155,6 +162,7 @@
             commands.push(Command::Learn);
         }
         commands.extend(self.withdrawn.drain(..).map(Command::GiveUp));
+        commands.extend(self.abandoned.drain(..).map(Command::Abandon));
         commands.extend(self.ended.drain(..).map(|(query, answer)| Command::Finish(query, answer)));
         commands
     }
@@ -163,6 +171,7 @@
         match happening {
             Happening::Asked(id, question) => self.asked(now, id, question, actions),
             Happening::Gone(query) => {
+                self.abandon(query);
                 self.forget(query);
                 self.aggregator.handle(now, Event::ClientGone { query }, actions);
             }
@@ -206,12 +215,14 @@
             // Of two copies the second to end may well have failed: what came stays.
             part.served = part.served.take().or(ended.served);
         }
+        // That a client left tells nothing of the store, however little of the answer had come by then.
+        let void = flight.abandoned && ended.outcome == Outcome::Withdrawn;
         let event = Event::Outcome {
             part: attempt.part,
             attempt: attempt.number,
             server: flight.server,
             wait_ms: now - flight.sent,
-            outcome: ended.outcome,
+            outcome: if void { Outcome::Void } else { ended.outcome },
             report: ended.report,
         };
         self.aggregator.handle(now, event, actions);
@@ -279,14 +290,6 @@
         Event::Part { id, number: query, shard, weight, cost_ms: ask.cost_ms.map(|ms| ms * target.share) }
     }
 
-    fn forget(&mut self, query: QueryId) -> Option<Query> {
-        let open = self.queries.remove(&query)?;
-        for part in &open.parts {
-            self.parts.remove(part);
-        }
-        Some(open)
-    }
-
     /// Translates actions; returns what the aggregator has to be told of them at once.
     fn carry_out(&mut self, now: Millis, actions: Vec<Action>, commands: &mut Vec<Command>) -> Vec<Event> {
         let mut follows = Vec::new();
@@ -362,7 +365,7 @@
         });
         let attempt = AttemptId { part: id, number };
         let epoch = fence.as_ref().map(|fence| fence.epoch);
-        self.flights.insert(attempt, Flight { server, sent: now, epoch });
+        self.flights.insert(attempt, Flight { server, sent: now, epoch, abandoned: false });
         Ok(Order {
             attempt,
             server,
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -31,7 +31,7 @@
 use crate::rotation::Rotation;
 use crate::routes::Routes;
 use crate::store::link::Limits;
-use crate::store::Stores;
+use crate::store::{Stores, Word};
 
 /// What was taken has ended after so long, whatever its time-out: no class waits longer.
 const FINISH_WITHIN: Duration = Duration::from_secs(15);
@@ -368,7 +368,8 @@
         for command in core.turn(clock.now(), std::mem::take(&mut happened)) {
             match command {
                 Command::Send(order) => stores.send(order),
-                Command::GiveUp(attempt) => stores.give_up(attempt),
+                Command::GiveUp(attempt) => stores.stop(attempt, Word::GiveUp),
+                Command::Abandon(attempt) => stores.stop(attempt, Word::Abandon),
                 Command::Release(server) => stores.release(server),
                 Command::Learn => plugged.iter().for_each(|subsystem| subsystem.learn()),
                 Command::Subscribe => discovery.subscribe(),
--- a/broker/src/store/attempts.rs
+++ b/broker/src/store/attempts.rs
@@ -13,7 +13,7 @@
 use stoatlane::Outcome;
 
 use super::link::{Link, Part};
-use super::{frame, Site, Stores};
+use super::{frame, Site, Stores, Word};
 use crate::clock::millis;
 use crate::core::{AttemptId, Ended, Form, Order};
 use crate::counters::count;
@@ -28,9 +28,9 @@
 const LINKS_APART: usize = 6;
 
 /// An attempt to be made, and where the core's word to give it up comes.
-type Attempt = (Order, Receiver<()>);
-/// What stops an attempt.
-type Stop = Pin<Box<dyn Future<Output = Outcome>>>;
+type Attempt = (Order, Receiver<Word>);
+/// What stops an attempt: its outcome, and whether it was waited for in vain.
+type Stop = Pin<Box<dyn Future<Output = (Outcome, bool)>>>;
 
 impl Stores {
     /// Notes an attempt that is to be made when the turn is over ([`Stores::turn_over`]); its end goes to the exchange.
@@ -84,7 +84,7 @@
     fn follow<F: Future<Output = Ended> + 'static>(
         self: &Rc<Self>,
         order: Order,
-        stopped: Receiver<()>,
+        stopped: Receiver<Word>,
         attempt: impl FnOnce(Order, Stop) -> F,
     ) {
         let (id, began) = (order.attempt, Instant::now());
@@ -97,12 +97,9 @@
         let patience = millis(order.patience_ms);
         let patience = async move {
             Timer::after(patience).await;
-            Outcome::TimedOut
-        };
-        let withdrawn = async move {
-            let _ = stopped.recv().await;
-            Outcome::Withdrawn
+            (Outcome::TimedOut, true)
         };
+        let withdrawn = async move { (Outcome::Withdrawn, stopped.recv().await != Ok(Word::Abandon)) };
         let attempt = attempt(order, Box::pin(or(patience, withdrawn)));
         let this = self.clone();
         let task = async move {
@@ -133,9 +130,9 @@
     /// Waits for the end of a part on a link.
     async fn wait(&self, link: &Link, id: Rc<str>, ended: Receiver<Ended>, stop: Stop) -> Ended {
         let end = async { Ok(ended.recv().await.unwrap_or(Outcome::Broken.into())) };
-        let outcome = match or(end, async { Err(stop.await) }).await {
+        let (outcome, in_vain) = match or(end, async { Err(stop.await) }).await {
             Ok(ended) => return ended,
-            Err(outcome) => outcome,
+            Err(stopped) => stopped,
         };
         if link.give_up(&id) {
             return Outcome::Void.into();
@@ -146,7 +143,7 @@
         };
         let last = async { ended.recv().await.unwrap_or(outcome.into()) };
         let ended = or(last, settled).await;
-        link.forget(&id, &self.limits);
+        link.forget(&id, in_vain, &self.limits);
         ended
     }
 
@@ -158,7 +155,7 @@
         match or(end, async { Err(stop.await) }).await {
             Ok(ended) => ended,
             Err(_) if !written.get() => Outcome::Void.into(),
-            Err(outcome) => {
+            Err((outcome, _)) => {
                 Timer::after(GIVING_UP).await;
                 outcome.into()
             }
--- a/broker/src/store/link.rs
+++ b/broker/src/store/link.rs
@@ -193,12 +193,13 @@
         false
     }
 
-    /// Forgets a part that is no longer waited for.
-    pub fn forget(&self, id: &Rc<str>, limits: &Limits) {
+    /// Forgets a part that is no longer waited for, and may have been waited for in vain.
+    pub fn forget(&self, id: &Rc<str>, in_vain: bool, limits: &Limits) {
         let flight = self.flights.borrow_mut().remove(id);
         // Guards against a connection that fell silent while its store is well, and shows no other sign of it:
         // nothing came while this part waited. The next part is better off on a new one.
-        let silent = flight.is_some_and(|flight| flight.written && self.heard.get() < flight.since);
+        let silent =
+            in_vain && flight.is_some_and(|flight| flight.written && self.heard.get() < flight.since);
         if silent && !self.closing.replace(true) {
             count(&self.counters.links_silent);
         }
--- a/broker/src/store/mod.rs
+++ b/broker/src/store/mod.rs
@@ -49,6 +49,15 @@
     }
 }
 
+/// Why the core stops an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// It was waited for in vain.
+    GiveUp,
+    /// Nobody waits for it any more.
+    Abandon,
+}
+
 /// The stores, and the attempts that are out at them.
 pub struct Stores {
     executor: Rc<LocalExecutor<'static>>,
@@ -64,9 +73,9 @@
     numbered: Cell<ServerId>,
     /// Stores that offer the feature form, and where.
     offers: HashMap<String, SocketAddr>,
-    stops: RefCell<HashMap<AttemptId, Sender<()>>>,
+    stops: RefCell<HashMap<AttemptId, Sender<Word>>>,
     /// What is to be sent once the turn is over.
-    orders: RefCell<Vec<(Order, Receiver<()>)>>,
+    orders: RefCell<Vec<(Order, Receiver<Word>)>>,
     /// Told of the numbers that stores have, where blocks move.
     routes: Option<Rc<Routes>>,
     /// Links open, and when one ended by a spoilt answer.
@@ -196,9 +205,9 @@
     }
 
     /// Stops waiting for an attempt; its end still goes to the exchange.
-    pub fn give_up(&self, attempt: AttemptId) {
+    pub fn stop(&self, attempt: AttemptId, word: Word) {
         if let Some(stop) = self.stops.borrow().get(&attempt) {
-            let _ = stop.try_send(());
+            let _ = stop.try_send(word);
         }
     }
 }
--- a/broker/tests/calls.rs
+++ b/broker/tests/calls.rs
@@ -15,6 +15,7 @@
 use gingerledge::core::{AttemptId, Form, Happening, Order};
 use gingerledge::store::frame;
 use gingerledge::store::link::Limits;
+use gingerledge::store::Word;
 use gingerledge_standin::scripted::{exchange, listener, parts, query, run, World};
 use serde_json::json;
 use stoatlane::{Outcome, ServerId};
@@ -94,6 +95,10 @@
         self.sides.stores.turn_over();
     }
 
+    fn stop(&self, part: u64) {
+        self.sides.stores.stop(AttemptId { part, number: 0 }, Word::GiveUp);
+    }
+
     async fn accept(&self) -> Peer {
         Peer(self.store.accept().await.unwrap().0, Vec::new())
     }
@@ -170,8 +175,8 @@
 fn what_is_given_up_before_the_call_is_written_is_not_in_it() {
     play(Rig::new(32, 8, 1000), |mut rig| async move {
         rig.turn(0..3);
-        rig.sides.stores.give_up(AttemptId { part: 0, number: 0 });
-        rig.sides.stores.give_up(AttemptId { part: 2, number: 0 });
+        rig.stop(0);
+        rig.stop(2);
         let mut peer = rig.accept().await;
         assert_eq!(peer.call().await, ids(&[1]));
         peer.answer("q.1").await;
@@ -188,7 +193,7 @@
         rig.turn([1, 2]);
         let mut peer = rig.accept().await;
         assert_eq!(peer.call().await, ids(&[0, 1, 2]));
-        rig.sides.stores.give_up(AttemptId { part: 1, number: 0 });
+        rig.stop(1);
         for part in ["q.1", "q.0"] {
             assert_eq!(peer.frame().await, Some((frame::GIVE_UP, part.as_bytes().to_vec())));
         }
