--- a/broker/src/store/attempts.rs
+++ b/broker/src/store/attempts.rs
@@ -19,9 +19,9 @@
 use crate::counters::count;
 
 /// After an attempt has been given up, its answer may still be under way, and another attempt that goes
-/// out at once could reach its store before this one learns of it. Both are waited for so long: twice
-/// the longest way between zones and a little more.
-const GIVING_UP: Duration = Duration::from_millis(8);
+/// out at once could reach its store before this one learns of it. Both are waited for so long: many times
+/// the longest way between zones, since a store on a busy machine reads one connection later than another.
+const GIVING_UP: Duration = Duration::from_millis(25);
 /// After a spoilt answer, from any store, parts share no connections for so long where others can be had,
 /// up to so many for a store: the next one then takes no more parts down with it.
 const SPOILT_MEMORY: Duration = Duration::from_secs(30);
