--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -16,7 +16,7 @@
 use gingerledge_standin::discovery::View;
 use gingerledge_standin::fleet::ledger::{Deed, Ledger, Line};
 use gingerledge_standin::fleet::load::Load;
-use gingerledge_standin::fleet::{pause, run, Plan};
+use gingerledge_standin::fleet::{pause, run, Fleet, Plan};
 use gingerledge_standin::site::{Repeat, Site};
 use gingerledge_standin::store::Fault;
 use gingerledge_standin::witness::{score, value};
@@ -363,25 +363,43 @@
 }
 
 #[test]
-fn two_brokers_at_the_sets_give_one_answer_each_and_breach_nothing_while_a_store_stalls_and_one_dies() {
-    // So short that a part which waited in vain at the store that stalls may not go again.
+fn two_brokers_at_the_sets_give_one_answer_each_and_breach_nothing_while_half_of_each_set_stalls_and_dies() {
+    // So short that a part which waited in vain at a store that stalls may not go again once that dies.
     let site = Site::parse(&ARCHIVE.replace("memory_ms = 3000.0", "memory_ms = 100.0")).unwrap();
     let plan = Plan { program: Some(env!("CARGO_BIN_EXE_soak").into()), ..Plan::at(site, 2, 46) };
     run(plan, |fleet| async move {
-        let load = Load::start(&fleet, |_| 25.0);
-        assert!(fleet.until(|| async { load.tally.answered.get() > 30 }).await, "{:?}", load.tally);
-        let until = std::time::Instant::now() + Duration::from_millis(1500);
-        fleet.stores[0].set_fault(Fault::Stalled(until));
-        let then = load.tally.answered.get();
-        assert!(fleet.until(|| async { load.tally.answered.get() > then + 60 }).await, "{:?}", load.tally);
-        fleet.stores[1].kill();
-        let then = load.tally.answered.get();
-        assert!(fleet.until(|| async { load.tally.answered.get() > then + 30 }).await, "{:?}", load.tally);
-        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
-        fleet.stores[1].restart(unix.as_millis() as u64).unwrap();
+        let until = std::time::Instant::now() + Duration::from_secs(60);
+        (0..3).for_each(|store| fleet.stores[store].set_fault(Fault::Stalled(until)));
+        // Nothing has taught the brokers yet which stores those are.
+        let (notes, witness) = (LocalExecutor::new(), fleet.witness.clone().unwrap());
+        let ask =
+            |fleet: Rc<Fleet>, k: u32, text: Vec<u8>| async move { fleet.ask(k as usize % 2, &text).await };
+        let asked: Vec<_> = (0..12)
+            .map(|k| (k, witness.ask(&format!("n{k}"), 1, k, None, false)))
+            .map(|(k, text)| notes.spawn(ask(fleet.clone(), k, text)))
+            .collect();
+        notes.run(pause(400)).await;
+        let stalled = |line: &Line| matches!(line.deed, Deed::Began(0..3, _));
+        assert!(fleet.ledger.count(Duration::ZERO, stalled) > 0);
+        let load = Load::start(&fleet, |_| 50.0);
+        let answered = async |more: u64| {
+            let then = load.tally.answered.get();
+            assert!(
+                fleet.until(|| async { load.tally.answered.get() > then + more }).await,
+                "{:?}",
+                load.tally
+            );
+        };
+        notes.run(answered(30)).await;
+        (0..3).for_each(|store| fleet.stores[store].kill());
+        for ask in asked {
+            assert!(notes.run(ask).await.is_some(), "no final answer");
+        }
+        answered(60).await;
+        let (from, unix) = (fleet.ledger.now(), std::time::UNIX_EPOCH.elapsed().unwrap());
+        (0..3).for_each(|store| fleet.stores[store].restart(unix.as_millis() as u64).unwrap());
         fleet.discovery.changed();
-        let from = fleet.ledger.now();
-        let back = |line: &Line| matches!(line.deed, Deed::Ran(1, _));
+        let back = |line: &Line| matches!(line.deed, Deed::Ran(0..3, _));
         assert!(fleet.until(|| async { fleet.ledger.count(from, back) > 5 }).await, "{:?}", load.tally);
         let tally = load.end().await;
         assert!(tally.lost.borrow().is_empty(), "no final answer: {:?}", tally.lost.borrow());
