--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -130,7 +130,7 @@
             discovery.list(&store, ZONES[n % ZONES.len()]);
             stores.push(store);
         }
-        let (mut to_stores, mut to_discovery, mut known) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut to_stores, mut to_discovery) = (Vec::new(), Vec::new());
         for who in 0..plan.brokers {
             let mut relays = Vec::new();
             for (n, store) in stores.iter().enumerate() {
@@ -139,11 +139,10 @@
             }
             let through = relays.iter().map(|relay| relay.address).collect();
             let view = View { through, noted: Some((ledger.clone(), who)) };
-            let (door, list) = match &installed {
-                Some(site) => (site.door(executor, view.clone())?, site.known(&view)),
-                None => (discovery.door(executor, view)?, Value::Null),
+            let door = match &installed {
+                Some(site) => site.door(executor, view)?,
+                None => discovery.door(executor, view)?,
             };
-            known.push(list);
             to_discovery.push(Relay::start(executor, &ledger, who, None, door)?);
             to_stores.push(relays);
         }
@@ -169,7 +168,6 @@
             let (platform, admin) = doors[who];
             let mut config = settings::config(&name, to_discovery[who].address, platform, admin, settings);
             config["seed"] = json!(format!("{:x}", plan.seed.wrapping_mul(0x9E37_79B9) ^ who as u64));
-            config["known"] = known[who].take();
             config["peer_listen"] = json!(peers[who].to_string());
             let sees = |other: Who| match between.get(&(who.min(other), who.max(other))) {
                 Some(pair) => pair.seen[usize::from(who > other)],
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -187,16 +187,6 @@
         }
     }
 
-    /// The list that a broker has from the beginning, where lists are pushed.
-    pub fn known(&self, view: &View) -> Value {
-        let pushed = self.witness.site.discovery == Mode::Pushed;
-        if pushed {
-            self.discovery.list_for(view)
-        } else {
-            Value::Null
-        }
-    }
-
     /// Starts a broker on this thread, and waits until it has its list.
     pub async fn broker(
         &self,
@@ -205,8 +195,7 @@
     ) -> Result<Broker, Box<dyn std::error::Error>> {
         let door = self.door(executor, View::default())?;
         let any = ([127, 0, 0, 1], 0).into();
-        let mut config = settings::config("world", door, any, any, self.witness.site.settings(1, 0));
-        config["known"] = self.known(&View::default());
+        let config = settings::config("world", door, any, any, self.witness.site.settings(1, 0));
         let broker = in_process(executor, dir, config, None)?;
         serves(broker, b"GET /ready HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n").await
     }
