--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -1,6 +1,7 @@
 //! A small installation on loopback: discovery, stores with data, and who holds what at the beginning.
 
 use std::cell::RefCell;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -200,3 +201,16 @@
         serves(broker, b"GET /ready HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n").await
     }
 }
+
+/// Runs a scenario on this thread at the site that a text describes, without brokers.
+pub fn at<F: Future<Output = ()>>(text: &str, play: impl FnOnce(Rc<LocalExecutor<'static>>, Installed) -> F) {
+    let (executor, ledger) = (Rc::new(LocalExecutor::new()), Rc::new(Ledger::default()));
+    async_io::block_on(executor.run(async {
+        let site = Site::parse(text).map(|site| Installed::start(&executor, site, &ledger));
+        match site {
+            Ok(Ok(site)) => play(executor.clone(), site).await,
+            Ok(Err(fault)) => panic!("the site does not start: {fault}"),
+            Err(fault) => panic!("no site: {fault}"),
+        }
+    }));
+}
