--- a/broker/tests/drawn/host.rs
+++ b/broker/tests/drawn/host.rs
@@ -12,7 +12,7 @@
 use crate::world::{micros, Flight, Host, What, World};
 
 /// What a broker that gives an attempt up waits, so that its store learns of it first.
-const GIVING_UP_MS: f64 = 8.0;
+const GIVING_UP_MS: f64 = 25.0;
 /// No two turns of a broker lie closer where nothing happens: the clock's own steps.
 const INSTANT_MS: f64 = 0.001;
 
@@ -126,7 +126,7 @@
                     let place = self.ledger.sent(broker, now, &order)?;
                     orders.push(self.fly(broker, order, place));
                 }
-                Command::GiveUp(attempt) => {
+                Command::GiveUp(attempt) | Command::Abandon(attempt) => {
                     if let Some(&flight) = self.hosts[broker].flights.get(&attempt) {
                         let way = self.way(broker, self.flights[flight].server, &[flight as u64, 12]);
                         self.at(now + way, What::Cancel(flight));
