Count a keyed window from the first copy sent, whichever copy ends first

Seen: two copies of a keyed part are out, the later one breaks, the earlier one is lost after it; the part went a third time 405 ms after its first attempt where the servers remember 400 (drawn deployments, least.rs). outcome() took `may_have_run` from the first attempt to end and never looked again. It now takes the least of both; the new test in tests/rules.rs fails without it, and least.rs's own is no longer ignored.

--- a/broker/tests/drawn/least.rs
+++ b/broker/tests/drawn/least.rs
@@ -56,7 +56,6 @@
 
 /// The window of a keyed part runs from the first attempt that was sent, whichever of two ended first.
 #[test]
-#[ignore = "src/aggregator.rs, outcome: `may_have_run` is of the first attempt to end, not of the first sent"]
 fn the_window_of_a_keyed_part_runs_from_the_first_of_two_copies() {
     let set = Settings { parallel: true, classes: vec![class(Repeat::Keyed)], ..Settings::default() };
     let mut core = core(set, 2);
--- a/src/aggregator/health.rs
+++ b/src/aggregator/health.rs
@@ -152,8 +152,9 @@
         if outcome == Outcome::Broken && part.may_have_run.is_some() {
             self.queries.entry(part.query).and_modify(|query| query.blamed = true);
         }
-        if outcome != Outcome::Success && !outcome.never_ran() && part.may_have_run.is_none() {
-            part.may_have_run = Some(now - wait);
+        if outcome != Outcome::Success && !outcome.never_ran() {
+            // Of two copies the one sent later may end first.
+            part.may_have_run = Some(part.may_have_run.unwrap_or(f64::INFINITY).min(now - wait));
         }
         if outcome == Outcome::Success {
             part.state = PartState::In;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -142,6 +142,31 @@
     assert_eq!(rig.sent.len(), 1, "a copy at half the aim would be past the memory");
 }
 
+/// The servers remember it from the first attempt sent, whichever of two copies ends first.
+#[test]
+fn a_keyed_part_goes_again_only_while_servers_remember_the_first_of_two_copies() {
+    let mut rig = of(Repeat::Keyed);
+    for id in 100..110 {
+        let from = rig.sent.len();
+        rig.query(id, 0, &[0, 1, 2, 3]);
+        rig.now += 20.0;
+        rig.end_from(from, Outcome::Success);
+    }
+    let from = rig.sent.len();
+    rig.query(1, 0, &[0]);
+    let first = rig.sent[from];
+    while rig.sent.len() < from + 2 {
+        assert!(rig.now < first.at + 300.0, "no second copy");
+        rig.pass(5.0);
+    }
+    rig.end(rig.sent[from + 1], Outcome::Broken);
+    rig.now = first.at + 390.0;
+    rig.end(first, Outcome::TimedOut);
+    rig.now = first.at + 401.0;
+    rig.turn();
+    assert_eq!(rig.sent.len(), from + 2, "past the memory of the first");
+}
+
 #[test]
 fn no_second_copy_where_two_at_once_are_not_allowed() {
     let mut set = settings(4, 4, 4);
