--- /dev/null
+++ b/tests/common/fleet.rs
@@ -0,0 +1,274 @@
+//! A small world in virtual time: many aggregators side by side, stores of one processor that work off what they are
+//! sent in order, and clients that come by chance. It knows which aggregators were told what, and notes each send and
+//! each query's end.
+
+use std::collections::{HashMap, VecDeque};
+
+use stoatlane::{Action, Aggregator, Entry, Event, ListKind, Millis, Outcome, RequestId, Settings, Status};
+
+pub const STEP_MS: Millis = 5.0;
+/// There and back.
+const WIRE_MS: Millis = 2.0;
+/// A store holds so many calls, and turns away what comes then.
+const QUEUE: usize = 200;
+
+/// Numbers that look random (SplitMix64).
+pub struct Chance(pub u64);
+
+impl Chance {
+    pub fn unit(&mut self) -> f64 {
+        self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mut x = self.0;
+        x = (x ^ (x >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        x = (x ^ (x >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        ((x ^ (x >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    pub fn below(&mut self, most: usize) -> usize {
+        (self.unit() * most as f64) as usize
+    }
+}
+
+struct Call {
+    side: usize,
+    part: RequestId,
+    attempt: u32,
+    sent: Millis,
+    until: Millis,
+    work: Millis,
+    given_up: bool,
+}
+
+#[derive(Default)]
+pub struct Store {
+    pub up: bool,
+    /// When it started cold, if it did.
+    pub since: Option<Millis>,
+    calls: VecDeque<Call>,
+    begun: Option<Millis>,
+    free_at: Millis,
+}
+
+pub struct Side {
+    pub aggregator: Aggregator,
+    timer: Option<Millis>,
+    events: Vec<Event>,
+    /// Whether it was told of the last start.
+    pub told: bool,
+}
+
+/// One send.
+pub struct Sent {
+    pub at: Millis,
+    pub server: usize,
+    pub class: usize,
+    pub told: bool,
+}
+
+/// One query, and whether it was answered before its aim (none: no end yet).
+pub struct Asked {
+    pub at: Millis,
+    pub class: usize,
+    pub tenant: Option<usize>,
+    pub served: Option<bool>,
+}
+
+pub struct World {
+    pub now: Millis,
+    pub set: Settings,
+    /// Work of a part, by class.
+    pub works: Vec<Millis>,
+    pub stores: Vec<Store>,
+    pub sides: Vec<Side>,
+    pub sent: Vec<Sent>,
+    pub asked: Vec<Asked>,
+    pub chance: Chance,
+    /// Parts turned away as the queue was full.
+    pub turned_away: usize,
+    attempts: HashMap<RequestId, u32>,
+}
+
+impl World {
+    pub fn new(seed: u64, set: Settings, works: &[Millis], stores: usize) -> Self {
+        let mut world = Self {
+            now: 0.0,
+            works: works.to_vec(),
+            stores: (0..stores).map(|_| Store { up: true, ..Store::default() }).collect(),
+            sides: Vec::new(),
+            sent: Vec::new(),
+            asked: Vec::new(),
+            chance: Chance(seed),
+            turned_away: 0,
+            attempts: HashMap::new(),
+            set,
+        };
+        for number in 0..world.set.aggregators {
+            let side = world.side(number);
+            world.sides.push(side);
+        }
+        world
+    }
+
+    /// An aggregator that was told all there is to know.
+    fn side(&mut self, number: u32) -> Side {
+        let mut set = self.set.clone();
+        set.index = set.index.map(|_| number);
+        let seed = (self.chance.unit() * 1e15) as u64;
+        let aggregator = Aggregator::new(seed, set, self.now);
+        let entries = (0..self.stores.len()).map(|server| self.entry(server)).collect();
+        let events = vec![Event::List { kind: ListKind::Complete, entries }];
+        Side { aggregator, timer: None, events, told: false }
+    }
+
+    fn entry(&self, server: usize) -> Entry {
+        let (id, since) = (server as u32, self.stores[server].since.unwrap_or(0.0));
+        Entry { server: id, cell: id, status: Status::Ready, since, ..Entry::default() }
+    }
+
+    /// A new process in the place of an aggregator's; what it had taken is lost.
+    pub fn restart(&mut self, side: usize) {
+        self.sides[side] = self.side(side as u32);
+    }
+
+    pub fn tell(&mut self, side: usize, server: usize) {
+        let entries = vec![self.entry(server)];
+        self.sides[side].events.push(Event::List { kind: ListKind::Changes, entries });
+        self.sides[side].told = true;
+    }
+
+    /// A store's process ends; what it had taken is lost.
+    pub fn stop(&mut self, server: usize) {
+        self.stores[server].up = false;
+        self.stores[server].begun = None;
+        for call in std::mem::take(&mut self.stores[server].calls) {
+            self.end(server, &call, Outcome::Broken);
+        }
+    }
+
+    /// It starts again, cold, and nobody has been told yet.
+    pub fn start(&mut self, server: usize) {
+        let store = &mut self.stores[server];
+        (store.up, store.since, store.free_at) = (true, Some(self.now), self.now);
+        self.sides.iter_mut().for_each(|side| side.told = false);
+    }
+
+    /// The share of its capacity that a store has.
+    pub fn capacity(&self, server: usize, at: Millis) -> f64 {
+        let Some(since) = self.stores[server].since else { return 1.0 };
+        let from = self.set.cold_from;
+        (from + (1.0 - from) * (at - since).max(0.0) / self.set.cold_ms).min(1.0)
+    }
+
+    pub fn ask(&mut self, side: usize, class: usize, tenant: Option<usize>, shards: &[u32]) {
+        let id = self.asked.len() as u64;
+        self.asked.push(Asked { at: self.now, class, tenant, served: None });
+        let deadline = self.now + self.set.classes[class].deadline_ms;
+        let parts = shards.len() as u32;
+        let events = &mut self.sides[side].events;
+        events.push(Event::Query { id, number: id, class, tenant, deadline, parts, repeated: false });
+        for (n, &shard) in shards.iter().enumerate() {
+            let (id, weight) = ((id << 8) + n as u64, 1.0 / shards.len() as f64);
+            events.push(Event::Part { id, number: id >> 8, shard, weight, cost_ms: None });
+        }
+    }
+
+    fn end(&mut self, server: usize, call: &Call, outcome: Outcome) {
+        let Call { part, attempt, sent, given_up, .. } = *call;
+        if !given_up {
+            let (server, wait_ms, report) = (server as u32, self.now - sent + WIRE_MS, Vec::new());
+            let event = Event::Outcome { part, attempt, server, wait_ms, outcome, report };
+            self.sides[call.side].events.push(event);
+        }
+    }
+
+    /// One step: stores work, patience ends, and whoever heard something or waits for its timer has a turn.
+    pub fn step(&mut self) {
+        for server in 0..self.stores.len() {
+            self.work(server);
+        }
+        for number in 0..self.sides.len() {
+            let side = &mut self.sides[number];
+            let due = side.timer.take_if(|at| *at <= self.now).is_some();
+            if !due && side.events.is_empty() {
+                continue;
+            }
+            let mut actions = Vec::new();
+            if due {
+                side.aggregator.handle(self.now, Event::Timer { token: 0 }, &mut actions);
+            }
+            for event in std::mem::take(&mut side.events) {
+                side.aggregator.handle(self.now, event, &mut actions);
+            }
+            side.aggregator.end_turn(self.now, &mut actions);
+            actions.into_iter().for_each(|action| self.act(number, action));
+        }
+        self.now += STEP_MS;
+    }
+
+    fn work(&mut self, server: usize) {
+        loop {
+            let capacity = self.capacity(server, self.now);
+            let store = &mut self.stores[server];
+            let Some(call) = store.calls.front() else { break };
+            let free_at = store.free_at.max(call.sent);
+            let done = *store.begun.get_or_insert(free_at + call.work / capacity);
+            if done > self.now {
+                break;
+            }
+            (store.free_at, store.begun) = (done, None);
+            if let Some(call) = store.calls.pop_front() {
+                self.end(server, &call, Outcome::Success);
+            }
+        }
+        let now = self.now;
+        let late = |call: &&mut Call| !call.given_up && now >= call.until;
+        let mut lost = Vec::new();
+        for call in self.stores[server].calls.iter_mut().filter(late) {
+            lost.push(Call { ..*call });
+            call.given_up = true;
+        }
+        lost.iter().for_each(|call| self.end(server, call, Outcome::TimedOut));
+    }
+
+    fn act(&mut self, side: usize, action: Action) {
+        match action {
+            Action::Send { part, server, patience_ms } => {
+                let attempt = *self.attempts.entry(part).and_modify(|n| *n += 1).or_insert(0);
+                let (server, class) = (server as usize, self.asked[(part >> 8) as usize].class);
+                let told = self.sides[side].told;
+                self.sent.push(Sent { at: self.now, server, class, told });
+                let (sent, until, work) = (self.now, self.now + patience_ms, self.works[class]);
+                let call = Call { side, part, attempt, sent, until, work, given_up: false };
+                if !self.stores[server].up {
+                    self.end(server, &call, Outcome::Unreachable);
+                } else if self.stores[server].calls.len() >= QUEUE {
+                    self.turned_away += 1;
+                    self.end(server, &call, Outcome::Overloaded);
+                } else {
+                    self.stores[server].calls.push_back(call);
+                }
+            }
+            Action::Withdraw { part, attempt } => {
+                let named = |call: &&mut Call| (call.part, call.attempt) == (part, attempt) && !call.given_up;
+                let calls = self.stores.iter_mut().enumerate();
+                let call =
+                    calls.filter_map(|(s, store)| Some((s, store.calls.iter_mut().find(named)?))).next();
+                if let Some((server, call)) = call {
+                    let gone = Call { ..*call };
+                    call.given_up = true;
+                    self.end(server, &gone, Outcome::Withdrawn);
+                }
+            }
+            Action::Answer { query, .. } => {
+                let asked = &mut self.asked[query as usize];
+                let aim = asked.at + self.set.classes[asked.class].aim_ms;
+                asked.served = Some(asked.served.unwrap_or(true) && self.now <= aim);
+            }
+            Action::Refuse { query, .. } | Action::Fail { query } => {
+                self.asked[query as usize].served = Some(false);
+            }
+            Action::Timer { wait_ms, .. } => self.sides[side].timer = Some(self.now + wait_ms),
+            _ => {}
+        }
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A scripted host: feeds one aggregator events and keeps what it asks for.
 #![allow(dead_code, clippy::unnecessary_to_owned)]
 
+pub mod fleet;
+
 use stoatlane::{
     Action, Aggregator, Class, Entry, Event, ListKind, Millis, Outcome, RequestId, ServerId, Settings, Status,
 };
