Let a few queries into a jam while nothing is out, so that its end is seen

Seen: three brokers asked for three times what six stores can do: from the second second on 335 of 345 requests a second were refused as jammed, with 11 sends a second at stores that stood idle, for six seconds; 4 and 14 of 100 requests of the largest class were served, where a third could be. A class's usual latency learns from its own samples alone, and a query expected past JAM_TO was never let in, so nothing was sampled and the jam outlasted its cause (counted by `Why`).

--- a/src/aggregator/admission.rs
+++ b/src/aggregator/admission.rs
@@ -35,9 +35,11 @@
 /// A query trimmed of light parts keeps so many times the least weight that may be answered.
 const TRIM_RESERVE: f64 = 1.15;
 /// An all-or-nothing query whose slowest shard is expected to take this share of the aim is let in for sure,
-/// at the second share never, and in between with a chance.
+/// at the second share never, and in between with a chance. While nothing is out nobody would see the jam's
+/// end: the chance is then this at the least.
 const JAM_FROM: f64 = 0.5;
 const JAM_TO: f64 = 1.2;
+const JAM_LEAST: f64 = 0.02;
 
 impl Aggregator {
     /// Takes a new query in, in full or without its lightest parts, or refuses it.
@@ -103,6 +105,7 @@
         let worst = order[..sent].iter().fold(0.0, |a: f64, o| a.max(o.3));
         let share = worst * self.typical[query.class] / class.aim_ms.max(1.0);
         let chance = (JAM_TO - share) / (JAM_TO - JAM_FROM);
+        let chance = if self.out() > 0.0 { chance } else { chance.max(JAM_LEAST) };
         let jammed = class.floor >= class.need && unit(mix(self.random ^ id)) > chance;
         self.density[query.class] = density;
         let best = self.density.iter().copied().fold(0.0, f64::max).max(f64::MIN_POSITIVE);
