Find maintenance windows in a frame, the earliest or the fewest, and why none is earlier

find() places waves at a stated step, each asked of a scratch record that holds all that is booked and was found before, so what it finds is taken by the record in that order. The forecast goes in as headroom, 1 - (1 - h) / factor, and stays in the booking. The lowest number of windows is told beside, and each window names what refused it one step earlier. Adds Record::number, which waves need to ask coverage.

--- a/crates/common/src/record.rs
+++ b/crates/common/src/record.rs
@@ -95,6 +95,11 @@
         self.tables.sites.values().map(|row| &row.fact)
     }
 
+    /// The number that coverage knows a store by.
+    pub fn number(&self, store: &str) -> Option<cover::Store> {
+        self.tables.number(store)
+    }
+
     /// All blocks.
     pub fn blocks(&self) -> impl Iterator<Item = &HeldFact> {
         self.tables.blocks.values()
--- a/crates/maintenance/src/lib.rs
+++ b/crates/maintenance/src/lib.rs
@@ -3,10 +3,12 @@
 //! that the record at hand takes what is found. Knows no socket, file or clock: time is an argument, randomness comes from a seed.
 
 mod bound;
+mod find;
 mod keeper;
 mod profile;
 mod waves;
 
+pub use find::{find, scaled, Ask, Found, Goal, NotFound, Why, Window};
 pub use keeper::{Action, Event, Keeper, Settings};
 pub use profile::{Cell, Counter, Forecast, Profile, Unfit, Week, HOURS};
 pub use waves::{waves, Effort, NoWaves, Waves};
