Hold a window's end that would overfill a zone while others are away

Seen: the record takes a window of x, then one of y that is safe only beside it (with y alone away x draws what its zone has no room for: load 16.4 of 10), and takes x's End, which leaves just that. Booking is checked where windows begin, on the ground that only then more is away; for room that does not hold. The keeper now asks for no end that overfills a zone while other windows are in force, tells the zone, and waits for theirs, hold_ms at most. An operator's Cancel, and the record's check of ends, are as before.

--- a/crates/maintenance/src/keeper.rs
+++ b/crates/maintenance/src/keeper.rs
@@ -4,18 +4,21 @@
 
 use std::collections::BTreeMap;
 
-use gingerledge_common::{Answer, BookingId, Command, Plan, Record, Refusal, StateFact};
+use gingerledge_common::{Answer, BookingId, Command, Plan, Record, Refusal, SiteFact, StateFact};
+use gingerledge_coverage::{Least, Proposal, Room, Zone};
 
 /// What plays are bound by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
     /// The same is asked again no sooner: what was proposed may be on its way.
     pub ask_ms: u64,
+    /// An end that would overfill a zone waits for other windows' ends, and no longer than this.
+    pub hold_ms: u64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { ask_ms: 30_000 }
+        Self { ask_ms: 30_000, hold_ms: 3_600_000 }
     }
 }
 
@@ -41,6 +44,13 @@
         /// These are not.
         cold: Vec<String>,
     },
+    /// A window's stores are warm, and with them back and others still away a zone would have no room for what falls on it.
+    Held {
+        /// Which.
+        id: BookingId,
+        /// The zone.
+        zone: String,
+    },
 }
 
 /// What is to be done.
@@ -87,7 +97,7 @@
         self.asked.retain(|id, _| bookings.contains_key(id));
         let mut actions = Vec::new();
         for (id, (plan, begun)) in bookings {
-            let (command, event) = due(now_unix_ms, record, id, plan, begun);
+            let (command, event) = due(&self.settings, now_unix_ms, record, id, plan, begun);
             let asked = self.asked.entry(id).or_default();
             if event.is_some() && event != asked.told {
                 actions.extend(event.clone().map(Action::Say));
@@ -107,6 +117,7 @@
 
 /// What a booking asks for now, and what there is to tell of it.
 fn due(
+    settings: &Settings,
     now: u64,
     record: &Record,
     id: BookingId,
@@ -116,10 +127,13 @@
     let over = now >= plan.end_unix_ms();
     if begun {
         let cold = if over { not_listed(record, plan) } else { Vec::new() };
-        return match (over, cold.is_empty()) {
-            (false, _) => (None, None),
-            (true, true) => (Some(Command::End { id }), None),
-            (true, false) => (None, Some(Event::Late { id, cold })),
+        if !over || !cold.is_empty() {
+            return (None, over.then_some(Event::Late { id, cold }));
+        }
+        let held = now < plan.end_unix_ms().saturating_add(settings.hold_ms);
+        return match overfilled(record, id).filter(|_| held) {
+            Some(zone) => (None, Some(Event::Held { id, zone })),
+            None => (Some(Command::End { id }), None),
         };
     }
     if over {
@@ -141,3 +155,21 @@
     let listed = |name: &String| record.site(name).is_some_and(|(fact, _)| fact.state == StateFact::Listed);
     plan.stores.iter().filter(|name| !listed(name)).cloned().collect()
 }
+
+/// A zone that a window's end would leave with less room than falls on it, other windows being in force: what the store draws anew
+/// may come from a zone that has room onto one that has none, for as long as the others are away.
+fn overfilled(record: &Record, id: BookingId) -> Option<String> {
+    let others = || record.bookings().filter(|(other, _, begun)| *begun && *other != id);
+    others().next()?;
+    let least = others().fold(record.least(), |least, (_, plan, _)| least.stricter(plan.least));
+    let headroom = f64::from(least.headroom_permille.min(1000)) / 1000.0;
+    let least = Least { holders: least.holders, zones: least.zones, headroom };
+    let mut after = Record::restore(&record.snapshot())?;
+    after.apply(record.version().0 + 1, &Command::End { id });
+    let before = record.coverage().carries(&Proposal::default(), &least);
+    let rooms = after.coverage().carries(&Proposal::default(), &least);
+    let grows = |zone: &Zone, room: &Room| !room.enough() && before.get(zone).is_none_or(Room::enough);
+    let (full, _) = rooms.iter().find(|(zone, room)| grows(zone, room))?;
+    let zone_of = |fact: &SiteFact| record.coverage().site(record.number(&fact.store)?).map(|site| site.zone);
+    record.sites().find(|fact| zone_of(fact) == Some(*full)).map(|fact| fact.zone.clone())
+}
--- a/crates/maintenance/tests/keeper.rs
+++ b/crates/maintenance/tests/keeper.rs
@@ -79,7 +79,7 @@
 #[test]
 fn a_booking_is_begun_put_off_asked_again_and_ended_when_its_stores_are_warm() {
     let mut world = World::new();
-    let mut keeper = Keeper::new(Settings { ask_ms: 10 });
+    let mut keeper = Keeper::new(Settings { ask_ms: 10, hold_ms: 50 });
     let id = book(&mut world, 0, &["s0", "s1"], 100, 100);
     assert_eq!(keeper.tick(99, &world.record, true), []);
     assert_eq!(keeper.tick(100, &world.record, false), []);
@@ -97,7 +97,10 @@
     assert_eq!(keeper.tick(110, &world.record, true), vec![begin.clone()]);
     // It was lost: asked again, no sooner than settled, and at once by who takes over.
     assert_eq!(keeper.tick(119, &world.record, true), []);
-    assert_eq!(Keeper::new(Settings { ask_ms: 10 }).tick(119, &world.record, true), vec![begin.clone()]);
+    assert_eq!(
+        Keeper::new(Settings { ask_ms: 10, hold_ms: 50 }).tick(119, &world.record, true),
+        vec![begin.clone()]
+    );
     assert_eq!(keeper.tick(120, &world.record, true), [begin]);
     world.apply(121, Command::Begin { at: world.record.version(), id });
     world.apply(122, gone(0, StateFact::Cold(300)));
@@ -111,7 +114,7 @@
 #[test]
 fn a_booking_that_never_could_begin_is_called_off_when_its_time_is_over() {
     let mut world = World::new();
-    let mut keeper = Keeper::new(Settings { ask_ms: 10 });
+    let mut keeper = Keeper::new(Settings { ask_ms: 10, hold_ms: 50 });
     let id = book(&mut world, 0, &["s0", "s1"], 100, 100);
     world.apply(50, Command::Sites { sites: vec![fact(2, StateFact::Gone)] });
     assert!(!keeper.tick(199, &world.record, true).iter().any(|a| matches!(a, Action::Propose(_))));
@@ -120,11 +123,37 @@
     assert!(matches!(&told[1], Action::Propose(Command::Cancel { id: called, .. }) if *called == id));
 }
 
+#[test]
+fn an_end_that_would_overfill_a_zone_waits_for_the_other_window_and_not_for_ever() {
+    // With y away x draws what zone A has no room for; with both away it falls on zone C, which has.
+    let mut world = World { record: Record::default(), index: 0, log: Vec::new() };
+    let stores =
+        [("x", "A", 10_000), ("y", "B", 10_000), ("y2", "B", 100_000), ("w", "C", 1000), ("w2", "C", 20_000)];
+    let sites = stores.map(|(s, z, c)| site(s, z, "near", c, StateFact::Listed)).to_vec();
+    world.apply(0, Command::Sites { sites });
+    let map = vec![held(0, 0, 10, &["x", "y", "w"], 18_000)];
+    world.apply(0, Command::Map { at: Version(1), from: 0, to: 1, hash: 1, held: map, gone: vec![] });
+    let x = book(&mut world, 0, &["x"], 0, 10);
+    let y = book(&mut world, 0, &["y"], 0, 20);
+    for id in [x, y] {
+        taken(world.apply(0, Command::Begin { at: Version(4), id }));
+    }
+    let mut keeper = Keeper::new(Settings { ask_ms: 5, hold_ms: 50 });
+    let held = Event::Held { id: x, zone: "A".into() };
+    assert_eq!(keeper.tick(10, &world.record, true), [Action::Say(held)]);
+    assert_eq!(keeper.tick(20, &world.record, true), [Action::Propose(Command::End { id: y })]);
+    let late = Keeper::new(Settings { ask_ms: 5, hold_ms: 10 }).tick(20, &world.record, true);
+    assert!(late.contains(&Action::Propose(Command::End { id: x })), "{late:?}");
+    world.apply(21, Command::End { id: y });
+    assert_eq!(keeper.tick(21, &world.record, true), [Action::Propose(Command::End { id: x })]);
+}
+
 /// One day of a fleet: what each kind of command came to.
 fn day(seed: u64, counts: &mut BTreeMap<&'static str, u32>) {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut world = World::new();
-    let mut keepers = [Keeper::new(Settings { ask_ms: 5 }), Keeper::new(Settings { ask_ms: 5 })];
+    let mut keepers =
+        [Keeper::new(Settings { ask_ms: 5, hold_ms: 50 }), Keeper::new(Settings { ask_ms: 5, hold_ms: 50 })];
     let mut under_way: Vec<(u64, Command)> = Vec::new();
     let mut decides = 0;
     for now in 1..1200_u64 {
@@ -164,6 +193,7 @@
                     Action::Propose(command) => under_way.push((now + rng.u64(0..4), command)),
                     Action::Say(Event::PutOff { .. }) => *counts.entry("put off").or_default() += 1,
                     Action::Say(Event::Passed { .. }) => *counts.entry("passed").or_default() += 1,
+                    Action::Say(Event::Held { .. }) => *counts.entry("held").or_default() += 1,
                     Action::Say(Event::Late { .. }) => *counts.entry("late").or_default() += 1,
                 }
             }
