--- a/crates/zones/tests/failover.rs
+++ b/crates/zones/tests/failover.rs
@@ -26,7 +26,8 @@
     /// The share of parts that a zone answers badly, as it is.
     bad: BTreeMap<&'static str, f64>,
     numbers: u64,
-    moves: Vec<(f64, String, u16, u16)>,
+    /// When, which zone, from and to which share, and how often it had failed again by then.
+    moves: Vec<(f64, String, u16, u16, u32)>,
 }
 
 impl Fleet {
@@ -67,6 +68,10 @@
         }
     }
 
+    fn again(&self, zone: &str) -> u32 {
+        self.record.zone(zone).map_or(0, |zone| zone.again)
+    }
+
     fn share(&self, zone: &str) -> u16 {
         self.record.zone(zone).map_or(0, |zone| zone.permille)
     }
@@ -99,30 +104,41 @@
             let proposed =
                 self.deciders[n].tick(self.now, &self.record, &mut self.evidence[n], self.decides == n);
             for Proposed { zone, command } in proposed {
-                let was = self.share(&zone);
+                let (was, again) = (self.share(&zone), self.again(&zone));
                 self.index += 1;
                 if let Answer::Taken { .. } = self.record.apply(self.index, &command) {
-                    self.moves.push((self.now, zone.clone(), was, self.share(&zone)));
+                    self.moves.push((self.now, zone.clone(), was, self.share(&zone), again));
                 }
             }
         }
     }
 
+    fn until(&mut self, there: impl Fn(&Self) -> bool) {
+        for _ in 0..4000 {
+            if there(self) {
+                return;
+            }
+            self.step();
+        }
+        panic!("not there after 400 s: {:?}", self.moves);
+    }
+
     fn run(&mut self, ms: f64) {
         (0..(ms / TICK) as u32).for_each(|_| self.step());
     }
 
-    fn moves_of<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = (f64, bool)> + 'a {
+    fn moves_of<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = (f64, bool, u32)> + 'a {
         let of = self.moves.iter().filter(move |(_, name, ..)| name == zone);
-        of.map(|(at, _, was, is)| (*at, is > was))
+        of.map(|(at, _, was, is, again)| (*at, is > was, *again))
     }
 
-    /// Between two moves of one zone in opposite directions lies the rest.
+    /// Between two moves of one zone in opposite directions lies the rest, doubled for each time it failed again.
     fn holds_rest(&self) {
         for zone in ZONES {
             let moves: Vec<_> = self.moves_of(zone).collect();
             for pair in moves.windows(2).filter(|pair| pair[0].1 != pair[1].1) {
-                assert!(pair[1].0 - pair[0].0 >= bounds().rest_ms, "{zone} swings: {pair:?}");
+                let rest = bounds().rest_ms * f64::from(1 << pair[1].2.min(bounds().doubled_most));
+                assert!(pair[1].0 - pair[0].0 >= rest, "{zone} swings: {pair:?}");
             }
         }
     }
@@ -132,10 +148,10 @@
 fn a_zone_that_is_lost_is_led_away_in_steps_and_back_once_it_is_well() {
     let mut fleet = Fleet::new(6, 0, 10_000);
     fleet.run(3000.0);
-    assert_eq!(fleet.moves, [], "while all is well nothing moves");
+    assert!(fleet.moves.is_empty(), "while all is well nothing moves: {:?}", fleet.moves);
     fleet.bad.insert("B", 1.0);
     fleet.run(6000.0);
-    let steps: Vec<u16> = fleet.moves.iter().map(|(.., is)| *is).collect();
+    let steps: Vec<u16> = fleet.moves.iter().map(|(_, _, _, is, _)| *is).collect();
     assert_eq!(steps, [750, 500, 250, bounds().least_permille]);
     assert_eq!(fleet.deciders[0].phase(&fleet.record, "B"), Some(Phase::Away));
     fleet.bad.insert("B", 0.0);
@@ -182,6 +198,19 @@
     assert!(counts.last() < counts.first(), "{counts:?}");
 }
 
+#[test]
+fn a_zone_that_fails_again_whenever_it_is_back_rests_twice_as_long_each_time() {
+    let mut fleet = Fleet::new(6, 0, 10_000);
+    for _ in 0..4 {
+        fleet.bad.insert("B", 1.0);
+        fleet.until(|fleet| fleet.share("B") <= bounds().least_permille);
+        fleet.bad.insert("B", 0.0);
+        fleet.until(|fleet| fleet.share("B") == WHOLE);
+    }
+    fleet.holds_rest();
+    assert!(fleet.again("B") >= 2, "it failed again {} times", fleet.again("B"));
+}
+
 #[test]
 fn all_zones_a_little_bad_move_nothing() {
     let mut fleet = Fleet::new(6, 0, 10_000);
@@ -189,7 +218,7 @@
         fleet.bad.insert(zone, 0.3);
     }
     fleet.run(20_000.0);
-    assert_eq!(fleet.moves, []);
+    assert!(fleet.moves.is_empty(), "{:?}", fleet.moves);
 }
 
 #[test]
@@ -197,7 +226,7 @@
     for liars in 1..=2 {
         let mut fleet = Fleet::new(9, liars, 10_000);
         fleet.run(20_000.0);
-        assert_eq!(fleet.moves, [], "{liars} liars");
+        assert!(fleet.moves.is_empty(), "{liars} liars: {:?}", fleet.moves);
         fleet.bad.insert("B", 1.0);
         fleet.run(8000.0);
         assert_eq!(fleet.share("B"), bounds().least_permille, "{liars} liars");
@@ -227,11 +256,11 @@
                     fleet.deciders[other].tick(fleet.now, &fleet.record, &mut fleet.evidence[other], true);
                 fleet.run(1000.0);
                 for Proposed { zone, command } in late {
-                    let was = fleet.share(&zone);
+                    let (was, again) = (fleet.share(&zone), fleet.again(&zone));
                     fleet.index += 1;
                     if let Answer::Taken { .. } = fleet.record.apply(fleet.index, &command) {
                         if fleet.share(&zone) != was {
-                            fleet.moves.push((fleet.now, zone.clone(), was, fleet.share(&zone)));
+                            fleet.moves.push((fleet.now, zone.clone(), was, fleet.share(&zone), again));
                         }
                     }
                 }
