Check a booking also where another window ends within it: room can be short there

Holders grow fewer only where a window begins, room need not. check_book looks at ends within the plan too; a case fails without it.

--- a/crates/common/src/bookings.rs
+++ b/crates/common/src/bookings.rs
@@ -36,9 +36,11 @@
             .filter(|(_, row)| row.plan.overlaps(plan))
             .map(|(id, row)| (*id, row.plan.clone()))
             .collect();
-        // What is away grows only where a window begins.
-        let begins = others.iter().map(|(_, other)| other.from_unix_ms);
-        let moments = begins.filter(|at| *at > plan.from_unix_ms).chain([plan.from_unix_ms]);
+        // Holders grow fewer only where a window begins; room may be short where one ends, for what its stores draw anew may come
+        // from a zone that has room onto one that has none.
+        let turns = others.iter().flat_map(|(_, other)| [other.from_unix_ms, other.end_unix_ms()]);
+        let inside = |at: &u64| (plan.from_unix_ms + 1..plan.end_unix_ms()).contains(at);
+        let moments = turns.filter(inside).chain([plan.from_unix_ms]);
         for at in moments {
             let holds = |other: &Plan| other.from_unix_ms <= at && at < other.end_unix_ms();
             let beside: Vec<&(BookingId, Plan)> = others.iter().filter(|(_, other)| holds(other)).collect();
--- a/crates/common/tests/record.rs
+++ b/crates/common/tests/record.rs
@@ -49,6 +49,25 @@
     taken(record.apply(7, &book("b", 200, 10)));
 }
 
+#[test]
+fn a_window_is_checked_where_another_ends_within_it_for_room_is_short_there() {
+    // What y leaves is too much for x; with x away too it falls on w alone, which has the room.
+    let mut record = Record::default();
+    let sites = [("x", "A", 10_000), ("y", "B", 100_000), ("w", "C", 1000), ("w2", "C", 20_000)];
+    let sites = sites.map(|(s, z, c)| site(s, z, z, c, StateFact::Listed)).to_vec();
+    taken(record.apply(1, &Command::Sites { sites }));
+    let held = vec![held(0, 0, 10, &["x", "y", "w"], 18_000)];
+    taken(record.apply(2, &Command::Map { at: Version(1), from: 0, to: 1, hash: 1, held, gone: vec![] }));
+    let book =
+        |store: &str, length| Command::Book { at: Version(2), plan: plan(&[store], 0, length, least(1, 1)) };
+    assert!(matches!(record.would(&book("y", 20)), Answer::Refused { .. }), "y alone leaves too much");
+    taken(record.apply(3, &book("x", 10)));
+    taken(record.apply(4, &book("y", 10)));
+    taken(record.apply(5, &Command::Cancel { id: BookingId(4), by: "test".into() }));
+    let (_, _, example) = uncovered(refused(record.apply(6, &book("y", 20))));
+    assert!(example.short.starts_with("zone A"), "{example:?}");
+}
+
 #[test]
 fn a_window_is_checked_again_as_it_begins() {
     let mut record = three();
