See a client go that sent much behind its request, and end no answer with a reset

Seen: Stream::left stopped reading at 16 KiB of bytes behind a request and then waited for ever. A client that sent more and closed, or was reset, was never seen to go, and its attempts ran on to their deadline. Stream::finish read on for 250 ms and dropped at most 256 KiB: a client that went on sending after the last answer was reset.

Checked and ruled out: the core and the exchange do give up at once when the ticket is dropped; the bytes up to 16 KiB were read, and their end seen. At fault were the loop's bound in http/stream.rs left(), which ended in pending(), and the bound on dropped bytes in finish().

Now what comes past the bound is read and dropped, in bursts of 256 KiB with a pause of 1 ms, so that the memory stays bounded, a peer that sends without end costs a small part of the thread, and an end behind some MB is seen within tens of milliseconds. A connection that dropped bytes carries no further request: its answer is the last. finish() drops without a bound on bytes, for 500 ms at the clients' fronts. A client that shuts its write side alone counts as gone, as before: it looks like one that closes.

--- a/broker/src/admin.rs
+++ b/broker/src/admin.rs
@@ -26,6 +26,8 @@
 /// A call comes whole within this time.
 const CALL_WITHIN: Duration = Duration::from_millis(2000);
 const WRITE_WITHIN: Duration = Duration::from_millis(1000);
+/// The answer is on its way, and the caller may be sending still.
+const LINGER: Duration = Duration::from_millis(250);
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
 /// What an operator asks for.
@@ -152,7 +154,7 @@
                     count(&this.counters.admin_calls);
                     let bytes = http::answer(status, &format!("Content-Type: {kind}\r\n"), &body, false);
                     if stream.write(&bytes, WRITE_WITHIN).await.is_ok() {
-                        stream.finish().await;
+                        stream.finish(LINGER).await;
                     }
                 }
                 drop(held);
--- a/broker/src/front/mod.rs
+++ b/broker/src/front/mod.rs
@@ -66,6 +66,8 @@
     Reply(Reply),
 }
 
+/// A connection that has ended is heard for so long: the answer is on its way, and the client may be sending still.
+const LINGER: Duration = Duration::from_millis(500);
 /// A client that sends bad requests is read again so much later, and closed after so many.
 const BAD_PAUSE: Duration = Duration::from_millis(50);
 const BAD_MOST: u32 = 8;
@@ -310,7 +312,7 @@
             // have the thread to itself.
             let unfit = (400..500).contains(&reply.status) && reply.status != 429;
             bad += u32::from(unfit);
-            let keep_alive = keep_alive && !self.lifecycle.closing() && bad < BAD_MOST;
+            let keep_alive = keep_alive && !stream.spilt() && !self.lifecycle.closing() && bad < BAD_MOST;
             let bytes = http::answer(reply.status, &reply.headers, &reply.body, keep_alive);
             if let Err(e) = stream.write(&bytes, self.waits.write).await {
                 count(&self.counters.unwritten);
@@ -318,7 +320,7 @@
                 return;
             }
             if !keep_alive {
-                stream.finish().await;
+                stream.finish(LINGER).await;
                 return;
             }
             if unfit {
--- a/broker/src/http/stream.rs
+++ b/broker/src/http/stream.rs
@@ -10,8 +10,14 @@
 
 use super::{parse_chunk, parse_head, Chunk, Fault, Framing, Head, Kind, BODY_MAX, HEAD_MAX};
 
-/// So much that comes after the last answer is read and dropped.
-const DROPPED_MOST: usize = 4 * BODY_MAX;
+/// What is of no use is read in pieces of this size and dropped. After so many bytes others have their turn for so
+/// long: a peer that sends without end costs a small part of the thread, and what a peer that has gone left behind in both
+/// machines' buffers (some MB) is through within some tens of milliseconds.
+const DROP_PIECE: usize = 16 * 1024;
+const DROP_BURST: usize = 16 * DROP_PIECE;
+const DROP_PAUSE: Duration = Duration::from_millis(1);
+/// Longer than anything is waited for; a wait that ends is begun again.
+const LONG: Duration = Duration::from_secs(3600);
 
 /// Why reading from a peer ended.
 #[derive(Debug)]
@@ -34,6 +40,10 @@
     ended: Cell<bool>,
     /// No body, and no chunk, is longer.
     most: usize,
+    /// The chunks of a body that have come so far.
+    chunks: Vec<u8>,
+    /// Whether bytes were dropped: no further message can be read.
+    spilt: bool,
 }
 
 impl Stream {
@@ -41,7 +51,8 @@
     pub fn new(socket: Async<TcpStream>) -> Self {
         // Answers are small and waited for.
         let _ = socket.get_ref().set_nodelay(true);
-        Self { socket, buffer: Vec::new(), ended: Cell::new(false), most: BODY_MAX }
+        let (buffer, chunks, ended) = (Vec::new(), Vec::new(), Cell::new(false));
+        Self { socket, buffer, ended, most: BODY_MAX, chunks, spilt: false }
     }
 
     /// Reads bodies and chunks of so many bytes at the most.
@@ -108,7 +119,8 @@
     }
 
     /// Reads a body, within a time for the whole of it. Chunks are unpacked as they come, so that a
-    /// body of many small ones holds no more memory than another.
+    /// body of many small ones holds no more memory than another. Dropped, or out of time, it goes on where it
+    /// was when it is called again.
     pub async fn body(&mut self, framing: Framing, within: Duration) -> Result<Vec<u8>, Ending> {
         let until = Instant::now() + within;
         let mut body = Vec::new();
@@ -124,11 +136,12 @@
             }
             Framing::Chunked => {
                 while let Some(chunk) = self.chunk_before(until).await? {
-                    body.extend_from_slice(&chunk);
-                    if body.len() > self.most {
+                    self.chunks.extend_from_slice(&chunk);
+                    if self.chunks.len() > self.most {
                         return Err(Ending::Fault(Fault::BodyTooLong));
                     }
                 }
+                body = std::mem::take(&mut self.chunks);
             }
             Framing::Close => {
                 while !self.ended.get() {
@@ -169,14 +182,36 @@
     }
 
     /// Resolves once the peer has closed or the connection broke. Bytes of a next message that come
-    /// meanwhile are kept, up to the longest head; past that they wait in the socket.
+    /// meanwhile are kept, up to the longest head; past that they are dropped, and the connection can carry no further
+    /// message ([`Stream::spilt`]). Guards against a peer that sends much at once and goes: its end stands behind all of it.
     pub async fn left(&mut self) {
         while self.buffer.len() < HEAD_MAX {
-            if !matches!(self.more(Duration::from_secs(3600)).await, Ok(true) | Err(Ending::Stalled)) {
+            if !matches!(self.more(LONG).await, Ok(true) | Err(Ending::Stalled)) {
                 return;
             }
         }
-        futures_lite::future::pending().await
+        self.drain().await;
+    }
+
+    /// Whether bytes that came have been dropped.
+    pub fn spilt(&self) -> bool {
+        self.spilt
+    }
+
+    /// Reads and drops what comes until the peer has closed or the connection broke.
+    async fn drain(&mut self) {
+        let mut piece = vec![0; DROP_PIECE];
+        loop {
+            let mut taken = 0;
+            while taken < DROP_BURST {
+                match (&self.socket).read(&mut piece).await {
+                    Ok(0) | Err(_) => return,
+                    Ok(n) => taken += n,
+                }
+                self.spilt = true;
+            }
+            Timer::after(DROP_PAUSE).await;
+        }
     }
 
     /// Writes all of it, within a time for the whole.
@@ -184,17 +219,20 @@
         write_all(&self.socket, bytes, within).await
     }
 
-    /// Ends the connection so that what was written last still arrives: the peer is told, and what it
-    /// had still under way is read and dropped for a moment.
-    pub async fn finish(mut self) {
-        if self.socket.get_ref().shutdown(std::net::Shutdown::Write).is_ok() {
-            let until = Instant::now() + Duration::from_millis(250);
-            let mut dropped = 0;
-            // No more than that: who sends without end would have it all read.
-            while let (Ok(()), true) = (self.more_before(until).await, dropped < DROPPED_MOST) {
-                dropped += self.buffer.len();
-                self.buffer.clear();
-            }
+    /// Tells the peer that nothing more comes.
+    pub fn shut(&self) -> io::Result<()> {
+        self.socket.get_ref().shutdown(std::net::Shutdown::Write)
+    }
+
+    /// Ends the connection so that what was written last still arrives: the peer is told, and what it had still under way
+    /// is read and dropped until it closes too, or the time is over. A close over unread bytes would be a reset.
+    pub async fn finish(mut self, within: Duration) {
+        if self.shut().is_ok() {
+            self.buffer = Vec::new();
+            let late = async {
+                Timer::after(within).await;
+            };
+            futures_lite::future::or(self.drain(), late).await;
         }
     }
 }
