Call discovery again within 4 s after any failure, so a change is told in 6 s

Seen: the arithmetic of discovery/watching.rs covered one failure. After a chain the next call was the module's (src/asking.rs), whose waits grow with the fleet up to three times ask_every_ms: with 300 brokers the newest list was in hand 10 s and more after discovery had it and could be reached, where 6 s count. And each failure was two calls at once, a watch and a list: with all watches ended, 300 brokers called 600 times.

Ruled out: the waits of a single call; with the module's wait out of the way each is short enough.

Change: where lists are asked for the machine times its own calls from the first one on; what the core asks for later changes nothing. A call that told nothing is given up 4 s after it began, the next is out 4 s after it began or after a watch's end, at the latest. Brokers take places in these 4 s by number, and the first three waits lead there: from then on 300 brokers call 75 times a second, evenly. A list is asked for in place of the next watch, not beside it. watching.rs states the promise and what it rests on (a call that goes out while discovery can be reached is answered in 1.6 s).

--- a/broker/src/discovery/calls.rs
+++ b/broker/src/discovery/calls.rs
@@ -19,8 +19,6 @@
 
 /// Longer than the machine waits for anything.
 const LONG: Duration = Duration::from_secs(3600);
-/// What a call ends with that had to wait too long.
-const BUSY: &str = "status 503";
 
 type Calling = Pin<Box<dyn Future<Output = String>>>;
 
@@ -41,7 +39,7 @@
                 match calling.as_mut() {
                     Some((_, calling)) => {
                         let fault = calling.await;
-                        (Event::Ended { busy: fault == BUSY }, Some(fault))
+                        (Event::Ended, Some(fault))
                     }
                     None => pending().await,
                 }
@@ -55,9 +53,7 @@
                 (Event::Due, None)
             };
             let (event, fault) = or(or(moved, ended), or(wanted, late)).await;
-            if let (Some(fault), Some((call, _))) =
-                (fault, calling.take_if(|_| matches!(event, Event::Ended { .. })))
-            {
+            if let (Some(fault), Some((call, _))) = (fault, calling.take_if(|_| event == Event::Ended)) {
                 self.note_fault(call, &fault);
             }
             for action in self.happened(event) {
@@ -102,6 +98,7 @@
             Call::List => match self.fetch().await {
                 Ok(list) => {
                     self.hear(&list);
+                    self.happened(Event::Heard);
                     "the list was given, and no watch".to_owned()
                 }
                 Err(fault) => fault,
@@ -135,7 +132,6 @@
                 self.happened(Event::Answered);
                 Ok((stream, head))
             }
-            503 => Err(BUSY.to_owned()),
             status => Err(format!("status {status}")),
         }
     }
--- a/broker/src/discovery/watching.rs
+++ b/broker/src/discovery/watching.rs
@@ -1,19 +1,26 @@
 //! When discovery is called, and when a call or a watch counts as silent. A machine without I/O: events and the
 //! time in, actions out. It knows neither lists nor sockets.
 //!
-//! What a silent watch misses counts as told 6 s ([`TOLD_AFTER`]) after it fell silent; for a call that may wait, 2 s
-//! ([`WAIT_GRACE`]) after that wait, if that is later. Here the silence begins with the last thing that came whole.
+//! **The promise.** Whatever became of the calls before, and in whatever order they failed: what discovery has at a time
+//! at which it can be reached is in hand [`TOLD_AFTER`] (6 s) after that time, less [`MARGIN`]. It rests on one thing: that a
+//! call that goes out while discovery can be reached is answered within [`ANSWER`], its place in the queue included.
 //!
-//! - Lists asked for, one service for the whole fleet: after a failure the module asks again, within [`AGAIN_MOST`] of the
-//!   first one. Watch silent: `silence + AGAIN_MOST + connect` = 3.4 + 1.5 + 1 = 5.9 s until the next call is out. Call
-//!   silent: given up `head` = 2.5 s after it was sent, the list asked for at once, out 1 s later at the most: 3.5 s, where
-//!   2.5 + 2 are allowed; one for the list, `head + AGAIN_MOST + connect` = 5 s. First byte and no more: `body` in
-//!   place of `head`, the same. Later failures are spread over the fleet by the module, within what the settings allow
-//!   who keeps asking. That a drain has its grace from then on is to spare.
+//! - Lists asked for, one service for the whole fleet. From any moment on, the next call goes out within [`PERIOD`] = 4 s:
+//!   - a call that has told nothing is given up a period after it began, however far it came, and the next one goes out
+//!     at once; one that fails sooner is followed a period after it *began*, at the latest;
+//!   - where watches can't be had and lists are given, that holds of the calls for lists, with a watch tried between two;
+//!   - a watch that ends is followed within a period of its end; one that is silent is given up 3.4 s after the last
+//!     that came whole, and followed within 0.6 s.
+//!
+//!   So 4 + 1.6 + 0.4 = 6 s, and no state knows of more failures than one. That the next call is counted from
+//!   the beginning of the one before also keeps a fleet spread that once is: each broker has its place in the
+//!   period, by its number, and three waits that grow lead there from any common beginning (the last of `Watching::gap`). From
+//!   then on 300 brokers call 75 times a second, evenly, for as long as discovery is down, or has too many callers: as
+//!   seldom as the promise lets them.
 //! - Lists pushed, an agent of the broker's own that answers at once and for nothing: called from the first moment, and
 //!   again `pace` after a call that failed, for as long as it is silent: what it has when it speaks again counts
 //!   at once, so the pace is half of a drain's grace. Watch silent: out after `silence + connect`, at most
-//!   2.5 + 0.5 s; any call: `connect + head` or `body`, 1 s, before the next.
+//!   2.5 + 0.5 s; any call: `connect + head + body`, 3 s at the most, before the next.
 //!
 //! While nothing can be heard the list stays in use; `docs/design/standing.md` says why.
 
@@ -25,14 +32,18 @@
 
 /// What a watch that fell silent missed counts as told so much later.
 pub const TOLD_AFTER: Duration = Duration::from_millis(6000);
-/// What a silent call missed counts as told so long after its wait was over, if that is later.
-pub const WAIT_GRACE: Duration = Duration::from_millis(2000);
-/// The module asks again within so long of a first failure.
-pub const AGAIN_MOST: Duration = Duration::from_millis(1500);
+/// Kept of it for the process's own turns, and for a machine that is busy.
+pub const MARGIN: Duration = Duration::from_millis(400);
+/// Who can be reached answers a call within so long, its connection and its place in the queue included.
+pub const ANSWER: Duration = Duration::from_millis(1600);
+/// From any moment to the next call, at the most, where lists are asked for.
+pub const PERIOD: Duration = Duration::from_millis(4000);
 /// While nothing changes, an empty line comes so often.
 pub const BEAT: Duration = Duration::from_millis(2000);
-/// Left over for the process's own turns.
-const SLACK: Duration = Duration::from_millis(100);
+/// One may be so late where a call more is a call of the whole fleet.
+const BEAT_LATER: Duration = Duration::from_millis(1400);
+/// Brokers have their places in a period so far apart, or as far as it has room for all.
+const APART: Duration = Duration::from_millis(40);
 /// An empty line may be so late where a call more costs nothing.
 const BEAT_LATE: Duration = Duration::from_millis(500);
 const CONNECT: Duration = Duration::from_millis(1000);
@@ -58,8 +69,13 @@
     pub body: Duration,
     /// More of a watch has come whole.
     pub silence: Duration,
-    /// Where lists are pushed: from the beginning of one call to the next after it.
+    /// A call has told something, from its beginning on; where lists are asked for.
+    pub whole: Duration,
+    /// From the beginning of one call to the next after it; where lists are asked for it is longest after several
+    /// failures.
     pub pace: Duration,
+    /// Where lists are asked for: the broker's place in that time, among all.
+    pub place: Duration,
     /// A new process has its first list, or goes by the one that it finds in its configuration.
     pub first: Duration,
 }
@@ -69,20 +85,35 @@
     pub fn of(settings: &Settings) -> Self {
         let first = Duration::from_millis(1000);
         if settings.subscribe {
-            let silence = TOLD_AFTER - AGAIN_MOST - CONNECT - SLACK;
+            // Whoever knows no number goes by that of its process: these are spread, too.
+            let number = settings.index.unwrap_or_else(std::process::id);
+            let brokers = settings.aggregators.max(1);
+            let apart = APART.min(PERIOD / brokers);
             return Self {
                 pushed: false,
                 connect: CONNECT,
                 head: TURN,
                 body: TURN,
-                silence,
-                pace: CONNECT,
+                silence: BEAT + BEAT_LATER,
+                whole: PERIOD,
+                pace: PERIOD,
+                place: apart * (number % brokers),
                 first,
             };
         }
         let pace = millis((settings.drain_grace_ms / 2.0).clamp(PACE[0], PACE[1]));
-        let silence = BEAT + BEAT_LATE;
-        Self { pushed: true, connect: pace, head: pace, body: PATIENCE, silence, pace, first }
+        let (silence, whole) = (BEAT + BEAT_LATE, 3 * PATIENCE);
+        Self {
+            pushed: true,
+            connect: pace,
+            head: pace,
+            body: PATIENCE,
+            silence,
+            whole,
+            pace,
+            place: Duration::ZERO,
+            first,
+        }
     }
 }
 
@@ -98,7 +129,7 @@
 /// What happened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Event {
-    /// The core asks for a watch; one that stands is kept.
+    /// The core asks for a watch; one that stands is kept. Once there was a call, the next ones are not the core's to time.
     Wanted,
     /// Discovery is at another address.
     Moved,
@@ -106,15 +137,12 @@
     Connected,
     /// The head of its answer is there, and good.
     Answered,
-    /// The watch said something that is whole; that nothing changed will do.
+    /// The call told something that is whole; of a watch, that nothing changed will do.
     Heard,
     /// It has led to a newer list.
     Told,
-    /// The call is over; `busy` where too many call.
-    Ended {
-        /// Whether it was refused as one too many.
-        busy: bool,
-    },
+    /// The call is over.
+    Ended,
     /// Time has passed.
     Due,
 }
@@ -126,7 +154,7 @@
     Leave,
     /// Call.
     Call(Call),
-    /// Tell the core of the failure: it asks again when it thinks fit.
+    /// Tell the core of the failure.
     Failed,
 }
 
@@ -149,10 +177,16 @@
     due: Option<Instant>,
     /// Whether the call that is out has led to a newer list.
     told: bool,
+    /// Since when the call that is out has told what is whole.
+    heard: Option<Instant>,
     /// Calls in a row without any answer.
     unanswered: u32,
-    /// Whether the next watch that is refused as one too many is followed by a call for the list.
-    list_next: bool,
+    /// Calls in a row after the last watch that stood.
+    failed: u32,
+    /// What is called for next.
+    next: Call,
+    /// When the last list that was asked for was, if it was given; none once a watch is.
+    given: Option<Instant>,
 }
 
 impl Watching {
@@ -165,11 +199,19 @@
             began: now,
             due: waits.pushed.then_some(now),
             told: false,
+            heard: None,
             unanswered: 0,
-            list_next: false,
+            failed: 0,
+            next: Call::Watch,
+            given: None,
         }
     }
 
+    /// How long a process that has no list waits with its first call, so that those that start at once don't call at once.
+    pub fn first_call(&self) -> Duration {
+        self.waits.place / 2
+    }
+
     /// When [`Event::Due`] is to come.
     pub fn due(&self) -> Option<Instant> {
         self.due
@@ -183,11 +225,16 @@
     /// Takes an event; what does not fit the stage changes nothing.
     pub fn handle(&mut self, event: Event, now: Instant) -> Vec<Action> {
         match (event, self.stage) {
-            (Event::Wanted, Stage::Resting) => self.begin(Call::Watch, now),
+            (Event::Wanted, Stage::Resting) if self.due.is_none() => self.begin(Call::Watch, now),
             (Event::Moved, _) => {
-                (self.unanswered, self.list_next) = (0, false);
+                (self.unanswered, self.failed, self.next, self.given) = (0, 0, Call::Watch, None);
                 let mut actions = vec![Action::Leave];
-                actions.extend(self.begin(Call::Watch, now));
+                if self.waits.pushed {
+                    actions.extend(self.begin(Call::Watch, now));
+                } else {
+                    // Guards the new address against all brokers of a large fleet at once.
+                    (self.stage, self.due) = (Stage::Resting, Some(now + self.waits.place / 4));
+                }
                 actions
             }
             (Event::Connected, Stage::Connecting) => {
@@ -197,20 +244,24 @@
                 self.unanswered = 0;
                 self.go_on(Stage::Answering, now + self.waits.body)
             }
-            (Event::Heard, Stage::Answering) if self.call == Call::Watch => {
-                self.go_on(Stage::Answering, now + self.waits.silence)
+            (Event::Heard, Stage::Answering) => {
+                self.heard = self.heard.or(Some(now));
+                if self.call == Call::Watch {
+                    self.due = self.due.max(Some(now + self.waits.silence));
+                }
+                Vec::new()
             }
             (Event::Told, Stage::Answering) => {
                 self.told = true;
                 Vec::new()
             }
-            (Event::Ended { .. }, Stage::Resting) => Vec::new(),
-            (Event::Ended { busy }, _) => self.over(busy, now),
+            (Event::Ended, Stage::Resting) => Vec::new(),
+            (Event::Ended, _) => self.over(now, false),
             (Event::Due, stage) if self.due.is_some_and(|due| due <= now) => match stage {
-                Stage::Resting => self.begin(Call::Watch, now),
+                Stage::Resting => self.begin(self.next, now),
                 _ => {
                     let mut actions = vec![Action::Leave];
-                    actions.extend(self.over(false, now));
+                    actions.extend(self.over(now, true));
                     actions
                 }
             },
@@ -219,14 +270,17 @@
     }
 
     fn begin(&mut self, call: Call, now: Instant) -> Vec<Action> {
-        (self.stage, self.call, self.began, self.told) = (Stage::Connecting, call, now, false);
+        (self.stage, self.call, self.began) = (Stage::Connecting, call, now);
+        (self.told, self.heard) = (false, None);
         self.due = Some(now + self.patience(self.waits.connect));
         vec![Action::Call(call)]
     }
 
+    /// On to the next stage; until something is told, no further than the whole call may last.
     fn go_on(&mut self, stage: Stage, due: Instant) -> Vec<Action> {
         self.stage = stage;
-        self.due = self.due.max(Some(due));
+        let whole = self.waits.whole / if self.given.is_some() && self.call == Call::Watch { 2 } else { 1 };
+        self.due = self.due.max(Some(due.min(self.began + whole)));
         Vec::new()
     }
 
@@ -237,28 +291,57 @@
         (wait + wait * self.unanswered / SLOWER).min(PATIENCE.max(wait))
     }
 
-    /// The call is over. A watch that led to nothing is followed by a call for the list, in case that watches are what
-    /// can't be had; but where too many call, one more at once would only add to them, so that only every
-    /// second refusal is.
-    fn over(&mut self, busy: bool, now: Instant) -> Vec<Action> {
+    /// The call is over, or was `silent` for too long.
+    fn over(&mut self, now: Instant, silent: bool) -> Vec<Action> {
         if self.stage != Stage::Answering {
             self.unanswered = self.unanswered.saturating_add(1);
         }
-        if self.call == Call::Watch {
-            let spare = busy && !self.waits.pushed && {
-                self.list_next = !self.list_next;
-                self.list_next
-            };
-            if !spare && !self.told {
+        let (called, connected) = (self.call, self.stage != Stage::Connecting);
+        if self.waits.pushed {
+            // An agent is called for nothing, so a list is asked for at once, in case that watches are what can't be had.
+            if called == Call::Watch && !self.told {
                 return self.begin(Call::List, now);
             }
-        }
-        self.stage = Stage::Resting;
-        if self.waits.pushed {
+            self.stage = Stage::Resting;
             self.due = Some(now.max(self.began + self.waits.pace));
             return Vec::new();
         }
-        self.due = None;
+        let gave = self.heard.is_some();
+        if let Some(given) = self.given.filter(|_| called == Call::Watch && !gave) {
+            // Lists are given and watches can't be had: the list is asked for as if no watch had been.
+            (self.stage, self.next, self.due) =
+                (Stage::Resting, Call::List, Some(now.max(given + self.waits.pace)));
+            return vec![Action::Failed];
+        }
+        self.given = (called == Call::List && gave).then_some(self.began);
+        // In case that watches are what can't be had; who can't be connected to says nothing of that.
+        self.next = if called == Call::Watch && !gave && connected { Call::List } else { Call::Watch };
+        let stood = called == Call::Watch && self.heard.is_some_and(|since| now >= since + self.waits.pace);
+        self.failed = if stood { 1 } else { self.failed.saturating_add(1) };
+        let Waits { pace, place, .. } = self.waits;
+        let next = if silent && gave {
+            now + place * 3 / 20
+        } else {
+            let from = if stood { now } else { self.began };
+            let (wait, share) = self.gap();
+            // A watch between two lists has half the time, so that the lists lie no further apart than other calls.
+            let most = if self.given.is_some() { pace / 2 } else { pace };
+            (now.max(from + wait) + share).min(from + most)
+        };
+        (self.stage, self.due) = (Stage::Resting, Some(next.max(now)));
         vec![Action::Failed]
     }
+
+    /// From the beginning of a call that failed, or the end of a watch that stood, to the next call: a wait, and a share
+    /// of the broker's place, whatever the call itself took. The shares are sixteenths, 5, 7 and 4, so that brokers that
+    /// began together, as at an end of all watches, are each at their place after the third.
+    fn gap(&self) -> (Duration, Duration) {
+        let Waits { pace, place, .. } = self.waits;
+        match self.failed {
+            0 | 1 => (pace / 16, place * 5 / 16),
+            2 => (pace / 4, place * 7 / 16),
+            3 => (pace * 3 / 4, place / 4),
+            _ => (pace, Duration::ZERO),
+        }
+    }
 }
