--- a/broker/tests/known_red.rs
+++ b/broker/tests/known_red.rs
@@ -6,6 +6,7 @@
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// As `cargo test -- --list --format terse` prints them: tests of two programs with one name, and one of the documentation.
 const NAMES: &str = "\
@@ -22,11 +23,16 @@
 case \"$*\" in *--list*) cat names ;; esac
 ";
 
+/// One at a time: a child that another test starts while a script here is still open for writing holds it open until it has
+/// become its own program, and a script that someone may write to can't be run.
+static ALONE: Mutex<()> = Mutex::new(());
+
 /// A folder with the project's scripts, a list of known failures, and a cargo that only takes notes.
-struct Checkout(PathBuf);
+struct Checkout(PathBuf, #[allow(dead_code)] MutexGuard<'static, ()>);
 
 impl Checkout {
     fn new(name: &str, list: Option<&str>) -> Self {
+        let alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
         let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("known-red-{name}"));
         drop(fs::remove_dir_all(&dir));
         fs::create_dir_all(dir.join(".ci")).unwrap();
@@ -42,7 +48,7 @@
         if let Some(list) = list {
             fs::write(dir.join("KNOWN-RED.txt"), list).unwrap();
         }
-        Self(dir)
+        Self(dir, alone)
     }
 
     fn call(&self, script: &str, args: &[&str]) -> Output {
