--- a/broker/src/discovery/watching.rs
+++ b/broker/src/discovery/watching.rs
@@ -6,15 +6,15 @@
 //! call that goes out while discovery can be reached is answered within [`ANSWER`], its place in the queue included.
 //!
 //! - Lists asked for, one service for the whole fleet. From any moment on, the next call goes out within [`PERIOD`] = 4 s:
-//!   - a call that has told nothing is given up a period after it began, however far it came, and the next one goes out
-//!     at once; one that fails sooner is followed a period after it *began*, at the latest;
+//!   - a call that has told nothing is given up 3 s after it began, however far it came; one that failed or was given
+//!     up is followed a period after it *began*, at the latest;
 //!   - where watches can't be had and lists are given, that holds of the calls for lists, with a watch tried between two;
 //!   - a watch that ends is followed within a period of its end; one that is silent is given up 3.4 s after the last
 //!     that came whole, and followed within 0.6 s.
 //!
 //!   So 4 + 1.6 + 0.4 = 6 s, and no state knows of more failures than one. That the next call is counted from
 //!   the beginning of the one before also keeps a fleet spread that once is: each broker has its place in the
-//!   period, by its number, and three waits that grow lead there from any common beginning (the last of `Watching::gap`). From
+//!   period, by its number, and four waits that grow lead there from any common beginning (the last of `Watching::gap`). From
 //!   then on 300 brokers call 75 times a second, evenly, for as long as discovery is down, or has too many callers: as
 //!   seldom as the promise lets them.
 //! - Lists pushed, an agent of the broker's own that answers at once and for nothing: called from the first moment, and
@@ -56,6 +56,10 @@
 const SLOWER: u32 = 128;
 const PATIENCE: Duration = Duration::from_millis(1000);
 
+/// A new process has to be ready within 10 s, whatever discovery does. One with no list refuses what it is asked, and
+/// trying again is harmless; two more seconds are for its start and for whoever looks whether it is ready.
+const READY: Duration = Duration::from_millis(8000);
+
 /// The waits, each from where the one before ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Waits {
@@ -78,6 +82,8 @@
     pub place: Duration,
     /// A new process has its first list, or goes by the one that it finds in its configuration.
     pub first: Duration,
+    /// A new process that has no list at all is ready without one.
+    pub ready: Duration,
 }
 
 impl Waits {
@@ -95,10 +101,11 @@
                 head: TURN,
                 body: TURN,
                 silence: BEAT + BEAT_LATER,
-                whole: PERIOD,
+                whole: PERIOD * 3 / 4,
                 pace: PERIOD,
                 place: apart * (number % brokers),
                 first,
+                ready: READY,
             };
         }
         let pace = millis((settings.drain_grace_ms / 2.0).clamp(PACE[0], PACE[1]));
@@ -113,6 +120,7 @@
             pace,
             place: Duration::ZERO,
             first,
+            ready: READY,
         }
     }
 }
@@ -333,14 +341,15 @@
     }
 
     /// From the beginning of a call that failed, or the end of a watch that stood, to the next call: a wait, and a share
-    /// of the broker's place, whatever the call itself took. The shares are sixteenths, 5, 7 and 4, so that brokers that
-    /// began together, as at an end of all watches, are each at their place after the third.
+    /// of the broker's place, whatever the call itself took; the waits leave room for that. A quarter four times, so that
+    /// brokers that began together, as at an end of all watches, are each at their place after the fourth.
     fn gap(&self) -> (Duration, Duration) {
         let Waits { pace, place, .. } = self.waits;
         match self.failed {
-            0 | 1 => (pace / 16, place * 5 / 16),
-            2 => (pace / 4, place * 7 / 16),
-            3 => (pace * 3 / 4, place / 4),
+            0 | 1 => (pace / 16, place / 4),
+            2 => (pace / 4, place / 4),
+            3 => (pace / 2, place / 4),
+            4 => (pace * 3 / 4, place / 4),
             _ => (pace, Duration::ZERO),
         }
     }
