Be ready within 10 s whatever discovery does, with or without a list

Seen: a process with no list in its configuration waited for discovery without end, and with its first call for the module's turn, up to 5 s with 300 brokers; one refusal more and it was past 10 s.

Change (become_able): where there is no list the first call waits half of the broker's place at most (2 s), and a process that has heard nothing for 8 s is ready without a list: it refuses with 503 what it is asked, which is harmless to try again. Beside another process of the broker, which serves meanwhile, it waits three times as long.

--- a/broker/src/discovery/mod.rs
+++ b/broker/src/discovery/mod.rs
@@ -118,6 +118,11 @@
         let _ = self.asks.0.try_send(());
     }
 
+    /// How long a process that has no list waits with its first call.
+    pub fn first_call(&self) -> Duration {
+        self.watching.borrow().first_call()
+    }
+
     /// Resolves once discovery has told its list.
     pub async fn told(&self) {
         let _ = self.told.1.recv().await;
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -18,6 +18,7 @@
 use crate::config::{Config, Error};
 use crate::core::{Command, Core};
 use crate::counters::Counters;
+use crate::discovery::watching::Waits;
 use crate::discovery::{self, Discovery, List};
 use crate::exchange::Exchange;
 use crate::faults;
@@ -49,6 +50,8 @@
 /// A connection is left to stand for this share of the time after which a store would close it.
 const IDLE_SHARE: f64 = 0.8;
 
+/// Where another process of this broker serves meanwhile, one that has no list at all waits so many times as long.
+const BESIDE: u32 = 3;
 /// How often what another process was told is looked for; either may be called, and both have to follow in 1 s.
 const FOLLOW: Duration = Duration::from_millis(100);
 
@@ -233,9 +236,7 @@
         let core = Core::with_routes(config.seed, settings, clock.now(), routes);
         executor.spawn(discovery.clone().run()).detach();
         let beside = presence.other() != Other::None;
-        executor
-            .spawn(become_able(lifecycle.clone(), discovery.clone(), (beside, calls.first), known))
-            .detach();
+        executor.spawn(become_able(lifecycle.clone(), discovery.clone(), (beside, calls), known)).detach();
         executor.spawn(follow_rotation(discovery.clone())).detach();
         let sharing = exchange.clone();
         let share = move |other| sharing.shared(if other == Other::Serves { 2 } else { 1 });
@@ -320,29 +321,41 @@
 /// Waits until discovery has told its list. Where an older one is known that will do: at once where no other
 /// process serves meanwhile, and beside one after a while. Where lists are pushed the older one is `held` back for that
 /// while: what the agent has counts as told from the first moment, so that no part goes out before it was asked.
+/// Where there is none at all the wait is bounded, too.
 async fn become_able(
     lifecycle: Rc<Lifecycle>,
     discovery: Rc<Discovery>,
-    (beside, first): (bool, Duration),
+    (beside, calls): (bool, Waits),
     held: Option<List>,
 ) {
-    if beside {
-        // Guards the start of an upgrade in a large fleet, whose first calls for the list are spread over seconds: what
-        // discovery has to tell counts as told soon after this process is ready.
+    let begun = Instant::now();
+    let ask = async {
+        if !beside && (discovery.known() || held.is_some()) {
+            futures_lite::future::pending::<()>().await;
+        }
+        if !beside {
+            Timer::after(discovery.first_call()).await;
+        }
+        // Guards the start in a large fleet, whose first calls for the list are spread over seconds: of an upgrade, as what
+        // discovery has to tell counts as told soon after this process is ready; and without any list, as there is no
+        // more to wait for.
         discovery.subscribe();
-    }
+        futures_lite::future::pending::<()>().await
+    };
     let fallback = async {
-        if let Some(held) = held {
-            Timer::after(first).await;
-            discovery.tell(&held, true);
+        if let Some(held) = &held {
+            Timer::after(calls.first).await;
+            discovery.tell(held, true);
         } else if beside {
-            Timer::after(first).await;
+            Timer::after(calls.first).await;
         }
         if !discovery.known() {
-            futures_lite::future::pending::<()>().await;
+            let wait = if beside { calls.ready * BESIDE } else { calls.ready };
+            Timer::at(begun + wait).await;
+            log::warn!("ready without any list of stores: discovery has told none");
         }
     };
-    futures_lite::future::or(discovery.told(), fallback).await;
+    futures_lite::future::or(discovery.told(), futures_lite::future::or(fallback, ask)).await;
     lifecycle.set_able();
 }
 
