Read lists on a watch in linear time, and let clients run beside one that floods

Seen: a chunk of many small lists was moved once for each of them (Lists::next drained the front): 3,277 of 713,924 lists in 40 s. And a watch that talks faster than it is read, blank lines without end, never left the thread: each read had data, so no client was served until it stopped (20 s in the test).

At fault: the drain per list in discovery/list.rs; the loop of Discovery::watch, which waits for nothing while data is there. Ruled out: heads, chunk lines, trailers and bodies, which are bounded; a list that never ends, refused at its bound before, too.

Change: Lists keeps its place and drops what is read once a piece; the watch yields once a chunk.

Tests (broker/tests/discovery.rs): a list of a megabyte by single bytes, told once whole; an endless list; many small lists; a flood from another thread with clients beside it.

--- a/broker/src/discovery/calls.rs
+++ b/broker/src/discovery/calls.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
-use futures_lite::future::{or, pending};
+use futures_lite::future::{or, pending, yield_now};
 use stoatlane::ListKind;
 
 use super::list::{Lists, LIST_MAX};
@@ -169,6 +169,8 @@
                 }
                 self.hear(&list);
             }
+            // Guards clients, on the same thread, against a watch that talks faster than it can be read.
+            yield_now().await;
             // Guards against the beginning of a list with empty lines behind it: what began has to come whole.
             if whole || !lists.begun() {
                 self.happened(Event::Heard);
--- a/broker/src/discovery/list.rs
+++ b/broker/src/discovery/list.rs
@@ -7,6 +7,8 @@
 /// No list has more entries; no list, and no line of a watch, is longer.
 const ENTRIES_MAX: usize = 4096;
 pub(super) const LIST_MAX: usize = ENTRIES_MAX * 256;
+/// A watch on which nothing is under way keeps no more room.
+const ROOM: usize = 16 * 1024;
 
 /// One line of a list.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
@@ -75,7 +77,9 @@
 #[derive(Debug, Default)]
 pub struct Lists {
     bytes: Vec<u8>,
-    /// So many of them have been looked at.
+    /// Where the list begins that is read, or the blank space before it.
+    from: usize,
+    /// Up to here it has been looked at.
     seen: usize,
     /// Brackets that are open there, and whether it is inside a text, behind a backslash.
     depth: usize,
@@ -91,16 +95,18 @@
 
     /// Whether a list has begun and is not whole.
     pub fn begun(&self) -> bool {
-        self.seen > 0
+        self.seen > self.from
     }
 
-    /// The next list that is whole. Every byte is looked at once, however small the chunks.
+    /// The next list that is whole. Every byte is looked at once, however small the chunks, and moved once at the
+    /// most, however small the lists.
     #[allow(clippy::should_implement_trait)]
     pub fn next(&mut self) -> Result<Option<List>, Fault> {
-        if self.seen == 0 {
-            let blank = self.bytes.iter().take_while(|byte| byte.is_ascii_whitespace()).count();
-            self.bytes.drain(..blank);
-            if self.bytes.first().is_some_and(|byte| *byte != b'{') {
+        if !self.begun() {
+            let blank = self.bytes[self.from..].iter().take_while(|byte| byte.is_ascii_whitespace()).count();
+            self.from += blank;
+            self.seen = self.from;
+            if self.bytes.get(self.from).is_some_and(|byte| *byte != b'{') {
                 return Err(Fault("what is no list on a watch".to_owned()));
             }
         }
@@ -115,13 +121,20 @@
                 _ => {}
             }
             if self.depth == 0 {
-                let list: Vec<u8> = self.bytes.drain(..std::mem::take(&mut self.seen)).collect();
-                return parse(&list).map(Some);
+                let list = parse(&self.bytes[self.from..self.seen]);
+                self.from = self.seen;
+                return list.map(Some);
             }
         }
+        self.bytes.drain(..self.from);
+        self.seen -= std::mem::take(&mut self.from);
         if self.bytes.len() > LIST_MAX {
             return Err(Fault("a list on a watch is too long".to_owned()));
         }
+        // Guards against a watch that keeps the room of its longest list for good.
+        if self.bytes.is_empty() {
+            self.bytes.shrink_to(ROOM);
+        }
         Ok(None)
     }
 }
--- a/broker/tests/discovery.rs
+++ b/broker/tests/discovery.rs
@@ -2,10 +2,15 @@
 //! and nothing goes out on an older list before a pushed one has been asked for.
 #![allow(clippy::unwrap_used)]
 
+use std::io::Write;
+use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use gingerledge::discovery::watching::Waits;
+use gingerledge::discovery::Lists;
 use gingerledge::service::Broker;
 use gingerledge_standin::scripted::{exchange, get, query, run, until, Service, World};
 use serde_json::{json, Value};
@@ -182,3 +187,88 @@
         });
     }
 }
+
+/// A list of a megabyte that comes a byte at a time: nothing is told before it is whole, wherever it is cut, and each byte
+/// costs the same.
+#[test]
+fn a_list_of_a_megabyte_is_read_byte_by_byte_and_told_once_whole() {
+    let entry = |n: usize| {
+        json!({ "instanceId": format!("s-{n}"), "hostPort": "127.0.0.1:9", "zone": "a{[\\\"",
+        "cell": n, "lifecycle": "up", "startedAtMs": 0, "note": "x".repeat(139) })
+    };
+    let entries: Vec<Value> = (0..4000).map(entry).collect();
+    let text = json!({ "generation": 7, "reset": true, "instances": entries }).to_string();
+    assert!(text.len() > 1_000_000 && text.len() < 1 << 20);
+    let mut lists = Lists::default();
+    for (n, byte) in text.bytes().enumerate() {
+        lists.push(&[byte]);
+        let list = lists.next().unwrap();
+        assert_eq!(list.is_some(), n + 1 == text.len(), "at byte {n}");
+        assert_eq!(lists.begun(), n + 1 < text.len());
+        assert!(list.is_none_or(|list| list.instances.len() == 4000));
+    }
+}
+
+/// A list that never ends is given up before it holds more memory than two of the longest, however it is cut.
+#[test]
+fn a_list_that_never_ends_is_refused() {
+    for piece in [1, 4096, 1 << 20] {
+        let (mut lists, mut held) = (Lists::default(), 0);
+        lists.push(b"{\"generation\":1,\"reset\":true,\"instances\":[");
+        while lists.next().is_ok_and(|list| list.is_none()) {
+            lists.push(&vec![b' '; piece]);
+            held += piece;
+            assert!(held <= 2 << 20, "{held} bytes of a list");
+        }
+    }
+}
+
+/// So many lists in one piece that to move what is left after each would take hours.
+#[test]
+fn many_small_lists_in_one_piece_are_read_in_a_time_that_grows_as_they_do() {
+    let one = br#"{"generation":1,"reset":false,"instances":[]}  "#;
+    let many = (32 << 20) / one.len();
+    let (mut lists, mut read, began) = (Lists::default(), 0, Instant::now());
+    lists.push(&one.repeat(many));
+    while lists.next().unwrap().is_some() {
+        read += 1;
+        assert!(began.elapsed() < Duration::from_secs(40), "{read} of {many} read");
+    }
+    assert_eq!((read, lists.begun()), (many, false));
+}
+
+/// Blank space that comes faster than it can be read, from a thread of its own: clients are served meanwhile.
+#[test]
+fn a_watch_that_never_stops_talking_takes_no_time_from_clients() {
+    run(3, |world| async move {
+        let broker = world.broker(world.settings(), None).await;
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (talking, over) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        let (starts, stop) = (talking.clone(), over.clone());
+        let list = world.list().to_string();
+        let talks = std::thread::spawn(move || {
+            let (mut socket, _) = listener.accept().unwrap();
+            let chunk = format!("{:x}\r\n{list}\r\n", list.len());
+            socket.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+            socket.write_all(chunk.as_bytes()).unwrap();
+            let (blank, until) = (b"1\r\n\n\r\n".repeat(4096), Instant::now() + Duration::from_secs(20));
+            // Ends by itself, so that a broker that hears nothing else fails the test and does not hang it.
+            while !stop.load(Ordering::Relaxed) && Instant::now() < until && socket.write_all(&blank).is_ok()
+            {
+                starts.store(true, Ordering::Relaxed);
+            }
+            starts.store(false, Ordering::Relaxed);
+        });
+        let lists = broker.counters.lists.get();
+        broker.reload(Ok(address));
+        until(|| broker.counters.lists.get() > lists).await;
+        for n in 0..20 {
+            assert_eq!(ask(&world, &broker, &format!("q{n}")).await.0, 200);
+        }
+        assert!(talking.load(Ordering::Relaxed), "served while it talks");
+        over.store(true, Ordering::Relaxed);
+        drop(broker);
+        until(|| talks.is_finished()).await;
+    });
+}
