--- a/src/asking.rs
+++ b/src/asking.rs
@@ -4,6 +4,8 @@
 //! it has not heard, four times that after a call that failed; so, however many share the service, the first call
 //! goes out within `FIRST_SHARE` of that time from the start, and the next one within `AGAIN_SHARE` of it from a failure.
 //! What is left is for calls that wait their turn, and for one that fails.
+//! That is the rule where an aggregator is alone with its host, as in the simulator. The program holds a stricter one, that of
+//! `broker/src/discovery/watching.rs`: there the first call alone is timed here, and a host may always ask sooner.
 
 use crate::{Millis, Settings};
 
