End every client connection in one place, within one budget of descriptors

Seen: a connection that was idle, crowded out or left behind at the end was dropped as it stood, so that a request that came in that moment was reset. Beyond a quarter more than the most, connections were closed without an answer: of 80 clients that connect and ask at once under 64 descriptors the 21st on got none. The feature front's clients alone could fill the limit, so that discovery's call found no descriptor. Two fronts, links and the door had sums of their own that passed a small limit. The process ended 15 s after SIGTERM whatever was still owed, and told its fronts of SIGTERM only after its subsystems had stopped, which may take 0.5 s.

Checked and ruled out: bytes that lay in the system when a timer fired were read even before, since the read is tried first; raising the shares alone does not help, since a place has to be had before accept and not after.

At fault: NoRequest::Over and the 'continue' past most + most / 4 in front/mod.rs, ACCEPT_AGAIN as the only answer to EMFILE, CLIENTS_SHARE and LINKS_SHARE and FINISH_WITHIN in service.rs.

Now front/client.rs has the only ways in which a connection ends (Client, Shut, Ended): whoever serves one has to hand back an Ended, which can be made there alone, and what is shut can't be read as a request. Before a close it looks once more, serves what has come, else shuts the write side and drops what comes for 500 ms. 0.7 s after SIGTERM nothing more is read. limits.rs divides limits.sockets, for two processes where the listener is inherited; a front accepts once it has a place, and the queue at the listener is 1024 long (a second listen; where that is refused the short one stays). A request is refused by the number of requests open, no longer by the number of connections. The end waits for what was taken.

Tests: broker/tests/endings_shutdown.rs, descriptors.rs, bad_input.rs.

--- a/broker/src/admin.rs
+++ b/broker/src/admin.rs
@@ -17,12 +17,10 @@
 use crate::discovery::{Discovery, Unrotated};
 use crate::http::{self, Ending, Fault, Head, Kind, Stream};
 use crate::lifecycle::Lifecycle;
+use crate::limits::Places;
 use crate::plug::{self, Subsystem};
 use crate::rotation;
 
-/// So many connections may be open; past that the oldest without a whole call makes room. They are apart from
-/// the clients', so that neither keeps the other out.
-const CONNECTIONS: usize = 16;
 /// A call comes whole within this time.
 const CALL_WITHIN: Duration = Duration::from_millis(2000);
 const WRITE_WITHIN: Duration = Duration::from_millis(1000);
@@ -112,9 +110,18 @@
     }
 
     /// Accepts and serves, for as long as the process runs.
-    pub async fn run(self: Rc<Self>, listener: Async<TcpListener>) {
-        let open = Rc::new(());
+    pub async fn run(self: Rc<Self>, listener: Async<TcpListener>, most: usize) {
+        let places = Places::new(most);
         loop {
+            let Some(held) = places.take() else {
+                // Guards against callers that hold a connection without a call: they never hold up one.
+                self.make_room();
+                let later = async {
+                    Timer::after(ACCEPT_AGAIN).await;
+                };
+                or(places.freed(), later).await;
+                continue;
+            };
             let socket = match listener.accept().await {
                 Ok((socket, _)) => socket,
                 Err(e) => {
@@ -123,17 +130,11 @@
                     continue;
                 }
             };
-            if Rc::strong_count(&open) > 2 * CONNECTIONS {
-                // All of these have been answered, and their callers don't close.
-                continue;
+            // Half are for those whose call has been answered.
+            if places.taken() > most.div_ceil(2) {
+                self.make_room();
             }
-            if Rc::strong_count(&open) > CONNECTIONS {
-                // Guards against callers that hold a connection without a call: they never hold up one.
-                if let Some(oldest) = self.waiting.borrow_mut().pop_front() {
-                    let _ = oldest.try_send(());
-                }
-            }
-            let (this, held) = (self.clone(), open.clone());
+            let this = self.clone();
             let (leave, left) = async_channel::bounded(1);
             self.waiting.borrow_mut().push_back(leave.clone());
             let serve = async move {
@@ -156,6 +157,8 @@
                     if stream.write(&bytes, WRITE_WITHIN).await.is_ok() {
                         stream.finish(LINGER).await;
                     }
+                } else if call.is_none() {
+                    stream.finish(LINGER).await;
                 }
                 drop(held);
             };
@@ -163,6 +166,13 @@
         }
     }
 
+    /// Has the oldest connection without a whole call make room.
+    fn make_room(&self) {
+        if let Some(oldest) = self.waiting.borrow_mut().pop_front() {
+            let _ = oldest.try_send(());
+        }
+    }
+
     /// Reads a call; nothing if the caller has closed.
     async fn read(&self, stream: &mut Stream) -> Option<Result<(Head, Vec<u8>), Reply>> {
         let by = Instant::now() + CALL_WITHIN;
--- a/broker/src/front/platform.rs
+++ b/broker/src/front/platform.rs
@@ -15,7 +15,7 @@
 use crate::routes::Unrouted;
 
 /// No client waits longer.
-const TIMEOUT_MAX_MS: u64 = 600_000;
+pub const TIMEOUT_MAX_MS: u64 = 600_000;
 const NAME_MAX: usize = 128;
 /// How far the portions of a query's parts may be from 1 together.
 const PORTIONS_OFF: f64 = 0.01;
--- a/broker/src/handover.rs
+++ b/broker/src/handover.rs
@@ -39,6 +39,18 @@
     Ok(listener)
 }
 
+/// So many connections may wait at a listener until they are accepted: more than a crowd brings while none has a place. Past
+/// that the system turns connections away without a word, and they come again after seconds.
+const WAITING: i32 = 1024;
+
+/// A listener of this process's own.
+pub fn listen_alone(at: SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(at)?;
+    // It listens already, if with a short queue.
+    let _ = rustix::net::listen(&listener, WAITING);
+    Ok(listener)
+}
+
 /// A listener that another process of this user may have as well.
 pub fn listen_beside(at: SocketAddr) -> io::Result<TcpListener> {
     use rustix::net::{bind, listen, socket_with, AddressFamily, SocketFlags};
@@ -47,7 +59,7 @@
     sockopt::set_socket_reuseaddr(&socket, true)?;
     sockopt::set_socket_reuseport(&socket, true)?;
     bind(&socket, &at)?;
-    listen(&socket, 1024)?;
+    listen(&socket, WAITING)?;
     Ok(TcpListener::from(socket))
 }
 
--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod handover;
 pub mod http;
 pub mod lifecycle;
+pub mod limits;
 pub mod logger;
 pub mod plug;
 pub mod rotation;
--- a/broker/src/lifecycle.rs
+++ b/broker/src/lifecycle.rs
@@ -17,10 +17,13 @@
 const DRAIN_READ: Duration = Duration::from_millis(1800);
 /// A connection that comes during a drain has so long for its request.
 const LATE_COMER: Duration = Duration::from_millis(1000);
-/// After SIGTERM new connections keep coming for up to 0.4 s, and are served. What comes later than 0.7 s may
-/// be cut off by SIGKILL, so connections without a request are closed before.
+/// After SIGTERM new connections keep coming for up to 0.4 s, and are served. What comes later than 0.7 s after it is lost
+/// where SIGKILL finds it unanswered, and SIGKILL comes the longest deadline of the settings (3 s at the most) and 0.7 s
+/// after SIGTERM. So these three follow from the protocol alone, whatever the deadlines: connections without a request are
+/// closed well before, the last request is read whole before, and what has not been read by then is not.
 const LEAVE_QUIET: Duration = Duration::from_millis(500);
 const LEAVE_READ: Duration = Duration::from_millis(650);
+const LEAVE_TAKEN: Duration = Duration::from_millis(700);
 
 /// What the broker is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -168,6 +171,21 @@
         .await
     }
 
+    /// Whether a request that has not been read is left to lie: SIGKILL might find it unanswered. Its client finds the
+    /// connection closed, and sends it once more elsewhere.
+    pub fn too_late(&self) -> bool {
+        matches!(self.phase(), Phase::Leaving { since, .. } if since.elapsed() >= LEAVE_TAKEN)
+    }
+
+    /// Resolves once it is no use any more to take a connection that has waited for a place.
+    pub async fn late(&self) {
+        self.reached(|phase| match phase {
+            Phase::Serving | Phase::Draining { .. } => None,
+            Phase::Leaving { since, .. } => Some(since + LEAVE_READ),
+        })
+        .await
+    }
+
     /// Resolves once no more connections are to be accepted.
     pub async fn accepting_over(&self) {
         self.reached(|phase| match phase {
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -24,29 +24,24 @@
 use crate::faults;
 use crate::fleet::Fleet;
 use crate::front::features::Front;
-use crate::front::platform::{Names, Platform};
+use crate::front::platform::{Names, Platform, TIMEOUT_MAX_MS};
 use crate::front::Server;
 use crate::handover::{self, Other, Presence};
 use crate::lifecycle::Lifecycle;
+use crate::limits::{self, Budget, Wants};
 use crate::plug::{Host, Subsystem};
 use crate::rotation::Rotation;
 use crate::routes::Routes;
 use crate::store::link::Limits;
 use crate::store::{Stores, Word};
 
-/// What was taken has ended after so long, whatever its time-out: no class waits longer.
-const FINISH_WITHIN: Duration = Duration::from_secs(15);
+/// The end is waited for no longer than any request may wait and its answer be written. That is a guard only: each connection
+/// ends in a time of its own. To end sooner would lose what was taken, where deadlines are long; to end later than SIGKILL is
+/// no loss of what came in time.
+const FINISH_WITHIN: Duration = Duration::from_millis(TIMEOUT_MAX_MS + 60_000);
 const FINISH_CHECK: Duration = Duration::from_millis(10);
-/// Clients may hold one in so many descriptors. The platform's clients open a third at most and count those that
-/// they keep: with as many left open they could ask nothing more until some are closed. Two processes
-/// may hold half together. Those that only stand about are the first to go. Stores, discovery and the process itself need the rest.
-const CLIENTS_SHARE: usize = 4;
-/// More client connections than this are of no use to a broker of one core.
-const CLIENTS_MOST: usize = 512;
 /// One part in so many of the memory may be held by requests longer than usual, at each front.
 const BODIES_SHARE: usize = 8;
-/// Links to stores hold one in so many descriptors, unless more are needed.
-const LINKS_SHARE: usize = 4;
 /// A connection is left to stand for this share of the time after which a store would close it.
 const IDLE_SHARE: f64 = 0.8;
 
@@ -116,10 +111,19 @@
         let counters = Rc::new(Counters::default());
         let presence = Presence::take(config.state_dir.as_deref(), config.listen);
         let lifecycle = Lifecycle::new();
+        let budget = Budget::of(Wants {
+            sockets: config.sockets,
+            allowed: limits::allowed(),
+            shared: config.listener.is_some(),
+            features: config.features.as_ref().map(|set| set.connections),
+            admin: config.admin.is_some(),
+            blocks: config.blocks.is_some(),
+        });
+        log::info!("descriptors: {budget:?}");
         let limits = Limits {
             streams: config.streams,
             batch: config.setup.settings.batch.max(1) as usize,
-            links: config.sockets / LINKS_SHARE,
+            links: budget.stores,
             dial: millis(config.dial_timeout_ms),
             idle: millis(config.idle_ms * IDLE_SHARE),
         };
@@ -153,11 +157,9 @@
             known.take().iter().for_each(|known| discovery.tell(known, true));
         }
 
-        let feature_clients = set.as_ref().map_or(0, |set| set.connections);
-        let clients = (config.sockets / CLIENTS_SHARE).saturating_sub(feature_clients);
         let bodies = (config.memory_mb << 20) / BODIES_SHARE;
         let (listener, platform) = match config.listener {
-            None => listen("LB_LISTEN", config.listen, TcpListener::bind)?,
+            None => listen("LB_LISTEN", config.listen, handover::listen_alone)?,
             Some(fd) => {
                 let taken = handover::inherited(fd, config.listen).map_err(|e| Error::new("LB_FD", e))?;
                 let taken = Async::new(taken).map_err(|e| Error::new("LB_FD", e.to_string()))?;
@@ -175,8 +177,8 @@
         let (shared, lifecycle_shown) = (exchange.clone(), lifecycle.clone());
         let front = Platform { exchange: shared, names, clock, lifecycle: lifecycle_shown, full_retry_ms };
         let waits = config.waits;
-        let most = clients.clamp(16, CLIENTS_MOST);
-        let server = Server::new(front, (&lifecycle, &presence), &counters, &executor, waits, most, bodies);
+        let server =
+            Server::new(front, (&lifecycle, &presence), &counters, &executor, waits, budget.platform, bodies);
         executor.spawn(server.run(listener, !inherited)).detach();
         log::info!("serving on {platform}");
         let mut features = None;
@@ -197,7 +199,7 @@
                 &counters,
                 &executor,
                 waits,
-                feature_clients,
+                budget.features,
                 bodies,
             );
             executor.spawn(server.run(listener, true)).detach();
@@ -227,7 +229,7 @@
             executor
                 .spawn(
                     Door::new(&lifecycle, &discovery, plugged.clone(), clock, &counters, &executor)
-                        .run(listener),
+                        .run(listener, budget.admin),
                 )
                 .detach();
             log::info!("operators' door at {at}");
@@ -295,17 +297,23 @@
     /// Stops taking requests and finishes those taken.
     pub async fn stop(&self) {
         log::info!("stopping: {} queries open", self.exchange.open_queries());
-        for subsystem in self.plugged.iter() {
-            subsystem.stop().await;
-        }
         let succeeded = self.presence.look() == Other::Serves;
         self.presence.leave();
+        // First of all: what is taken and what is left to lie counts from the signal.
         self.lifecycle.leave(succeeded);
-        self.lifecycle.accepting_over().await;
-        let until = Instant::now() + FINISH_WITHIN;
-        while self.lifecycle.connections() > 0 && Instant::now() < until {
-            Timer::after(FINISH_CHECK).await;
-        }
+        let subsystems = async {
+            for subsystem in self.plugged.iter() {
+                subsystem.stop().await;
+            }
+        };
+        let clients = async {
+            self.lifecycle.accepting_over().await;
+            let until = Instant::now() + FINISH_WITHIN;
+            while self.lifecycle.connections() > 0 && Instant::now() < until {
+                Timer::after(FINISH_CHECK).await;
+            }
+        };
+        futures_lite::future::zip(subsystems, clients).await;
         log::info!("counters: {}", self.counters);
     }
 }
--- a/broker/tests/common/mod.rs
+++ b/broker/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, clippy::unwrap_used, clippy::expect_used)]
 
 pub mod cuts;
+pub mod program;
 
 use std::rc::Rc;
 use std::time::Duration;
--- /dev/null
+++ b/broker/tests/descriptors.rs
@@ -0,0 +1,114 @@
+//! Descriptors: the division under `limits.sockets` holds in every deployment and under two processes, and each side keeps to
+//! its part, so that whoever only stands about leaves room for discovery, stores and who asks.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use common::program::Program;
+use gingerledge::limits::{Budget, Wants};
+use gingerledge_standin::scripted::{exchange, get, query, run, until, Service};
+use serde_json::json;
+
+/// Every deployment that a draw may make: what it says is divided so that no sum passes the limit, and nobody goes without.
+#[test]
+fn the_parts_are_within_the_limit_whatever_it_is() {
+    let seed = 20_261_202;
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let fit = |wants: Wants| {
+        let budget = Budget::of(wants);
+        let processes = if wants.shared { 2 } else { 1 };
+        let sum = budget.sum();
+        assert!(processes * sum <= wants.sockets, "seed {seed}: {wants:?}: {budget:?}: {sum}");
+        assert!(sum <= wants.allowed.unwrap_or(usize::MAX), "seed {seed}: {wants:?}: {budget:?}: {sum}");
+        let needed = [budget.discovery, budget.platform.most, budget.stores];
+        assert!(needed.iter().all(|part| *part > 0), "seed {seed}: {wants:?}: {budget:?}");
+        assert_eq!(budget.admin > 0, wants.admin);
+        assert_eq!(budget.features.most > 0, wants.features.is_some());
+        assert_eq!(budget.blocks > 0, wants.blocks);
+        // The platform's clients count those that they keep, up to a third of the limit.
+        assert!(processes * (budget.platform.most + budget.features.most) <= wants.sockets / 2);
+    };
+    let mut draw = |sockets: usize| {
+        let own = sockets / 2;
+        Wants {
+            sockets,
+            allowed: rng.bool().then(|| rng.usize(32..=own.max(32) * 4)),
+            shared: rng.bool(),
+            features: rng.bool().then(|| rng.usize(1..=256)),
+            admin: rng.bool(),
+            blocks: rng.bool(),
+        }
+    };
+    for sockets in 64..4096 {
+        for _ in 0..40 {
+            fit(draw(sockets));
+        }
+    }
+    let mut large = fastrand::Rng::with_seed(seed + 1);
+    for _ in 0..100_000 {
+        fit(draw(large.usize(64..1_000_000)));
+    }
+}
+
+/// A connection that says nothing.
+async fn idle(at: SocketAddr) -> Option<Async<TcpStream>> {
+    Async::<TcpStream>::connect(at).await.ok()
+}
+
+/// What the broker holds at the most while a future runs.
+async fn held<T>(program: &Program, during: impl std::future::Future<Output = T>) -> (usize, T) {
+    let most = std::cell::Cell::new(0);
+    let watch = async {
+        loop {
+            most.set(most.get().max(program.descriptors()));
+            Timer::after(Duration::from_millis(2)).await;
+        }
+    };
+    let done = futures_lite::future::or(during, watch).await;
+    (most.get(), done)
+}
+
+const SOCKETS: usize = 64;
+/// Nobody is closed for having waited too long: only for want of room.
+const PATIENT: [(&str, &str); 2] = [("LB_READ_MS", "600000"), ("LB_IDLE_MS", "600000")];
+
+#[test]
+fn idle_clients_that_fill_the_descriptors_leave_room_for_discovery_stores_and_who_asks() {
+    run(3, |world| async move {
+        world.service.set(Service::Resets);
+        let config = json!({ "name": "n0", "listen": "127.0.0.1:0", "discovery": world.discovery.to_string(),
+            "admin_addr": "127.0.0.1:0", "limits": { "sockets": SOCKETS }, "settings": world.settings() });
+        let operator = world.operator(&[0, 1]);
+        let program = Program::start("full", &config, Some(&operator), &PATIENT, SOCKETS);
+        let platform = program.address("serving on").await;
+        let features = program.address("serving features on").await;
+        let door = program.address("door at").await;
+        let everyone = async {
+            let mut crowd = Vec::new();
+            for n in 0..300 {
+                crowd.push(world.executor.spawn(idle([platform, features, door][n % 3])));
+            }
+            // Every descriptor that clients may have is theirs, and discovery is called in vain meanwhile.
+            let asked = world.asked.get();
+            until(|| world.asked.get() >= asked + 3).await;
+            world.service.set(Service::Serves);
+            while get(platform, "/ready", "").await.status != 200 {
+                Timer::after(Duration::from_millis(5)).await;
+            }
+            for n in 0..20 {
+                let text = query(&format!("q{n}"), "yard-compare", 2400, &[0, 1, 2], "x");
+                assert_eq!(exchange(platform, &text).await.unwrap().status, 200, "{n}");
+            }
+            let page = get(features, "/collections/yards/items", "").await;
+            assert_eq!(page.status, 200, "{}", page.text());
+            assert_eq!(get(door, "/ready", "").await.status, 200);
+            drop(crowd);
+        };
+        let (most, ()) = held(&program, everyone).await;
+        assert!((SOCKETS / 2..=SOCKETS).contains(&most), "{most} descriptors");
+    });
+}
