Ask at each write to a store whether its client, window and drain still let it begin

Seen by reading, then forced on sockets: - Parts that waited behind a dial, a stalled write or a long turn went out after their client had left: the link knew only what the core's word, a turn later, took from its queue, and nothing where attempts may not be given up. - A frame was taken from the queue and then written in one go that may last 5 s (link.rs `next_frame`, `write`): it went out past its drain, its window for repeats and its client. A part given up in that time was told as timed out, and its frame was completed all the same, so that the core's next attempt ran beside it. - The window for repeats counted from the end of a long turn (attempts.rs `part`), and in feature form not at all. - A kept feature connection was used again though the store had closed it or left bytes on it (features.rs `connect`). - Half a line on an idle link was waited for as an answer's rest if a part was queued in that instant; the part was written behind it and ended as failed.

Now the exchange tells whether a query is over, from the moment its ticket is dropped. The link and the feature driver ask it, the window and the drain when the socket takes the first byte, before each further write, and every 20 ms while a dial or a stall lasts. A call that must not go on is left without its end and its link closed: none of its parts ran. A feature connection is used again only while it is silent. After a turn of 20 ms or more attempts wait for a round in which the fronts hear of clients that left meanwhile.

Ruled out: a link does look for the store's close before it writes (the read is polled first); a reset is no end of an answer without a length; both now have a test.

Tests: endings_store.rs, cancelled.rs. Each safeguard was taken out and its tests failed: the query being over, the window and the cut within a call, the drain, the deferral, the beginning of the turn, the silence of a kept connection, the bytes behind an answer, the half line. The rig of calls.rs moved to common/rig.rs. link.rs is split by direction. In http/stream.rs one accessor, `socket`, is added.

--- a/broker/src/core/messages.rs
+++ b/broker/src/core/messages.rs
@@ -167,6 +167,8 @@
     pub attempt: AttemptId,
     /// At which store.
     pub server: ServerId,
+    /// The query that it is for: nothing may begin once that is over.
+    pub asker: QueryId,
     /// The query's name.
     pub query: Rc<str>,
     /// The shard.
--- a/broker/src/core/mod.rs
+++ b/broker/src/core/mod.rs
@@ -369,6 +369,7 @@
         Ok(Order {
             attempt,
             server,
+            asker: part.query,
             query: query.question.name.clone(),
             shard: part.shard,
             text: query.question.text.clone(),
--- a/broker/src/exchange.rs
+++ b/broker/src/exchange.rs
@@ -5,6 +5,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
+use std::time::Instant;
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
@@ -49,6 +50,8 @@
     /// Where blocks move: the map, and by class whether no part may run twice.
     routes: Option<(Rc<Routes>, Vec<bool>)>,
     next: Cell<QueryId>,
+    /// When the turn began that is played now, or was last.
+    turn: Cell<Option<Instant>>,
     wake: (Sender<()>, Receiver<()>),
 }
 
@@ -72,6 +75,7 @@
             max_open,
             presence,
             next: Cell::new(0),
+            turn: Cell::new(None),
             wake: async_channel::bounded(1),
         })
     }
@@ -161,6 +165,7 @@
             let _ = self.wake.1.recv().await;
         };
         futures_lite::future::or(woken, timer).await;
+        self.turn.set(Some(Instant::now()));
         std::mem::take(&mut *self.happened.borrow_mut())
     }
 
@@ -207,6 +212,17 @@
         Some(waiting)
     }
 
+    /// When the turn began that is played now, or was last.
+    pub fn turn_began(&self) -> Instant {
+        self.turn.get().unwrap_or_else(Instant::now)
+    }
+
+    /// Whether a query that was taken has had its final answer or lost its client. The store side asks at the last
+    /// moment before an attempt: a client that leaves is told to the core, whose word comes a turn later.
+    pub fn is_over(&self, id: QueryId) -> bool {
+        (1..=self.next.get()).contains(&id) && !self.waiting.borrow().contains_key(&id)
+    }
+
     /// How many queries wait for their final answer.
     pub fn open_queries(&self) -> usize {
         self.waiting.borrow().len()
--- a/broker/src/http/stream.rs
+++ b/broker/src/http/stream.rs
@@ -65,6 +65,11 @@
         !self.buffer.is_empty()
     }
 
+    /// The connection itself, for whoever has to look between two writes.
+    pub fn socket(&self) -> &Async<TcpStream> {
+        &self.socket
+    }
+
     /// Reads more; false at the end of the stream.
     async fn more(&mut self, within: Duration) -> Result<bool, Ending> {
         let mut piece = [0; 4096];
--- a/broker/src/store/attempts.rs
+++ b/broker/src/store/attempts.rs
@@ -27,6 +27,10 @@
 const SPOILT_MEMORY: Duration = Duration::from_secs(30);
 const LINKS_APART: usize = 6;
 
+/// After a turn that took so long, its attempts wait for a round in which the fronts hear of clients that left meanwhile.
+const LONG_TURN: Duration = Duration::from_millis(20);
+const ROUND: Duration = Duration::from_millis(1);
+
 /// An attempt to be made, and where the core's word to give it up comes.
 type Attempt = (Order, Receiver<Word>);
 /// What stops an attempt: its outcome, and whether it was waited for in vain.
@@ -43,15 +47,40 @@
 
     /// Makes the attempts of the turn. Those at one store share calls.
     pub fn turn_over(self: &Rc<Self>) {
+        let orders = self.orders.take();
+        let began = self.exchange.turn_began();
+        if orders.is_empty() || began.elapsed() < LONG_TURN {
+            return self.make(orders, began);
+        }
+        // Guards against clients that left while nobody looked at their connections: what their sockets tell is taken in
+        // first. The second round lets the fronts run that the first has woken.
+        let this = self.clone();
+        let later = async move {
+            for _ in 0..2 {
+                Timer::after(ROUND).await;
+            }
+            this.make(orders, began);
+        };
+        self.executor.spawn(later).detach();
+    }
+
+    fn make(self: &Rc<Self>, orders: Vec<Attempt>, began: Instant) {
         let mut calls: Vec<(Rc<Site>, Vec<Attempt>)> = Vec::new();
-        for (order, stopped) in self.orders.take() {
+        for (order, stopped) in orders {
+            if self.exchange.is_over(order.asker) {
+                self.ended(order.attempt, Outcome::Void.into());
+                continue;
+            }
             let Some(site) = self.sites.borrow().get(&order.server).cloned() else {
                 self.ended(order.attempt, Outcome::Void.into());
                 continue;
             };
             if site.features.is_some() && order.form == Form::Features {
                 let this = self.clone();
-                self.follow(order, stopped, |order, stop| async move { this.ask(&site, &order, stop).await });
+                self.follow(order, stopped, |order, stop| async move {
+                    let by = by(&order, began);
+                    this.ask(&site, &order, by, stop).await
+                });
                 continue;
             }
             let joint =
@@ -63,7 +92,7 @@
         }
         for (site, call) in calls {
             let link = self.link(&site, call.len());
-            let ends = link.call(call.iter().map(|(order, _)| part(order)));
+            let ends = link.call(call.iter().map(|(order, _)| part(order, began)));
             for ((order, stopped), ended) in call.into_iter().zip(ends) {
                 let (this, link, id) = (self.clone(), link.clone(), id(&order));
                 self.follow(order, stopped, |_, stop| async move { this.wait(&link, id, ended, stop).await });
@@ -148,10 +177,11 @@
     }
 
     /// The same in feature form. Its connection carries nothing else: closing it gives the attempt up.
-    async fn ask(&self, site: &Site, order: &Order, stop: Stop) -> Ended {
+    async fn ask(&self, site: &Site, order: &Order, by: Option<Instant>, stop: Stop) -> Ended {
         let Some(driver) = &site.features else { return Outcome::Void.into() };
         let written = Cell::new(false);
-        let end = async { Ok(driver.ask(site, order, &written, &self.counters).await) };
+        let wanted = || by.is_none_or(|by| Instant::now() < by) && !self.exchange.is_over(order.asker);
+        let end = async { Ok(driver.ask(site, order, wanted, &written, &self.counters).await) };
         match or(end, async { Err(stop.await) }).await {
             Ok(ended) => ended,
             Err(_) if !written.get() => Outcome::Void.into(),
@@ -186,7 +216,7 @@
         if !apart {
             links.iter().filter(|link| link.idle()).for_each(|link| link.retire());
         }
-        let link = Link::new(site.clone(), self.counters.clone());
+        let link = Link::new(site.clone(), self.counters.clone(), self.exchange.clone());
         links.push(link.clone());
         self.links.set(self.links.get() + 1);
         let (this, site, running) = (self.clone(), site.clone(), link.clone());
@@ -213,8 +243,13 @@
     }
 }
 
+/// The last moment for an attempt. It counts from the beginning of its turn, as the core's clock does.
+fn by(order: &Order, began: Instant) -> Option<Instant> {
+    order.within_ms.map(|ms| began + millis(ms))
+}
+
 /// A part as a call carries it.
-fn part(order: &Order) -> Part {
+fn part(order: &Order, began: Instant) -> Part {
     let mut list = format!("d={}", order.patience_ms.max(1.0).floor());
     if let Some(key) = &order.key {
         list.push_str(&format!(",k={}", key.as_str()));
@@ -237,5 +272,5 @@
     }
     let id = id(order);
     let bytes = frame::part(&id, order.shard, &list, &order.text);
-    Part { id, bytes, by: order.within_ms.map(|ms| Instant::now() + millis(ms)) }
+    Part { id, bytes, by: by(order, began), asker: order.asker }
 }
--- a/broker/src/store/features.rs
+++ b/broker/src/store/features.rs
@@ -1,13 +1,19 @@
 //! Attempts at stores that offer the feature form: a part is a GET for the features of one block, on a
 //! connection that carries one request at a time. The answer's body is the part's value, as it came.
+//!
+//! A connection is kept for a later request only where nothing lies behind the answer, and used again only while it is
+//! silent: a store that closed it, or left bytes on it, is dialled anew. What may be written is looked at before each
+//! write as on a link ([`write_while`]); a request that was not written whole never ran, and one that was may have unless its
+//! answer says no. An answer without a length ends with an orderly close; a reset is no end, and the attempt is broken.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use futures_lite::AsyncReadExt;
 use stoatlane::Outcome;
 
-use super::link::Limits;
+use super::link::{write_while, Limits};
 use super::Site;
 use crate::core::{Ended, Order, Served};
 use crate::counters::{count, Counters};
@@ -17,8 +23,6 @@
 
 /// Connections kept for later requests.
 const KEPT: usize = 8;
-/// A request is a few hundred bytes: a store that takes them no sooner is stalled.
-const WRITE_WITHIN: Duration = Duration::from_secs(5);
 /// Longer than any attempt waits; the attempt's own timer is the one that ends it.
 const READ_WITHIN: Duration = Duration::from_secs(600);
 
@@ -38,22 +42,31 @@
 
     async fn connect(&self, counters: &Counters) -> std::io::Result<Stream> {
         self.kept.borrow_mut().retain(|(_, since)| since.elapsed() < self.idle);
-        let kept = self.kept.borrow_mut().pop();
-        if let Some((stream, _)) = kept {
-            return Ok(stream);
+        loop {
+            let Some((stream, _)) = self.kept.borrow_mut().pop() else { break };
+            if silent(&stream).await {
+                return Ok(stream);
+            }
         }
         count(&counters.dials);
         Ok(Stream::new(http::connect(self.address, self.dial).await?))
     }
 
-    /// Makes an attempt. `written` is set once its last byte has been: from then on it may run.
-    pub async fn ask(&self, site: &Site, order: &Order, written: &Cell<bool>, counters: &Counters) -> Ended {
+    /// Makes an attempt, if it is `wanted` up to its last byte. `written` is set with that: from then on it may run.
+    pub async fn ask(
+        &self,
+        site: &Site,
+        order: &Order,
+        wanted: impl Fn() -> bool,
+        written: &Cell<bool>,
+        counters: &Counters,
+    ) -> Ended {
         let Ok(mut stream) = self.connect(counters).await else { return Outcome::Unreachable.into() };
-        if !site.may_send() {
-            return Outcome::Void.into();
-        }
-        if stream.write(&request(order, self.address), WRITE_WITHIN).await.is_err() {
-            return Outcome::Unreachable.into();
+        let may = |begun: bool| (begun || site.may_send()) && wanted();
+        match write_while(stream.socket(), &request(order, self.address), 0, may).await {
+            Ok(true) => {}
+            Ok(false) => return Outcome::Void.into(),
+            Err(_) => return Outcome::Unreachable.into(),
         }
         written.set(true);
         let answer = async {
@@ -70,7 +83,8 @@
             }
             Err(_) => return Outcome::Broken.into(),
         };
-        if head.keep_alive && head.framing != http::Framing::Close && self.kept.borrow().len() < KEPT {
+        let reusable = head.keep_alive && head.framing != http::Framing::Close && !stream.begun();
+        if reusable && self.kept.borrow().len() < KEPT {
             self.kept.borrow_mut().push((stream, Instant::now()));
         }
         match head.status {
@@ -92,6 +106,12 @@
     }
 }
 
+/// Whether nothing has come on a connection at rest, not even its end.
+async fn silent(stream: &Stream) -> bool {
+    let (mut socket, mut byte) = (stream.socket(), [0]);
+    futures_lite::future::poll_once(socket.read(&mut byte)).await.is_none()
+}
+
 /// Under which epoch the part was placed; in an answer that turns it away, the newest one.
 const EPOCH: &str = "X-Block-Epoch";
 
--- a/broker/src/store/link.rs
+++ b/broker/src/store/link.rs
@@ -1,30 +1,33 @@
 //! One connection to a store. It carries many parts at once; its own task opens it, writes what is
-//! queued and reads what comes. Whatever ends it, every part on it gets its outcome.
+//! queued ([`writing`]) and reads what comes ([`reading`]).
+//!
+//! Whatever ends it, every part on it gets its outcome: of a call that was not written whole none ran, of one that was each
+//! may have. It ends when the store closes it (one half will do), resets it, sends what it should not have or takes nothing for
+//! long, when a call must be left without its end, and by itself once it carries nothing: retired, or idle for nearly as
+//! long as the store bears. Then nothing is owed to anyone on it, so that a reset by bytes that come just then loses nothing.
+//! Its tables hold at most as many parts as it may carry, and its queue those and a frame for each that is given up.
+
+mod reading;
+mod writing;
+
+pub use writing::write_while;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
-use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
-use async_io::{Async, Timer};
-use futures_lite::AsyncReadExt;
+use async_io::Timer;
 use stoatlane::Outcome;
 
-use super::frame::{self, End, Frame};
-use super::Site;
-use crate::core::{Ended, Served};
+use super::{frame, Site};
+use crate::core::{Ended, QueryId};
 use crate::counters::{count, Counters};
+use crate::exchange::Exchange;
 use crate::faults;
 use crate::http;
 
-/// A store that takes no byte of a frame for so long is stalled.
-const WRITE_WITHIN: Duration = Duration::from_secs(5);
-/// An answer is written in one go; the rest of one that has begun comes within this time, or never.
-const REST_WITHIN: Duration = Duration::from_millis(100);
-/// So many bytes of what can't be used are logged.
-const LOGGED: usize = 96;
 /// For each part that a link may carry, so many of those it carried last are remembered.
 const REMEMBERED: usize = 4;
 
@@ -45,12 +48,22 @@
 #[derive(Debug)]
 struct Flight {
     ended: Sender<Ended>,
-    /// Whether its frame's last byte has been written: from then on it may run.
-    written: bool,
+    stage: Stage,
     /// When it was queued.
     since: Instant,
 }
 
+/// How much of a part's call is out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// No byte.
+    Queued,
+    /// The first.
+    Begun,
+    /// The last: from then on it may run.
+    Written,
+}
+
 /// What waits to be written.
 #[derive(Debug)]
 enum Outgoing {
@@ -69,12 +82,15 @@
     pub bytes: Vec<u8>,
     /// It must not be written later.
     pub by: Option<Instant>,
+    /// The query that it is of: once that is over, it must not be written.
+    pub asker: QueryId,
 }
 
 /// A connection, or one that is being opened.
 pub struct Link {
     site: Rc<Site>,
     counters: Rc<Counters>,
+    exchange: Rc<Exchange>,
     flights: RefCell<HashMap<Rc<str>, Flight>>,
     queue: RefCell<VecDeque<Outgoing>>,
     /// Numbers the calls.
@@ -88,6 +104,8 @@
     closing: Cell<bool>,
     /// Part of an answer has come, and the rest not yet.
     partial: Cell<bool>,
+    /// A part was given up while its call was being written: the rest of that must not follow.
+    cut: Cell<bool>,
 }
 
 /// Why a link ended.
@@ -109,10 +127,11 @@
 
 impl Link {
     /// A link to be opened by [`Link::run`].
-    pub fn new(site: Rc<Site>, counters: Rc<Counters>) -> Rc<Self> {
+    pub fn new(site: Rc<Site>, counters: Rc<Counters>, exchange: Rc<Exchange>) -> Rc<Self> {
         Rc::new(Self {
             site,
             counters,
+            exchange,
             flights: RefCell::default(),
             queue: RefCell::default(),
             calls: Cell::new(0),
@@ -122,6 +141,7 @@
             heard: Cell::new(Instant::now()),
             closing: Cell::new(false),
             partial: Cell::new(false),
+            cut: Cell::new(false),
         })
     }
 
@@ -171,14 +191,16 @@
             let _ = send.try_send(Outcome::Void.into());
             return ended;
         }
-        self.flights.borrow_mut().insert(id, Flight { ended: send, written: false, since: Instant::now() });
+        self.flights
+            .borrow_mut()
+            .insert(id, Flight { ended: send, stage: Stage::Queued, since: Instant::now() });
         self.queue.borrow_mut().push_back(Outgoing::Part(part, self.calls.get()));
         self.used.set(Instant::now());
         self.wake();
         ended
     }
 
-    /// Gives a part up: takes it back if no byte of its call has been written (true), or tells the store.
+    /// Gives a part up: takes it back if its call has not been written whole (true), or tells the store.
     pub fn give_up(&self, id: &Rc<str>) -> bool {
         let mut queue = self.queue.borrow_mut();
         let queued = queue.iter().position(|out| matches!(out, Outgoing::Part(part, _) if part.id == *id));
@@ -187,6 +209,14 @@
             self.flights.borrow_mut().remove(id);
             return true;
         }
+        // Guards the rule on two attempts at once: the rest of its call would let it run after all. The link closes.
+        let begun = |flight: &Flight| flight.stage == Stage::Begun;
+        if self.flights.borrow().get(id).is_some_and(begun) {
+            self.flights.borrow_mut().remove(id);
+            self.cut.set(true);
+            self.closing.set(true);
+            return true;
+        }
         queue.push_back(Outgoing::Frame(frame::frame(frame::GIVE_UP, id.as_bytes())));
         drop(queue);
         self.wake();
@@ -198,8 +228,8 @@
         let flight = self.flights.borrow_mut().remove(id);
         // Guards against a connection that fell silent while its store is well, and shows no other sign of it:
         // nothing came while this part waited. The next part is better off on a new one.
-        let silent =
-            in_vain && flight.is_some_and(|flight| flight.written && self.heard.get() < flight.since);
+        let silent = in_vain
+            && flight.is_some_and(|flight| flight.stage == Stage::Written && self.heard.get() < flight.since);
         if silent && !self.closing.replace(true) {
             count(&self.counters.links_silent);
         }
@@ -221,7 +251,16 @@
         count(&self.counters.dials);
         let dialled = match faults::point("store.dial") {
             true => Err(std::io::ErrorKind::ConnectionRefused.into()),
-            false => http::connect(self.site.address.get(), limits.dial).await,
+            false => {
+                let dial = http::connect(self.site.address.get(), limits.dial);
+                let swept = async {
+                    loop {
+                        Timer::after(writing::LOOK).await;
+                        self.sweep();
+                    }
+                };
+                futures_lite::future::or(dial, swept).await
+            }
         };
         let ending = match dialled {
             Ok(socket) => {
@@ -240,7 +279,7 @@
         for flight in flights.into_values() {
             // Guards against taking a store that answers, if badly, for one that went down and is cold when
             // it comes back: that is what a break tells the module.
-            let outcome = match (flight.written, ending.spoilt) {
+            let outcome = match (flight.stage == Stage::Written, ending.spoilt) {
                 (true, true) => Outcome::Failure,
                 (true, false) => Outcome::Broken,
                 (false, true) => Outcome::Void,
@@ -250,146 +289,4 @@
         }
         ending.spoilt
     }
-
-    async fn write(&self, socket: &Async<TcpStream>, limits: &Limits) -> Ending {
-        loop {
-            if let Some((bytes, parts)) = self.next_frame(limits) {
-                if let Err(e) = http::write_all(socket, &bytes, WRITE_WITHIN).await {
-                    return Ending::broke(format!("writing: {e}"));
-                }
-                for id in parts {
-                    self.flights.borrow_mut().entry(id).and_modify(|flight| flight.written = true);
-                }
-                continue;
-            }
-            if self.idle() && (self.closing.get() || self.used.get().elapsed() >= limits.idle) {
-                return Ending::broke("idle");
-            }
-            let idle = async {
-                Timer::after(limits.idle).await;
-            };
-            let woken = async {
-                let _ = self.wake.1.recv().await;
-            };
-            futures_lite::future::or(woken, idle).await;
-        }
-    }
-
-    /// The next frame to be written, and the parts in it. A call is put together now, so that what has been given up
-    /// meanwhile is not in it.
-    fn next_frame(&self, limits: &Limits) -> Option<(Vec<u8>, Vec<Rc<str>>)> {
-        let mut queue = self.queue.borrow_mut();
-        let (mut rest, mut ids, mut joint) = (Vec::new(), Vec::new(), None);
-        loop {
-            match queue.pop_front() {
-                None if ids.is_empty() => return None,
-                Some(Outgoing::Frame(bytes)) if ids.is_empty() => return Some((bytes, ids)),
-                // Guards the rules on drains and on repeats: what waited too long behind others stays unsent.
-                Some(Outgoing::Part(part, _)) if !self.may_write(&part) => {
-                    if let Some(flight) = self.flights.borrow_mut().remove(&part.id) {
-                        let _ = flight.ended.try_send(Outcome::Void.into());
-                    }
-                }
-                Some(Outgoing::Part(part, call))
-                    if ids.is_empty()
-                        || (joint == Some(call)
-                            && ids.len() < limits.batch
-                            && rest.len() + part.bytes.len() < frame::FRAME_MAX) =>
-                {
-                    joint = Some(call);
-                    rest.extend_from_slice(&part.bytes);
-                    ids.push(part.id);
-                }
-                other => {
-                    // Of another call.
-                    other.into_iter().for_each(|out| queue.push_front(out));
-                    count(&self.counters.calls);
-                    return Some((frame::frame(frame::CALL, &rest), ids));
-                }
-            }
-        }
-    }
-
-    fn may_write(&self, part: &Part) -> bool {
-        self.site.may_send() && part.by.is_none_or(|by| Instant::now() < by)
-    }
-
-    async fn read(&self, mut socket: &Async<TcpStream>, limits: &Limits) -> Ending {
-        let (mut buffer, mut piece) = (Vec::new(), [0; 4096]);
-        loop {
-            let read = async { Some(socket.read(&mut piece).await) };
-            let late = async {
-                match self.partial.get() {
-                    true => drop(Timer::after(REST_WITHIN).await),
-                    false => futures_lite::future::pending().await,
-                }
-                None
-            };
-            match futures_lite::future::or(read, late).await {
-                None => return Ending::spoilt("an answer without its end"),
-                Some(Ok(0)) => return Ending::broke("closed by the store"),
-                Some(Ok(n)) => buffer.extend_from_slice(&piece[..n]),
-                Some(Err(e)) => return Ending::broke(format!("reading: {e}")),
-            }
-            let mut at = 0;
-            loop {
-                let taken = frame::split(&buffer[at..]).map_err(|fault| fault.to_string());
-                let taken = taken.and_then(|frame| match frame {
-                    Some((letter, rest, length)) => self.take(letter, rest, limits).map(|()| length),
-                    None => Ok(0),
-                });
-                match taken {
-                    Ok(0) => break,
-                    Ok(length) => at += length,
-                    Err(fault) => {
-                        log::debug!("{}: unusable: {}", self.site.name, start(&buffer[at..]));
-                        return Ending::spoilt(fault);
-                    }
-                }
-            }
-            buffer.drain(..at);
-            self.partial.set(!buffer.is_empty());
-            // Guards against noise that looks like the beginning of an answer: nobody waits for one.
-            if self.partial.get() && self.flights.borrow().is_empty() {
-                log::debug!("{}: left over: {}", self.site.name, start(&buffer));
-                return Ending::spoilt("more than belongs to an answer");
-            }
-        }
-    }
-
-    fn take(&self, letter: u8, rest: &[u8], limits: &Limits) -> Result<(), String> {
-        match frame::parse(letter, rest).map_err(|fault| fault.to_string())? {
-            Frame::Answer { id, end, score, report, newer, value } => {
-                self.used.set(Instant::now());
-                self.heard.set(Instant::now());
-                let Some((id, flight)) = self.flights.borrow_mut().remove_entry(id) else {
-                    // Guards against an answer that bears another's id: who waits for it waits in vain.
-                    if !self.ended.borrow().iter().any(|ended| **ended == *id) {
-                        return Err("an answer to a part that was not asked for".to_owned());
-                    }
-                    count(&self.counters.late_answers);
-                    return Ok(());
-                };
-                self.remember(id, limits);
-                let outcome = match end {
-                    End::Good => Outcome::Success,
-                    End::Bad => Outcome::Failure,
-                    End::Later => Outcome::Overloaded,
-                };
-                let served = (end == End::Good).then(|| Served { score, value: value.into() });
-                let _ = flight.ended.try_send(Ended { outcome, served, report, newer });
-                if self.closing.get() {
-                    self.wake();
-                }
-                Ok(())
-            }
-            Frame::Probed | Frame::Loaded(_) => Ok(()),
-            Frame::Complaint(words) => Err(format!("the store complains: {}", start(words))),
-        }
-    }
-}
-
-/// The first bytes of what came, for the log.
-fn start(bytes: &[u8]) -> std::slice::EscapeAscii<'_> {
-    bytes[..bytes.len().min(LOGGED)].escape_ascii()
 }
--- /dev/null
+++ b/broker/src/store/link/reading.rs
@@ -0,0 +1,103 @@
+//! Reading a link: frames as they come, each answer to the part that waits for it. Whatever is no answer to a part that was
+//! asked for ends the link as spoilt; the store's end of the stream, also of one half only, and a reset end it as broken.
+//! Bytes on a link that carries nothing end it at once: what nobody waits for can't be told from an answer's beginning.
+
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use async_io::{Async, Timer};
+use futures_lite::AsyncReadExt;
+use stoatlane::Outcome;
+
+use super::super::frame::{self, End, Frame};
+use super::{Ending, Flight, Limits, Link, Stage};
+use crate::core::{Ended, Served};
+use crate::counters::count;
+
+/// An answer is written in one go; the rest of one that has begun comes within this time, or never.
+const REST_WITHIN: Duration = Duration::from_millis(100);
+/// So many bytes of what can't be used are logged.
+const LOGGED: usize = 96;
+
+impl Link {
+    pub(super) async fn read(&self, mut socket: &Async<TcpStream>, limits: &Limits) -> Ending {
+        let (mut buffer, mut piece) = (Vec::new(), [0; 4096]);
+        loop {
+            let read = async { Some(socket.read(&mut piece).await) };
+            let late = async {
+                match self.partial.get() {
+                    true => drop(Timer::after(REST_WITHIN).await),
+                    false => futures_lite::future::pending().await,
+                }
+                None
+            };
+            match futures_lite::future::or(read, late).await {
+                None => return Ending::spoilt("an answer without its end"),
+                Some(Ok(0)) => return Ending::broke("closed by the store"),
+                Some(Ok(n)) => buffer.extend_from_slice(&piece[..n]),
+                Some(Err(e)) => return Ending::broke(format!("reading: {e}")),
+            }
+            let mut at = 0;
+            loop {
+                let taken = frame::split(&buffer[at..]).map_err(|fault| fault.to_string());
+                let taken = taken.and_then(|frame| match frame {
+                    Some((letter, rest, length)) => self.take(letter, rest, limits).map(|()| length),
+                    None => Ok(0),
+                });
+                match taken {
+                    Ok(0) => break,
+                    Ok(length) => at += length,
+                    Err(fault) => {
+                        log::debug!("{}: unusable: {}", self.site.name, start(&buffer[at..]));
+                        return Ending::spoilt(fault);
+                    }
+                }
+            }
+            buffer.drain(..at);
+            self.partial.set(!buffer.is_empty());
+            // Guards against noise that looks like the beginning of an answer: nobody waits for one. What is queued has not
+            // been written; behind half a line its own answer could not be read.
+            let waited = |flight: &Flight| flight.stage != Stage::Queued;
+            if self.partial.get() && !self.flights.borrow().values().any(waited) {
+                log::debug!("{}: left over: {}", self.site.name, start(&buffer));
+                return Ending::spoilt("more than belongs to an answer");
+            }
+        }
+    }
+
+    fn take(&self, letter: u8, rest: &[u8], limits: &Limits) -> Result<(), String> {
+        match frame::parse(letter, rest).map_err(|fault| fault.to_string())? {
+            Frame::Answer { id, end, score, report, newer, value } => {
+                self.used.set(Instant::now());
+                self.heard.set(Instant::now());
+                let Some((id, flight)) = self.flights.borrow_mut().remove_entry(id) else {
+                    // Guards against an answer that bears another's id: who waits for it waits in vain.
+                    if !self.ended.borrow().iter().any(|ended| **ended == *id) {
+                        return Err("an answer to a part that was not asked for".to_owned());
+                    }
+                    count(&self.counters.late_answers);
+                    return Ok(());
+                };
+                self.remember(id, limits);
+                let outcome = match end {
+                    End::Good => Outcome::Success,
+                    End::Bad => Outcome::Failure,
+                    End::Later => Outcome::Overloaded,
+                };
+                let served = (end == End::Good).then(|| Served { score, value: value.into() });
+                let _ = flight.ended.try_send(Ended { outcome, served, report, newer });
+                if self.closing.get() {
+                    self.wake();
+                }
+                Ok(())
+            }
+            Frame::Probed | Frame::Loaded(_) => Ok(()),
+            Frame::Complaint(words) => Err(format!("the store complains: {}", start(words))),
+        }
+    }
+}
+
+/// The first bytes of what came, for the log.
+fn start(bytes: &[u8]) -> std::slice::EscapeAscii<'_> {
+    bytes[..bytes.len().min(LOGGED)].escape_ascii()
+}
--- /dev/null
+++ b/broker/src/store/link/writing.rs
@@ -0,0 +1,199 @@
+//! Writing a link, and the last check of what may be written.
+//!
+//! A part may begin to be written while its client waits, its store takes work and its window for repeats is open; all three are
+//! looked at when the socket takes the first byte of its call, and while it takes none every [`LOOK`]. A part that may not
+//! never ran: its end is void. Once the first byte is out the store's drain counts no more (a send counts from its first
+//! byte), the client and the window do, for an attempt counts from its last byte; so does whether anyone still waits for the
+//! part. A call of which one part must not go on is left without its end and the link is closed: none of its parts ran.
+
+use std::io::{self, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use async_io::{Async, Timer};
+use stoatlane::Outcome;
+
+use super::super::frame;
+use super::{Ending, Limits, Link, Outgoing, Part, Stage};
+use crate::counters::count;
+
+/// A store that takes no byte for so long is stalled.
+const WRITE_WITHIN: Duration = Duration::from_secs(5);
+/// What waits for a connection or behind a stalled write is looked at so often. Short against the 100 ms within which
+/// nothing more may begin for a client that has left.
+pub(super) const LOOK: Duration = Duration::from_millis(20);
+
+/// Writes what the socket takes at once; 0 if it takes nothing now.
+fn some(socket: &Async<TcpStream>, bytes: &[u8]) -> io::Result<usize> {
+    loop {
+        match socket.get_ref().write(bytes) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(0),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            done => return done,
+        }
+    }
+}
+
+/// Waits until the socket takes more, or until it is time to look again.
+async fn room(socket: &Async<TcpStream>) {
+    let look = async {
+        Timer::after(LOOK).await;
+    };
+    let room = async {
+        let _ = socket.writable().await;
+    };
+    futures_lite::future::or(room, look).await;
+}
+
+/// Writes the bytes from `at` on; false if they may not go on. `may` is asked before each write, with whether any byte is out.
+pub async fn write_while(
+    socket: &Async<TcpStream>,
+    bytes: &[u8],
+    mut at: usize,
+    may: impl Fn(bool) -> bool,
+) -> io::Result<bool> {
+    let mut moved = Instant::now();
+    while at < bytes.len() {
+        if !may(at > 0) {
+            return Ok(false);
+        }
+        match some(socket, &bytes[at..])? {
+            0 if moved.elapsed() >= WRITE_WITHIN => return Err(io::ErrorKind::TimedOut.into()),
+            0 => room(socket).await,
+            n => (at, moved) = (at + n, Instant::now()),
+        }
+    }
+    Ok(true)
+}
+
+/// A frame put together.
+struct Call {
+    bytes: Vec<u8>,
+    /// The parts in it, and the call that they are of; none in a frame of another kind.
+    parts: Vec<(Part, u64)>,
+}
+
+impl Link {
+    pub(super) async fn write(&self, socket: &Async<TcpStream>, limits: &Limits) -> Ending {
+        let mut stalled = None;
+        loop {
+            if let Some(call) = self.next_frame(limits) {
+                let taken = match some(socket, &call.bytes) {
+                    Ok(taken) => taken,
+                    Err(e) => return Ending::broke(format!("writing: {e}")),
+                };
+                if taken == 0 {
+                    self.put_back(call);
+                    if stalled.get_or_insert_with(Instant::now).elapsed() >= WRITE_WITHIN {
+                        return Ending::broke("writing: the store takes nothing");
+                    }
+                    room(socket).await;
+                    self.sweep();
+                    continue;
+                }
+                stalled = None;
+                if !call.parts.is_empty() {
+                    count(&self.counters.calls);
+                }
+                self.reached(&call, Stage::Begun);
+                let may = |_| {
+                    self.sweep();
+                    call.parts.iter().all(|(part, _)| self.may_go_on(part))
+                };
+                match write_while(socket, &call.bytes, taken, may).await {
+                    Ok(true) => self.reached(&call, Stage::Written),
+                    Ok(false) => return Ending::broke("a call was left without its end"),
+                    Err(e) => return Ending::broke(format!("writing: {e}")),
+                }
+                continue;
+            }
+            if self.idle() && (self.closing.get() || self.used.get().elapsed() >= limits.idle) {
+                return Ending::broke("idle");
+            }
+            let idle = async {
+                Timer::after(limits.idle).await;
+            };
+            let woken = async {
+                let _ = self.wake.1.recv().await;
+            };
+            futures_lite::future::or(woken, idle).await;
+        }
+    }
+
+    /// The next frame to be written. A call is put together now, so that what has been given up meanwhile is not in it.
+    fn next_frame(&self, limits: &Limits) -> Option<Call> {
+        let mut queue = self.queue.borrow_mut();
+        let (mut rest, mut parts) = (Vec::new(), Vec::<(Part, u64)>::new());
+        loop {
+            match queue.pop_front() {
+                None if parts.is_empty() => return None,
+                Some(Outgoing::Frame(bytes)) if parts.is_empty() => return Some(Call { bytes, parts }),
+                Some(Outgoing::Part(part, _)) if !self.may_begin(&part) => self.void(&part),
+                Some(Outgoing::Part(part, call))
+                    if parts.last().is_none_or(|(_, joint)| {
+                        *joint == call
+                            && parts.len() < limits.batch
+                            && rest.len() + part.bytes.len() < frame::FRAME_MAX
+                    }) =>
+                {
+                    rest.extend_from_slice(&part.bytes);
+                    parts.push((part, call));
+                }
+                other => {
+                    // Of another call.
+                    other.into_iter().for_each(|out| queue.push_front(out));
+                    return Some(Call { bytes: frame::frame(frame::CALL, &rest), parts });
+                }
+            }
+        }
+    }
+
+    /// Of a frame no byte was taken: what is given up or may not go out any more is to be found in the queue.
+    fn put_back(&self, call: Call) {
+        let mut queue = self.queue.borrow_mut();
+        if call.parts.is_empty() {
+            return queue.push_front(Outgoing::Frame(call.bytes));
+        }
+        call.parts.into_iter().rev().for_each(|(part, call)| queue.push_front(Outgoing::Part(part, call)));
+    }
+
+    /// Lets go of what waits and may not be written any more.
+    pub(super) fn sweep(&self) {
+        self.queue.borrow_mut().retain(|out| match out {
+            Outgoing::Part(part, _) if !self.may_begin(part) => {
+                self.void(part);
+                false
+            }
+            _ => true,
+        });
+    }
+
+    fn void(&self, part: &Part) {
+        if let Some(flight) = self.flights.borrow_mut().remove(&part.id) {
+            let _ = flight.ended.try_send(Outcome::Void.into());
+        }
+    }
+
+    fn reached(&self, call: &Call, stage: Stage) {
+        let mut flights = self.flights.borrow_mut();
+        for (part, _) in &call.parts {
+            if let Some(flight) = flights.get_mut(&part.id) {
+                flight.stage = stage;
+            }
+        }
+    }
+
+    fn may_begin(&self, part: &Part) -> bool {
+        self.site.may_send() && self.is_wanted(part)
+    }
+
+    fn may_go_on(&self, part: &Part) -> bool {
+        !self.cut.get() && self.is_wanted(part)
+    }
+
+    /// Whether its client waits, and its store surely remembers an attempt before it.
+    fn is_wanted(&self, part: &Part) -> bool {
+        part.by.is_none_or(|by| Instant::now() < by) && !self.exchange.is_over(part.asker)
+    }
+}
--- a/broker/tests/calls.rs
+++ b/broker/tests/calls.rs
@@ -4,127 +4,13 @@
 mod common;
 
 use std::collections::BTreeMap;
-use std::future::Future;
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::rc::Rc;
-use std::time::Duration;
 
-use async_io::{Async, Timer};
-use common::Sides;
-use futures_lite::AsyncReadExt;
-use gingerledge::core::{AttemptId, Form, Happening, Order};
+use common::rig::{play, Rig, LONG};
+use gingerledge::core::Order;
 use gingerledge::store::frame;
-use gingerledge::store::link::Limits;
-use gingerledge::store::Word;
-use gingerledge_standin::scripted::{exchange, listener, parts, query, run, World};
+use gingerledge_standin::scripted::{exchange, listener, query, run, World};
 use serde_json::json;
-use stoatlane::{Outcome, ServerId};
-
-const GUARD: Duration = Duration::from_secs(30);
-const LONG: f64 = 20_000.0;
-
-/// A store that the test plays itself, and the sides of a broker before any task has run.
-struct Rig {
-    sides: Sides,
-    store: Async<TcpListener>,
-    at: SocketAddr,
-    server: ServerId,
-    ended: BTreeMap<u64, Outcome>,
-}
-
-/// The store's end of a connection.
-struct Peer(Async<TcpStream>, Vec<u8>);
-
-impl Peer {
-    /// The next frame; nothing once the broker has closed.
-    async fn frame(&mut self) -> Option<(u8, Vec<u8>)> {
-        loop {
-            if let Some((letter, rest, length)) = frame::split(&self.1).unwrap() {
-                let rest = rest.to_vec();
-                self.1.drain(..length);
-                return Some((letter, rest));
-            }
-            let mut piece = [0; 4096];
-            let read = (&self.0).read(&mut piece).await.ok().filter(|read| *read > 0)?;
-            self.1.extend_from_slice(&piece[..read]);
-        }
-    }
-
-    /// The ids of the parts in the next frame, which is a call.
-    async fn call(&mut self) -> Vec<String> {
-        let (letter, rest) = self.frame().await.unwrap();
-        assert_eq!(letter, frame::CALL);
-        parts(&rest).into_iter().map(|part| part.id).collect()
-    }
-
-    async fn answer(&self, id: &str) {
-        let bytes = frame::frame(frame::ANSWER, format!("{id} good 1 -\nv").as_bytes());
-        gingerledge::http::write_all(&self.0, &bytes, GUARD).await.unwrap();
-    }
-}
-
-impl Rig {
-    fn new(streams: usize, batch: usize, grace_ms: u64) -> Self {
-        let second = Duration::from_secs(1);
-        let limits = Limits { streams, batch, links: 64, dial: second, idle: second };
-        let sides = Sides::within(100, limits, Duration::from_millis(grace_ms));
-        let (store, at) = listener();
-        let server = sides.stores.note("s-0", at, true);
-        Self { sides, store, at, server, ended: BTreeMap::new() }
-    }
-
-    fn order(&self, part: u64, patience_ms: f64) -> Order {
-        Order {
-            attempt: AttemptId { part, number: 0 },
-            server: self.server,
-            query: "q".into(),
-            shard: part as u32,
-            text: Rc::from(&b"c41e"[..]),
-            form: Form::Opaque,
-            patience_ms,
-            within_ms: None,
-            key: None,
-            second: None,
-            fence: None,
-        }
-    }
-
-    /// A turn that sends these parts.
-    fn turn(&self, parts: impl IntoIterator<Item = u64>) {
-        parts.into_iter().for_each(|part| self.sides.stores.send(self.order(part, LONG)));
-        self.sides.stores.turn_over();
-    }
-
-    fn stop(&self, part: u64) {
-        self.sides.stores.stop(AttemptId { part, number: 0 }, Word::GiveUp);
-    }
-
-    async fn accept(&self) -> Peer {
-        Peer(self.store.accept().await.unwrap().0, Vec::new())
-    }
-
-    /// Waits until so many parts have ended.
-    async fn ends(&mut self, count: usize) -> &BTreeMap<u64, Outcome> {
-        while self.ended.len() < count {
-            for happening in self.sides.exchange.happened(None).await {
-                if let Happening::Ended(attempt, ended) = happening {
-                    assert_eq!(self.ended.insert(attempt.part, ended.outcome), None, "ends once");
-                }
-            }
-        }
-        &self.ended
-    }
-}
-
-/// Runs a test on the rig's executor; what it does before it first waits happens before any task of the broker runs.
-fn play<F: Future<Output = ()>>(rig: Rig, test: impl FnOnce(Rig) -> F) {
-    let executor = rig.sides.executor.clone();
-    let guard = async {
-        Timer::after(GUARD).await;
-        panic!("the test hangs");
-    };
-    async_io::block_on(executor.run(futures_lite::future::or(test(rig), guard)));
-}
+use stoatlane::Outcome;
 
 fn ids(parts: &[u64]) -> Vec<String> {
     parts.iter().map(|part| format!("q.{part}")).collect()
--- a/broker/tests/common/mod.rs
+++ b/broker/tests/common/mod.rs
@@ -3,7 +3,10 @@
 
 pub mod cuts;
 pub mod program;
+pub mod rig;
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -30,6 +33,7 @@
     pub stores: Rc<Stores>,
     pub discovery: Rc<Discovery>,
     pub executor: Rc<LocalExecutor<'static>>,
+    pub counters: Rc<Counters>,
 }
 
 impl Sides {
@@ -42,17 +46,28 @@
 
     /// The same with other limits of links, and another grace after a drain.
     pub fn within(open_most: usize, limits: Limits, grace: Duration) -> Self {
+        Self::offering(open_most, limits, grace, HashMap::new())
+    }
+
+    /// The same with stores that offer the feature form.
+    pub fn offering(
+        open_most: usize,
+        limits: Limits,
+        grace: Duration,
+        offers: HashMap<String, SocketAddr>,
+    ) -> Self {
         let counters = Rc::new(Counters::default());
         let exchange = Exchange::new(Clock::new(), counters.clone(), open_most, alone(), None);
         let executor = Rc::new(LocalExecutor::new());
         let (known, noted) = (exchange.clone(), counters.clone());
-        let stores = Stores::new(executor.clone(), known, noted, limits, alone(), grace, Default::default());
+        let stores = Stores::new(executor.clone(), known, noted, limits, alone(), grace, offers);
         let at = ([127, 0, 0, 1], 9).into();
         let rotation = Rc::new(Rotation::open(None, at, 0.0));
         let (told, noted) = (exchange.clone(), stores.clone());
         let waits = Waits::of(&stoatlane::Settings::default());
-        let discovery = Discovery::new(at, Default::default(), told, noted, rotation, counters, waits);
-        Self { exchange, stores, discovery, executor }
+        let counted = counters.clone();
+        let discovery = Discovery::new(at, Default::default(), told, noted, rotation, counted, waits);
+        Self { exchange, stores, discovery, executor, counters }
     }
 
     /// Has discovery tell of stores: cell, number and state of each.
