Count connections to stores of both forms, and wait for a place where there is none

Seen: links to stores grew past their part (one for each store that is asked), and the feature form kept up to 8 connections for each store, with no sum. With 60 stores under 64 descriptors the dials failed for want of a descriptor, which the module takes for stores that are down: 503 to every query.

At fault: Stores::link, which opens a link where none has room whatever the limit, and Driver::connect.

Now each holds a place of limits.rs while it is open. Who finds none has those closed that carry nothing and waits as long as a dial may take; after that its parts are void: they never ran, and nothing is said of the store.

--- a/broker/src/store/attempts.rs
+++ b/broker/src/store/attempts.rs
@@ -181,7 +181,7 @@
         let Some(driver) = &site.features else { return Outcome::Void.into() };
         let written = Cell::new(false);
         let wanted = || by.is_none_or(|by| Instant::now() < by) && !self.exchange.is_over(order.asker);
-        let end = async { Ok(driver.ask(site, order, wanted, &written, &self.counters).await) };
+        let end = async { Ok(driver.ask(self, site, order, wanted, &written).await) };
         match or(end, async { Err(stop.await) }).await {
             Ok(ended) => ended,
             Err(_) if !written.get() => Outcome::Void.into(),
@@ -221,7 +221,8 @@
         self.links.set(self.links.get() + 1);
         let (this, site, running) = (self.clone(), site.clone(), link.clone());
         let run = async move {
-            if running.clone().run(this.limits.clone()).await {
+            let place = this.place().await;
+            if running.clone().run(this.limits.clone(), place).await {
                 this.spoilt.set(Some(Instant::now()));
             }
             this.links.set(this.links.get() - 1);
--- a/broker/src/store/features.rs
+++ b/broker/src/store/features.rs
@@ -14,12 +14,13 @@
 use stoatlane::Outcome;
 
 use super::link::{write_while, Limits};
-use super::Site;
+use super::{Site, Stores};
 use crate::core::{Ended, Order, Served};
-use crate::counters::{count, Counters};
+use crate::counters::count;
 use crate::front::key;
 use crate::geojson;
 use crate::http::{self, Ending, Kind, Stream};
+use crate::limits::Place;
 
 /// Connections kept for later requests.
 const KEPT: usize = 8;
@@ -31,7 +32,7 @@
     address: SocketAddr,
     dial: Duration,
     idle: Duration,
-    kept: RefCell<Vec<(Stream, Instant)>>,
+    kept: RefCell<Vec<(Stream, Place, Instant)>>,
 }
 
 impl Driver {
@@ -40,28 +41,41 @@
         Self { address, dial: limits.dial, idle: limits.idle, kept: RefCell::default() }
     }
 
-    async fn connect(&self, counters: &Counters) -> std::io::Result<Stream> {
-        self.kept.borrow_mut().retain(|(_, since)| since.elapsed() < self.idle);
+    /// A connection; it says what became of the attempt where there is none.
+    async fn connect(&self, stores: &Stores) -> Result<(Stream, Place), Outcome> {
+        self.kept.borrow_mut().retain(|(_, _, since)| since.elapsed() < self.idle);
         loop {
-            let Some((stream, _)) = self.kept.borrow_mut().pop() else { break };
+            let Some((stream, place, _)) = self.kept.borrow_mut().pop() else { break };
             if silent(&stream).await {
-                return Ok(stream);
+                return Ok((stream, place));
             }
         }
-        count(&counters.dials);
-        Ok(Stream::new(http::connect(self.address, self.dial).await?))
+        // Nothing is known of the store where there is no place.
+        let place = stores.place().await.ok_or(Outcome::Void)?;
+        count(&stores.counters.dials);
+        let socket = http::connect(self.address, self.dial).await.map_err(|_| Outcome::Unreachable)?;
+        Ok((Stream::new(socket), place))
+    }
+
+    /// Closes the connections that carry nothing.
+    pub fn let_idle_go(&self) {
+        drop(self.kept.take());
     }
 
     /// Makes an attempt, if it is `wanted` up to its last byte. `written` is set with that: from then on it may run.
     pub async fn ask(
         &self,
+        stores: &Stores,
         site: &Site,
         order: &Order,
         wanted: impl Fn() -> bool,
         written: &Cell<bool>,
-        counters: &Counters,
     ) -> Ended {
-        let Ok(mut stream) = self.connect(counters).await else { return Outcome::Unreachable.into() };
+        let counters = &*stores.counters;
+        let (mut stream, place) = match self.connect(stores).await {
+            Ok(connected) => connected,
+            Err(outcome) => return outcome.into(),
+        };
         let may = |begun: bool| (begun || site.may_send()) && wanted();
         match write_while(stream.socket(), &request(order, self.address), 0, may).await {
             Ok(true) => {}
@@ -85,7 +99,7 @@
         };
         let reusable = head.keep_alive && head.framing != http::Framing::Close && !stream.begun();
         if reusable && self.kept.borrow().len() < KEPT {
-            self.kept.borrow_mut().push((stream, Instant::now()));
+            self.kept.borrow_mut().push((stream, place, Instant::now()));
         }
         match head.status {
             200 if geojson::readable(&body) => {
--- a/broker/src/store/link.rs
+++ b/broker/src/store/link.rs
@@ -27,6 +27,7 @@
 use crate::exchange::Exchange;
 use crate::faults;
 use crate::http;
+use crate::limits::Place;
 
 /// For each part that a link may carry, so many of those it carried last are remembered.
 const REMEMBERED: usize = 4;
@@ -37,7 +38,7 @@
     pub streams: usize,
     /// How many parts of one turn may share a call, which is a frame.
     pub batch: usize,
-    /// How many links there may be, to all stores together, before parts have to share them.
+    /// How many connections to stores there may be, of both forms.
     pub links: usize,
     /// It has failed if it is not up by then.
     pub dial: Duration,
@@ -247,11 +248,13 @@
     }
 
     /// Opens the connection and serves it until it ends; true if the store sent what it should not have.
-    pub async fn run(self: Rc<Self>, limits: Rc<Limits>) -> bool {
-        count(&self.counters.dials);
-        let dialled = match faults::point("store.dial") {
-            true => Err(std::io::ErrorKind::ConnectionRefused.into()),
-            false => {
+    /// Without a place for it nothing is opened, and nothing said of the store.
+    pub async fn run(self: Rc<Self>, limits: Rc<Limits>, place: Option<Place>) -> bool {
+        let full = place.is_none();
+        let dialled = match place.is_some() && !faults::point("store.dial") {
+            false => Err(std::io::ErrorKind::ConnectionRefused.into()),
+            true => {
+                count(&self.counters.dials);
                 let dial = http::connect(self.site.address.get(), limits.dial);
                 let swept = async {
                     loop {
@@ -283,6 +286,7 @@
                 (true, true) => Outcome::Failure,
                 (true, false) => Outcome::Broken,
                 (false, true) => Outcome::Void,
+                (false, false) if full => Outcome::Void,
                 (false, false) => Outcome::Unreachable,
             };
             let _ = flight.ended.try_send(outcome.into());
--- a/broker/src/store/mod.rs
+++ b/broker/src/store/mod.rs
@@ -6,6 +6,7 @@
 pub mod features;
 pub mod frame;
 pub mod link;
+mod room;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -21,6 +22,7 @@
 use crate::counters::Counters;
 use crate::exchange::Exchange;
 use crate::handover::Presence;
+use crate::limits::Places;
 use crate::routes::{Routes, Told};
 use link::{Limits, Link};
 
@@ -78,7 +80,9 @@
     orders: RefCell<Vec<(Order, Receiver<Word>)>>,
     /// Told of the numbers that stores have, where blocks move.
     routes: Option<Rc<Routes>>,
-    /// Links open, and when one ended by a spoilt answer.
+    /// For connections of both forms: open, or being opened.
+    places: Rc<Places>,
+    /// Links open or waiting for a place, and when one ended by a spoilt answer.
     links: Cell<usize>,
     spoilt: Cell<Option<Instant>>,
 }
@@ -97,6 +101,7 @@
         Rc::new(Self {
             executor,
             routes: exchange.routes(),
+            places: Places::new(limits.links),
             exchange,
             counters,
             limits: Rc::new(limits),
--- a/broker/tests/descriptors.rs
+++ b/broker/tests/descriptors.rs
@@ -10,7 +10,7 @@
 use async_io::{Async, Timer};
 use common::program::Program;
 use gingerledge::limits::{Budget, Wants};
-use gingerledge_standin::scripted::{exchange, get, query, run, until, Service};
+use gingerledge_standin::scripted::{exchange, get, query, run, until, Mood, Service, World};
 use serde_json::json;
 
 /// Every deployment that a draw may make: what it says is divided so that no sum passes the limit, and nobody goes without.
@@ -112,3 +112,75 @@
         assert!((SOCKETS / 2..=SOCKETS).contains(&most), "{most} descriptors");
     });
 }
+
+fn many(world: &World) -> Vec<u32> {
+    (0..world.listed.borrow().len() as u32).collect()
+}
+
+/// What the process holds with a few clients, when its part for stores is used up.
+const USED_UP: usize = SOCKETS * 2 / 3;
+
+/// Asks for parts at every store, on both fronts; gives the most descriptors that were held.
+async fn ask_all(world: &std::rc::Rc<World>, offering: &[usize]) -> usize {
+    let config = json!({ "name": "n0", "listen": "127.0.0.1:0", "discovery": world.discovery.to_string(),
+        "limits": { "sockets": SOCKETS }, "settings": world.settings() });
+    let operator = (!offering.is_empty()).then(|| world.operator(offering));
+    let name = format!("stores{}", world.listed.borrow().len());
+    let program = Program::start(&name, &config, operator.as_deref(), &PATIENT, SOCKETS);
+    let platform = program.address("serving on").await;
+    let features = match operator {
+        Some(_) => Some(program.address("serving features on").await),
+        None => None,
+    };
+    program.until("lifecycle: ready").await;
+    let asking = async {
+        for n in 0..5 {
+            let text = query(&format!("q{n}"), "yard-compare", 2400, &many(world), "x");
+            assert_eq!(exchange(platform, &text).await.unwrap().status, 200, "{n}");
+            if let Some(features) = features {
+                let page = get(features, "/collections/yards/items?limit=100", "").await;
+                assert_eq!(page.status, 200, "{}", page.text());
+            }
+        }
+    };
+    held(&program, asking).await.0
+}
+
+#[test]
+fn connections_to_many_stores_keep_to_their_part_and_all_parts_are_served_in_turn() {
+    run(60, |world| async move {
+        let most = ask_all(&world, &[]).await;
+        assert!(most <= USED_UP, "{most} descriptors");
+    });
+}
+
+#[test]
+fn connections_in_the_feature_form_count_with_the_others() {
+    run(18, |world| async move {
+        let most = ask_all(&world, &(0..18).collect::<Vec<_>>()).await;
+        assert!(most <= USED_UP, "{most} descriptors");
+        assert!(world.sent.borrow().iter().any(|sent| sent.features));
+        assert!(world.sent.borrow().iter().any(|sent| !sent.features));
+    });
+}
+
+/// Stores that hang hold their connections: others have to wait, and what waits never ran, and says nothing of its store.
+#[test]
+fn stores_that_hang_hold_no_more_than_their_part() {
+    run(60, |world| async move {
+        *world.mood.borrow_mut() = vec![Mood::Silent; 60];
+        let config = json!({ "name": "n0", "listen": "127.0.0.1:0", "discovery": world.discovery.to_string(),
+            "limits": { "sockets": SOCKETS }, "settings": world.settings() });
+        let mut program = Program::start("hang", &config, None, &PATIENT, SOCKETS);
+        let platform = program.address("serving on").await;
+        program.until("lifecycle: ready").await;
+        let text = query("q0", "yard-compare", 2400, &many(&world), "x");
+        let (most, got) = held(&program, exchange(platform, &text)).await;
+        assert_ne!(got.unwrap().status, 200);
+        assert!(most <= USED_UP, "{most} descriptors");
+        program.signal("-TERM");
+        let counted = program.until("unreachable=").await;
+        assert!(counted.contains(" unreachable=0 "), "{counted}");
+        assert_eq!(program.child.wait().unwrap().code(), Some(0));
+    });
+}
