--- a/broker/src/discovery/watching.rs
+++ b/broker/src/discovery/watching.rs
@@ -16,7 +16,7 @@
 //!   the beginning of the one before also keeps a fleet spread that once is: each broker has its place in the
 //!   period, by its number, and four waits that grow lead there from any common beginning (the last of `Watching::gap`). From
 //!   then on 300 brokers call 75 times a second, evenly, for as long as discovery is down, or has too many callers: as
-//!   seldom as the promise lets them.
+//!   seldom as the promise lets them. Fewer than 100 call 25 times a second, and each once in 1.5 s at the most.
 //! - Lists pushed, an agent of the broker's own that answers at once and for nothing: called from the first moment, and
 //!   again `pace` after a call that failed, for as long as it is silent: what it has when it speaks again counts
 //!   at once, so the pace is half of a drain's grace. Watch silent: out after `silence + connect`, at most
@@ -38,6 +38,9 @@
 pub const ANSWER: Duration = Duration::from_millis(1600);
 /// From any moment to the next call, at the most, where lists are asked for.
 pub const PERIOD: Duration = Duration::from_millis(4000);
+/// A small fleet calls more often, since that costs discovery little: a call each [`APART`], and no broker more often than this.
+/// Two calls that a busy discovery refuses then leave time for a third.
+const PERIOD_LEAST: Duration = Duration::from_millis(1500);
 /// While nothing changes, an empty line comes so often.
 pub const BEAT: Duration = Duration::from_millis(2000);
 /// One may be so late where a call more is a call of the whole fleet.
@@ -94,7 +97,8 @@
             // Whoever knows no number goes by that of its process: these are spread, too.
             let number = settings.index.unwrap_or_else(std::process::id);
             let brokers = settings.aggregators.max(1);
-            let apart = APART.min(PERIOD / brokers);
+            let pace = (APART * brokers).clamp(PERIOD_LEAST, PERIOD);
+            let apart = APART.min(pace / brokers);
             return Self {
                 pushed: false,
                 connect: CONNECT,
@@ -102,7 +106,7 @@
                 body: TURN,
                 silence: BEAT + BEAT_LATER,
                 whole: PERIOD * 3 / 4,
-                pace: PERIOD,
+                pace,
                 place: apart * (number % brokers),
                 first,
                 ready: READY,
