Divide a cold store's budget by slots that add up over the fleet, through restarts too

Seen: tests/cold.rs allowed 3 root N + 3 beyond the budget and asked for less than the budget. With the term at 2 root N + 2, and 300 processes that know what parts take and all ask the cold store, they sent up to 119 requests of mean work too much; after 3 s in which nobody asked, 170 (N was about 75 then).

Cause: cold_room gave each of many one part in a window that grew with their number, from its turn on. Turns that had passed unused did not lapse: after a pause all of them were due at once, and stayed in step. Each class had such a window of its own, so that classes mixed added up to more. A process that replaced another knew nothing of what that had sent, and two processes of one number both used its part. Where both were counted, positions were spread over the doubled count and crowded into half of the order.

Now each may send the work of the largest part as often as that goes into its equal share, in any window; who has one of the first slots once more, as many slots as make up for what is cut off. A new process sends a store that was cold before it nothing for one window; one that is told that it is about to end (the new event Leaving) sends cold stores nothing. Positions go by the count of numbers. src/turns.rs is src/slots.rs.

Ruled out: at 30 and fewer the old shares held even in these floods.

--- a/src/aggregator/mod.rs
+++ b/src/aggregator/mod.rs
@@ -37,6 +37,11 @@
 pub struct Aggregator {
     set: Settings,
     seed: u64,
+    /// When this process began, and whether it is about to end.
+    began: Millis,
+    leaving: bool,
+    /// How many numbers aggregators have, whatever they count as now.
+    numbers: u32,
     random: u64,
     servers: BTreeMap<ServerId, Server>,
     holders: Holders,
@@ -71,6 +76,9 @@
             asking: Asking::new(&set, now, unit(random)),
             random,
             seed,
+            began: now,
+            leaving: false,
+            numbers: set.aggregators,
             servers: BTreeMap::new(),
             holders: Holders::new(set.cells, set.reach),
             queries: BTreeMap::new(),
@@ -146,6 +154,7 @@
             Event::ProbeResult { .. } => {}
             Event::Timer { .. } => self.timer_at = None,
             Event::Aggregators { count } => self.set.aggregators = count.max(1),
+            Event::Leaving => self.leaving = true,
             Event::ClientGone { query } => self.forget(query),
             Event::Holders { shard, servers } => self.holders.tell(shard, servers),
             Event::Heirs { part, heirs } => self.inherit(part, heirs),
--- a/src/aggregator/placement.rs
+++ b/src/aggregator/placement.rs
@@ -4,7 +4,7 @@
 use std::collections::BinaryHeap;
 
 use super::*;
-use crate::turns::turn;
+use crate::slots::slot;
 
 /// From this pace on, a server's count is multiplied by its pace; the tie-break tells so many steps apart.
 const SLOW: f64 = 1.75;
@@ -28,30 +28,37 @@
         (from + (1.0 - from) * age / self.set.cold_ms.max(1.0)).min(1.0)
     }
 
-    /// Whether a cold server may take one more part of a class: this aggregator's equal share of the work
-    /// that all may send it in a window, taking the server to have one processor and a part's work to be
-    /// a low latency of its class, or while none is known, a whole window.
+    /// Whether a cold server may take one more part of a class. What all aggregators may send it in any
+    /// window adds up to what the settings allow, taking the server to have one processor and a part's work
+    /// to be a low latency of its class, or while none is known, a whole window. Each may send the work of
+    /// the largest part as often as that goes into an equal share; once more whose slot has come: these
+    /// make up for what is cut off, and open one by one in the first window and as the server warms. Where
+    /// numbers are not told, slots lie by chance, and serve only for a share of less than a part. A process
+    /// about to end leaves its part to its successor, which waits until no window holds what went before
+    /// it. That harms where all holders are cold and all aggregators restart.
     fn cold_room(&self, now: Millis, server: &Server, class: usize) -> bool {
         let capacity = self.capacity(now, server);
         if capacity >= 1.0 {
             return true;
         }
         let fall = self.set.fall_ms;
+        if self.leaving || (server.since < self.began && now < self.began + fall) {
+            return false;
+        }
         let work = |class: usize| if self.light[class] > 0.0 { self.light[class] } else { fall };
+        let largest = self.light.iter().copied().fold(work(class), f64::max);
         let share = self.set.overload_factor * capacity * fall / f64::from(self.set.aggregators);
-        // A share of less than one part is one part in a longer window, the first when its turn comes.
-        let window = fall * (work(class) / share).max(1.0);
         let spread = unit(mix(self.seed ^ u64::from(server.cell)));
-        if work(class) > share && now < server.since + turn(&self.set, server.cell, spread) * window {
-            return false;
-        }
-        // A part of another class holds its room as long as one of that class would, if its work is known.
+        let (whole, rest) = ((share / largest).floor(), (share / largest).fract());
+        let opened = rest * ((now - server.since) / fall).min(1.0);
+        let slotted = self.set.index.is_some() || whole == 0.0;
+        let slotted = slotted && slot(&self.set, self.numbers, server.cell, spread) < opened;
+        let own = (whole + f64::from(u8::from(slotted))) * largest;
         // What was sent before its start never reached this process.
-        let held = |of: usize| if of == class { window } else { fall * (self.light[of] / share).max(1.0) };
-        let from = |of: usize| (now - held(of) - self.set.turn_ms).max(server.since);
-        let sent = server.cold_sends.iter().filter(|&&(at, of)| at >= from(of));
+        let from = (now - fall - self.set.turn_ms).max(server.since);
+        let sent = server.cold_sends.iter().filter(|&&(at, _)| at >= from);
         let sent: f64 = sent.map(|&(_, of)| work(of)).sum();
-        sent + work(class) <= share.max(work(class)) + ROUNDING
+        sent + work(class) <= own + ROUNDING
     }
 
     /// How good a place a server is for a part; the least is chosen.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -152,6 +152,8 @@
         /// How many.
         count: u32,
     },
+    /// This process is about to end, and another may serve in its place already, under the same number.
+    Leaving,
     /// The client of a query has left.
     ClientGone {
         /// The query.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,8 +48,8 @@
 mod quotas;
 mod settings;
 mod setup;
+mod slots;
 mod tables;
-mod turns;
 
 pub use aggregator::Aggregator;
 pub use interface::*;
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -51,10 +51,12 @@
 
 pub struct Side {
     pub aggregator: Aggregator,
+    number: u32,
     timer: Option<Millis>,
     events: Vec<Event>,
     /// Whether it was told of the last start.
     pub told: bool,
+    pub dead: bool,
 }
 
 /// One send.
@@ -62,6 +64,7 @@
     pub at: Millis,
     pub server: usize,
     pub class: usize,
+    pub work: Millis,
     pub told: bool,
 }
 
@@ -83,6 +86,8 @@
     pub sent: Vec<Sent>,
     pub asked: Vec<Asked>,
     pub chance: Chance,
+    /// By so much of it a part's work is more or less than its class's, by chance.
+    pub uneven: f64,
     /// Parts turned away as the queue was full.
     pub turned_away: usize,
     attempts: HashMap<RequestId, u32>,
@@ -98,6 +103,7 @@
             sent: Vec::new(),
             asked: Vec::new(),
             chance: Chance(seed),
+            uneven: 0.0,
             turned_away: 0,
             attempts: HashMap::new(),
             set,
@@ -117,7 +123,8 @@
         let aggregator = Aggregator::new(seed, set, self.now);
         let entries = (0..self.stores.len()).map(|server| self.entry(server)).collect();
         let events = vec![Event::List { kind: ListKind::Complete, entries }];
-        Side { aggregator, timer: None, events, told: false }
+        let told = self.stores.iter().any(|store| store.since.is_some());
+        Side { aggregator, number, timer: None, events, told, dead: false }
     }
 
     fn entry(&self, server: usize) -> Entry {
@@ -125,9 +132,18 @@
         Entry { server: id, cell: id, status: Status::Ready, since, ..Entry::default() }
     }
 
-    /// A new process in the place of an aggregator's; what it had taken is lost.
-    pub fn restart(&mut self, side: usize) {
-        self.sides[side] = self.side(side as u32);
+    /// A new process of a broker; the old one goes on beside it. What discovery has told the broker, it knows at once.
+    pub fn another(&mut self, side: usize) -> usize {
+        let another = self.side(self.sides[side].number);
+        self.sides.push(another);
+        self.sides.len() - 1
+    }
+
+    /// A process ends; what it had taken is lost, and what it has sent is worked on all the same.
+    pub fn kill(&mut self, side: usize) {
+        self.sides[side].dead = true;
+        let calls = self.stores.iter_mut().flat_map(|store| &mut store.calls);
+        calls.filter(|call| call.side == side).for_each(|call| call.given_up = true);
     }
 
     pub fn tell(&mut self, side: usize, server: usize) {
@@ -172,6 +188,11 @@
         }
     }
 
+    /// Something that a process is told by its host.
+    pub fn hear(&mut self, side: usize, event: Event) {
+        self.sides[side].events.push(event);
+    }
+
     fn end(&mut self, server: usize, call: &Call, outcome: Outcome) {
         let Call { part, attempt, sent, given_up, .. } = *call;
         if !given_up {
@@ -188,6 +209,9 @@
         }
         for number in 0..self.sides.len() {
             let side = &mut self.sides[number];
+            if side.dead {
+                continue;
+            }
             let due = side.timer.take_if(|at| *at <= self.now).is_some();
             if !due && side.events.is_empty() {
                 continue;
@@ -236,8 +260,11 @@
                 let attempt = *self.attempts.entry(part).and_modify(|n| *n += 1).or_insert(0);
                 let (server, class) = (server as usize, self.asked[(part >> 8) as usize].class);
                 let told = self.sides[side].told;
-                self.sent.push(Sent { at: self.now, server, class, told });
-                let (sent, until, work) = (self.now, self.now + patience_ms, self.works[class]);
+                let uneven =
+                    if self.uneven > 0.0 { self.uneven * (2.0 * self.chance.unit() - 1.0) } else { 0.0 };
+                let work = self.works[class] * (1.0 + uneven);
+                self.sent.push(Sent { at: self.now, server, class, work, told });
+                let (sent, until) = (self.now, self.now + patience_ms);
                 let call = Call { side, part, attempt, sent, until, work, given_up: false };
                 if !self.stores[server].up {
                     self.end(server, &call, Outcome::Unreachable);
