Tell the decisions that the process is about to end, so that cold stores get nothing twice

Seen in tests/cold_fleet.rs: where a new process serves beside one that finishes its work, both use the broker's part of a cold store's budget, and the sum over the fleet passes its bound. Service::stop now tells it first of all, before subsystems stop and before clients are let go.

Test: broker/tests/core.rs a_core_about_to_end_sends_a_cold_store_nothing. It plays the same turns without the event, too, and there the part is sent. The program itself with two processes at a cold store was not played.

--- a/broker/src/core/messages.rs
+++ b/broker/src/core/messages.rs
@@ -132,6 +132,8 @@
     Holders(Told),
     /// How many processes share this broker's part of everything.
     Shared(u32),
+    /// This process is about to end; another may serve in its place already.
+    Leaving,
     /// Nothing; whoever waits for its end knows that all before it has been decided on.
     Mark(async_channel::Sender<()>),
 }
--- a/broker/src/core/mod.rs
+++ b/broker/src/core/mod.rs
@@ -187,6 +187,7 @@
             Happening::Listed(kind, entries) => {
                 self.aggregator.handle(now, Event::List { kind, entries }, actions);
             }
+            Happening::Leaving => self.aggregator.handle(now, Event::Leaving, actions),
             Happening::Mark(_) => {}
             Happening::Shared(processes) => {
                 self.aggregator.handle(
--- a/broker/src/exchange.rs
+++ b/broker/src/exchange.rs
@@ -139,6 +139,11 @@
         self.tell(Happening::Shared(processes));
     }
 
+    /// This process is about to end.
+    pub fn leaving(&self) {
+        self.tell(Happening::Leaving);
+    }
+
     /// Resolves once the core has played a turn with all that was left here so far. The mark goes with the turn,
     /// and nobody else runs until its commands are carried out.
     pub async fn settled(&self) {
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -297,6 +297,8 @@
     /// Stops taking requests and finishes those taken.
     pub async fn stop(&self) {
         log::info!("stopping: {} queries open", self.exchange.open_queries());
+        // From here on a successor may serve: stores that are cold get nothing from two processes of one broker.
+        self.exchange.leaving();
         let succeeded = self.presence.look() == Other::Serves;
         self.presence.leave();
         // First of all: what is taken and what is left to lie counts from the signal.
--- a/broker/tests/core.rs
+++ b/broker/tests/core.rs
@@ -211,3 +211,26 @@
     list(true, &[(99, "up")]);
     assert_eq!(stores.known(), 1);
 }
+
+/// Another process may have taken its place already, and use this broker's part of a cold store's budget.
+#[test]
+fn a_core_about_to_end_sends_a_cold_store_nothing() {
+    let orders_of = |leaves: bool| {
+        let cold = Settings {
+            cold_from: 0.2,
+            cold_ms: 10_000.0,
+            overload_factor: 2.0,
+            fall_ms: 2000.0,
+            ..Settings::default()
+        };
+        let mut core = with(Class::default(), cold);
+        let sent = orders(&core.turn(1.0, [Happening::Asked(1, question("q", &[0], 900.0))]));
+        core.turn(11.0, [good(sent[0].attempt, 1, b"v")]);
+        let entries = (0..3).map(|n| Entry { server: n, cell: n, since: 20.0, ..Entry::default() }).collect();
+        core.turn(20.0, [Happening::Listed(ListKind::Complete, entries)]);
+        let told = leaves.then_some(Happening::Leaving);
+        core.turn(21.0, told);
+        orders(&core.turn(22.0, [Happening::Asked(2, question("r", &[1], 1900.0))])).len()
+    };
+    assert_eq!((orders_of(false), orders_of(true)), (1, 0));
+}
