--- a/broker/src/lib.rs
+++ b/broker/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod limits;
 pub mod logger;
 pub mod plug;
+pub mod readiness;
 pub mod rotation;
 pub mod routes;
 pub mod service;
--- a/broker/src/service.rs
+++ b/broker/src/service.rs
@@ -18,8 +18,7 @@
 use crate::config::{Config, Error};
 use crate::core::{Command, Core};
 use crate::counters::Counters;
-use crate::discovery::watching::Waits;
-use crate::discovery::{self, Discovery, List};
+use crate::discovery::{self, Discovery};
 use crate::exchange::Exchange;
 use crate::faults;
 use crate::fleet::Fleet;
@@ -30,6 +29,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::limits::{self, Budget, Wants};
 use crate::plug::{Host, Subsystem};
+use crate::readiness::become_able;
 use crate::rotation::Rotation;
 use crate::routes::Routes;
 use crate::store::link::Limits;
@@ -45,8 +45,6 @@
 /// A connection is left to stand for this share of the time after which a store would close it.
 const IDLE_SHARE: f64 = 0.8;
 
-/// Where another process of this broker serves meanwhile, one that has no list at all waits so many times as long.
-const BESIDE: u32 = 3;
 /// How often what another process was told is looked for; either may be called, and both have to follow in 1 s.
 const FOLLOW: Duration = Duration::from_millis(100);
 
@@ -119,7 +117,7 @@
             admin: config.admin.is_some(),
             blocks: config.blocks.is_some(),
         });
-        log::info!("descriptors: {budget:?}");
+        log::debug!("descriptors: {budget:?}");
         let limits = Limits {
             streams: config.streams,
             batch: config.setup.settings.batch.max(1) as usize,
@@ -328,47 +326,6 @@
     }
 }
 
-/// Waits until discovery has told its list. Where an older one is known that will do: at once where no other
-/// process serves meanwhile, and beside one after a while. Where lists are pushed the older one is `held` back for that
-/// while: what the agent has counts as told from the first moment, so that no part goes out before it was asked.
-/// Where there is none at all the wait is bounded, too.
-async fn become_able(
-    lifecycle: Rc<Lifecycle>,
-    discovery: Rc<Discovery>,
-    (beside, calls): (bool, Waits),
-    held: Option<List>,
-) {
-    let begun = Instant::now();
-    let ask = async {
-        if !beside && (discovery.known() || held.is_some()) {
-            futures_lite::future::pending::<()>().await;
-        }
-        if !beside {
-            Timer::after(discovery.first_call()).await;
-        }
-        // Guards the start in a large fleet, whose first calls for the list are spread over seconds: of an upgrade, as what
-        // discovery has to tell counts as told soon after this process is ready; and without any list, as there is no
-        // more to wait for.
-        discovery.subscribe();
-        futures_lite::future::pending::<()>().await
-    };
-    let fallback = async {
-        if let Some(held) = &held {
-            Timer::after(calls.first).await;
-            discovery.tell(held, true);
-        } else if beside {
-            Timer::after(calls.first).await;
-        }
-        if !discovery.known() {
-            let wait = if beside { calls.ready * BESIDE } else { calls.ready };
-            Timer::at(begun + wait).await;
-            log::warn!("ready without any list of stores: discovery has told none");
-        }
-    };
-    futures_lite::future::or(discovery.told(), futures_lite::future::or(fallback, ask)).await;
-    lifecycle.set_able();
-}
-
 /// Queries of the feature front are named from here on: apart at each broker, after each start, and in each of
 /// two processes.
 fn first_name(seed: u64, now: Millis) -> u64 {
