--- /dev/null
+++ b/system/bin/src/bin/gingerledge-backend.rs
@@ -0,0 +1,3 @@
+//! Starts the backend program.
+
+fn main() {}
--- /dev/null
+++ b/system/bin/src/bin/gingerledge-control.rs
@@ -0,0 +1,3 @@
+//! Starts the control program.
+
+fn main() {}
--- /dev/null
+++ b/system/bin/src/bin/gingerledge-edge.rs
@@ -0,0 +1,3 @@
+//! Starts the edge program.
+
+fn main() {}
--- /dev/null
+++ b/system/chain/src/lib.rs
@@ -0,0 +1,1 @@
+//! Chain replication under an agreed membership view, sans I/O.
--- /dev/null
+++ b/system/jobs/src/lib.rs
@@ -0,0 +1,1 @@
+//! The backend plane: batch jobs, their items and results, replicated by partition.
--- /dev/null
+++ b/system/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! A ring of preallocated files that keeps records through losses of power.
--- /dev/null
+++ b/system/transport/src/lib.rs
@@ -0,0 +1,1 @@
+//! Bounded, pooled TCP links that carry bincode frames between nodes.
--- /dev/null
+++ b/system/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! The internal messages of the rollout scheduler and the records that they carry.
