--- /dev/null
+++ b/system/chain/src/control_chain.rs
@@ -0,0 +1,217 @@
+//! The control plane's replicated state: a replica whose views are decided by a majority of its own voters.
+//!
+//! The host owns the disk, the network and the time. It must keep three promises:
+//!
+//! - Records of [`ChainAction::Persist`] are written in the order of the actions, and [`ChainEvent::Durable`] is given
+//!   only when they and all records before them are synced. One event may stand for all the tokens up to its own, so
+//!   the host writes what has queued up with one sync.
+//! - A member's identity is on its disk before anybody hears of it, and a disk that has lost anything gets another.
+//! - [`ChainEvent::Tick`] is given at [`ControlChain::next_timer`] or soon after it.
+//!
+//! Messages may be lost, repeated and out of order. Each member that the host hears of is told by
+//! [`ChainEvent::MemberAnnounced`]; the host can then reach it under its [`MemberId`].
+
+use std::time::Duration;
+
+use crate::{ChainMessage, LogRecord, MemberId, Members, Settings};
+
+/// What happens to a member of the control group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ChainEvent {
+    /// The process has started; given once, first.
+    Started,
+    /// A message has arrived.
+    Message {
+        /// The sender.
+        from: MemberId,
+        /// The message.
+        message: ChainMessage,
+    },
+    /// All records up to those of this token are synced.
+    Durable {
+        /// The token of a [`ChainAction::Persist`].
+        token: u64,
+    },
+    /// Commit a command. Answered at the head by an [`ChainAction::Apply`] somewhere, some time, or never; the host
+    /// recognises its own command in it. Elsewhere by [`ChainAction::NotHead`].
+    Submit {
+        /// The command.
+        command: Vec<u8>,
+    },
+    /// Tell when everything committed before now is applied here. Any member may be asked.
+    Read {
+        /// Chosen by the host.
+        token: u64,
+    },
+    /// The host has heard of a member. `replaces` is an identity whose disk is gone for good: the same address has
+    /// announced another one since. Members announced again cost nothing.
+    MemberAnnounced {
+        /// The member.
+        member: MemberId,
+        /// The identity that its address had before.
+        replaces: Option<MemberId>,
+    },
+    /// The answer to [`ChainAction::TakeSnapshot`].
+    SnapshotReady {
+        /// The last entry applied to the state.
+        seq: u64,
+        /// The state.
+        bytes: Vec<u8>,
+    },
+    /// The time of [`ControlChain::next_timer`] has come.
+    Tick,
+}
+
+/// What the host is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ChainAction {
+    /// Send a message, once; drop it if the member can't be reached.
+    Send {
+        /// The receiver.
+        to: MemberId,
+        /// The message.
+        message: ChainMessage,
+    },
+    /// Write records and sync them, then give [`ChainEvent::Durable`].
+    Persist {
+        /// Names this action; tokens rise.
+        token: u64,
+        /// The records, in order.
+        records: Vec<LogRecord>,
+    },
+    /// Apply a committed command to the state. Each number comes once in the life of a process, in order, starting
+    /// after that of the last [`ChainAction::InstallSnapshot`].
+    Apply {
+        /// Number of the entry.
+        seq: u64,
+        /// The command.
+        command: Vec<u8>,
+        /// Whether this member committed it as the tail, so that it answers whoever asked.
+        reply: bool,
+    },
+    /// Encode the state and give [`ChainEvent::SnapshotReady`], now or later.
+    TakeSnapshot,
+    /// Replace the state. Given after a start from a disk that holds a snapshot, and in catching up.
+    InstallSnapshot {
+        /// The last entry in the state.
+        seq: u64,
+        /// The state.
+        bytes: Vec<u8>,
+    },
+    /// A read may be answered from the state here.
+    ReadReady {
+        /// The token of the read.
+        token: u64,
+        /// The last entry applied.
+        seq: u64,
+    },
+    /// A read couldn't be confirmed in time.
+    ReadFailed {
+        /// The token of the read.
+        token: u64,
+    },
+    /// A command was submitted to a member that isn't the head.
+    NotHead {
+        /// The command.
+        command: Vec<u8>,
+        /// The head, where known.
+        head: Option<MemberId>,
+    },
+    /// A command wasn't taken: too many wait, or the view is being changed. It won't be committed.
+    Busy {
+        /// The command.
+        command: Vec<u8>,
+    },
+    /// A membership is in force here.
+    ViewInstalled {
+        /// The membership.
+        members: Members,
+    },
+    /// This member holds everything committed, and counts in the chain of this epoch.
+    BecameFull {
+        /// The epoch.
+        epoch: u64,
+    },
+    /// The tail has confirmed a barrier of the head: what is applied up to `committed_seq` was current after it was
+    /// sent. Given at members of the chain only; numbers rise within an epoch.
+    Tick {
+        /// The epoch.
+        epoch: u64,
+        /// Number of the barrier.
+        number: u64,
+        /// Up to where the tail had committed. It may not be applied here yet.
+        committed_seq: u64,
+    },
+}
+
+/// One member of the control group.
+#[derive(Debug)]
+pub struct ControlChain {
+    me: MemberId,
+    members: Option<Members>,
+}
+
+impl ControlChain {
+    /// A founder with an empty disk. All founders are given the same founders in the same order.
+    pub fn found(me: MemberId, founders: Vec<MemberId>, settings: Settings, seed: u64) -> Self {
+        let fault_tolerance = settings.fault_tolerance;
+        let _ = seed;
+        let members = Members { epoch: 1, voters: founders.clone(), chain: founders, fault_tolerance };
+        Self { me, members: Some(members) }
+    }
+
+    /// A member with an empty disk that asks the members announced to it to be taken in.
+    pub fn join(me: MemberId, settings: Settings, seed: u64) -> Self {
+        let _ = (settings, seed);
+        Self { me, members: None }
+    }
+
+    /// A member that starts again with what its disk holds. No record at all is the same as [`ControlChain::join`].
+    pub fn recover(me: MemberId, records: Vec<LogRecord>, settings: Settings, seed: u64) -> Self {
+        let _ = (settings, seed, records);
+        Self { me, members: None }
+    }
+
+    /// Takes an event and appends what is to be done.
+    pub fn handle(&mut self, now: Duration, event: ChainEvent, out: &mut Vec<ChainAction>) {
+        let _ = (now, event, out);
+    }
+
+    /// When [`ChainEvent::Tick`] is wanted next.
+    pub fn next_timer(&self) -> Option<Duration> {
+        None
+    }
+
+    /// This member's identity.
+    pub fn me(&self) -> MemberId {
+        self.me
+    }
+
+    /// The membership in force as far as known here.
+    pub fn members(&self) -> Option<&Members> {
+        self.members.as_ref()
+    }
+
+    /// The head of the chain as far as known here.
+    pub fn head(&self) -> Option<MemberId> {
+        self.members.as_ref()?.chain.first().copied()
+    }
+
+    /// Whether this member is in the chain, holds all that is committed, and hasn't sealed the view.
+    pub fn is_serving(&self) -> bool {
+        false
+    }
+
+    /// The last entry applied here.
+    pub fn applied(&self) -> u64 {
+        0
+    }
+
+    /// Everything that must stay on the disk once the state after the last applied entry is encoded as `state`. The
+    /// host writes these records in place of all that it has written before: all earlier ones may then go. It must have
+    /// applied all the actions so far, and may do it when it likes; [`ControlChain::applied`] names the state's entry.
+    pub fn checkpoint(&self, state: Vec<u8>) -> Vec<LogRecord> {
+        let _ = state;
+        Vec::new()
+    }
+}
--- a/system/chain/src/lib.rs
+++ b/system/chain/src/lib.rs
@@ -1,1 +1,17 @@
 //! Chain replication under an agreed membership view, sans I/O.
+//!
+//! [`Replica`] is one copy of one replicated log in a view that somebody else decides (the partitions of batch jobs).
+//! [`ControlChain`] is a replica whose views are decided by a majority of its own voters (the control plane).
+//! Neither owns a socket, file, timer or clock: events go in with the time, actions come out.
+
+mod control_chain;
+mod members;
+mod message;
+mod record;
+mod settings;
+
+pub use control_chain::{ChainAction, ChainEvent, ControlChain};
+pub use members::{MemberId, Members, View};
+pub use message::{AgreementMessage, Ballot, ChainMessage, Heartbeat, ReplicaMessage};
+pub use record::LogRecord;
+pub use settings::{ReplicaSettings, Settings};
--- /dev/null
+++ b/system/chain/src/message.rs
@@ -0,0 +1,198 @@
+//! What members say to each other.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{MemberId, Members};
+
+/// A message between replicas of one group. Each carries the epoch of the view it belongs to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReplicaMessage {
+    /// From a successor or learner: go on after my last durable entry.
+    Resume {
+        /// Epoch of the view.
+        epoch: u64,
+        /// The sender's last entry.
+        last: u64,
+        /// Whether the sender counts in this view already.
+        full: bool,
+        /// Whether the sender is outside the chain.
+        learner: bool,
+    },
+    /// From a predecessor that has restarted: tell me where to go on.
+    AskResume {
+        /// Epoch of the view.
+        epoch: u64,
+    },
+    /// Entries from a predecessor.
+    Append {
+        /// Epoch of the view.
+        epoch: u64,
+        /// Number of the first entry; the receiver must hold the one before.
+        first: u64,
+        /// The commands, in order.
+        commands: Vec<Vec<u8>>,
+        /// Up to where the sender knows the log to be committed.
+        committed: u64,
+        /// Set once the sender counts in this view: a receiver that holds all up to here counts as well.
+        full_at: Option<u64>,
+    },
+    /// A part of a snapshot.
+    Chunk {
+        /// Epoch of the view.
+        epoch: u64,
+        /// The last entry in the snapshot.
+        seq: u64,
+        /// Length of the whole snapshot.
+        total: u64,
+        /// Where this part starts.
+        offset: u64,
+        /// The part.
+        bytes: Vec<u8>,
+    },
+    /// How far a snapshot has arrived.
+    ChunkAck {
+        /// Epoch of the view.
+        epoch: u64,
+        /// The last entry in the snapshot.
+        seq: u64,
+        /// Bytes received so far without a gap.
+        received: u64,
+    },
+    /// From a successor or learner: this much is durable here, and this much committed.
+    Ack {
+        /// Epoch of the view.
+        epoch: u64,
+        /// The sender's last durable entry.
+        durable: u64,
+        /// Up to where the log is committed.
+        committed: u64,
+    },
+    /// Is this view still in force for you?
+    Probe {
+        /// Epoch of the view.
+        epoch: u64,
+        /// Chosen by the asker.
+        round: u64,
+    },
+    /// It is.
+    Confirm {
+        /// Epoch of the view.
+        epoch: u64,
+        /// The probe's round.
+        round: u64,
+        /// The sender's last durable entry.
+        durable: u64,
+        /// Up to where the sender knows the log to be committed.
+        committed: u64,
+        /// Whether the sender is the tail and certain that nothing beyond `committed` was ever acknowledged.
+        current: bool,
+    },
+    /// A numbered barrier, passed from the head to the tail.
+    Barrier {
+        /// Epoch of the view.
+        epoch: u64,
+        /// Number of the barrier.
+        number: u64,
+    },
+    /// The tail has seen a barrier; passed back to the head.
+    BarrierDone {
+        /// Epoch of the view.
+        epoch: u64,
+        /// Number of the barrier.
+        number: u64,
+        /// Up to where the tail had committed.
+        committed: u64,
+    },
+    /// The message was of an old view.
+    Newer {
+        /// The sender's epoch.
+        epoch: u64,
+    },
+}
+
+/// A ballot of the vote on the next membership: the higher counter wins, then the higher member.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Ballot {
+    /// Counts the attempts.
+    pub counter: u64,
+    /// Identity of the proposer's disk.
+    pub proposer: u64,
+}
+
+/// What a member says of itself, regularly.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Epoch of the membership the sender knows (0: none).
+    pub epoch: u64,
+    /// Whether its disk answers.
+    pub ready: bool,
+    /// Whom it has heard of lately.
+    pub hears: Vec<MemberId>,
+}
+
+/// A message of the vote on memberships.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AgreementMessage {
+    /// I am here.
+    Heartbeat(Heartbeat),
+    /// Which membership is in force? I know of this epoch.
+    AskView {
+        /// The epoch known to the sender.
+        epoch: u64,
+    },
+    /// This membership has been decided.
+    ViewIs {
+        /// The membership.
+        members: Members,
+    },
+    /// Promise to take part in nothing lower, and seal the epoch before.
+    Prepare {
+        /// The epoch that is to be decided.
+        epoch: u64,
+        /// The ballot.
+        ballot: Ballot,
+    },
+    /// Promised, sealed and durable.
+    Promise {
+        /// The epoch that is to be decided.
+        epoch: u64,
+        /// The ballot.
+        ballot: Ballot,
+        /// What the sender has accepted before.
+        accepted: Option<(Ballot, Members)>,
+        /// Whether the sender holds everything that may have been committed.
+        full: bool,
+        /// The sender's last durable entry.
+        last: u64,
+    },
+    /// Accept this value.
+    Accept {
+        /// The ballot.
+        ballot: Ballot,
+        /// The value.
+        members: Members,
+    },
+    /// Accepted and durable.
+    Accepted {
+        /// The epoch that is to be decided.
+        epoch: u64,
+        /// The ballot.
+        ballot: Ballot,
+    },
+    /// A higher ballot has been promised.
+    Rejected {
+        /// The epoch that is to be decided.
+        epoch: u64,
+        /// The promised ballot.
+        promised: Ballot,
+    },
+}
+
+/// Any message of the control group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ChainMessage {
+    /// Between the replicas.
+    Replica(ReplicaMessage),
+    /// Between the voters.
+    Agreement(AgreementMessage),
+}
--- /dev/null
+++ b/system/chain/src/record.rs
@@ -0,0 +1,69 @@
+//! What a member keeps on its disk, in the order in which it was written.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Ballot, Members, View};
+
+/// One durable record. The host encodes records in the order given, and feeds them back in that order after a restart.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LogRecord {
+    /// A view has been installed. `full` says whether this member holds everything committed in the views before.
+    View {
+        /// The view.
+        view: View,
+        /// Whether this member holds everything that was committed before.
+        full: bool,
+    },
+    /// This member has caught up in a view, and counts in it from here on.
+    Full {
+        /// The view's epoch.
+        epoch: u64,
+    },
+    /// This member takes part in nothing more of this epoch.
+    Sealed {
+        /// The sealed epoch.
+        epoch: u64,
+    },
+    /// One entry of the log.
+    Entry {
+        /// The epoch in which it was written here.
+        epoch: u64,
+        /// Its number.
+        seq: u64,
+        /// Up to where the log was known to be committed when this was written.
+        committed: u64,
+        /// The command.
+        command: Vec<u8>,
+    },
+    /// The entries after this number are void.
+    Truncate {
+        /// The last entry that stays.
+        after: u64,
+    },
+    /// The state after an entry; everything before is void.
+    Snapshot {
+        /// The last entry in the state.
+        seq: u64,
+        /// The state, as the host encoded it.
+        bytes: Vec<u8>,
+    },
+    /// A membership of the control group has been learned.
+    Members {
+        /// The membership.
+        members: Members,
+    },
+    /// A ballot for the next membership has been promised. It also seals the epoch before.
+    Promise {
+        /// The epoch that is to be decided.
+        epoch: u64,
+        /// The ballot.
+        ballot: Ballot,
+    },
+    /// A value for the next membership has been accepted. It also seals the epoch before.
+    Accepted {
+        /// The ballot.
+        ballot: Ballot,
+        /// The value; its epoch is the one that is to be decided.
+        members: Members,
+    },
+}
--- /dev/null
+++ b/system/chain/src/settings.rs
@@ -0,0 +1,104 @@
+//! The bounds and time spans of a replica and of the control group.
+
+use std::time::Duration;
+
+/// Bounds of one replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaSettings {
+    /// The shortest chain that commits: one more than the disks that may be lost at once.
+    pub min_chain: usize,
+    /// Most entries in one message.
+    pub batch_entries: usize,
+    /// Most bytes of commands in one message (a single larger command goes alone).
+    pub batch_bytes: usize,
+    /// Most entries on their way to a successor without its acknowledgement.
+    pub window_entries: u64,
+    /// Most entries the head holds that aren't committed; more are refused as busy.
+    pub uncommitted_entries: u64,
+    /// Most bytes of commands the head holds that aren't committed.
+    pub uncommitted_bytes: usize,
+    /// Committed entries kept in memory for members that come back.
+    pub retain_entries: usize,
+    /// Bytes of committed entries kept in memory for members that come back.
+    pub retain_bytes: usize,
+    /// Bytes of a snapshot in one message.
+    pub chunk_bytes: usize,
+    /// Largest snapshot taken from another member.
+    pub snapshot_bytes: usize,
+    /// Sent again when not acknowledged for this long.
+    pub resend: Duration,
+    /// A read that isn't confirmed by then fails.
+    pub read_timeout: Duration,
+    /// Most reads that wait at once.
+    pub reads: usize,
+}
+
+impl Default for ReplicaSettings {
+    fn default() -> Self {
+        Self {
+            min_chain: 2,
+            batch_entries: 256,
+            batch_bytes: 256 * 1024,
+            window_entries: 2048,
+            uncommitted_entries: 4096,
+            uncommitted_bytes: 8 * 1024 * 1024,
+            retain_entries: 1024,
+            retain_bytes: 4 * 1024 * 1024,
+            chunk_bytes: 128 * 1024,
+            snapshot_bytes: 64 * 1024 * 1024,
+            resend: Duration::from_millis(200),
+            read_timeout: Duration::from_millis(1000),
+            reads: 1024,
+        }
+    }
+}
+
+/// Bounds and time spans of the control group. `fault_tolerance` is `faultTolerance.machines` of the deployment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// How many disks may be lost at once.
+    pub fault_tolerance: usize,
+    /// How many voters to strive for; at least `2 * fault_tolerance + 1`.
+    pub target_voters: usize,
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
+    /// A member not heard of for this long is left out of the chain.
+    pub suspect: Duration,
+    /// A voter not heard of for this long is replaced, where another member stands ready.
+    pub replace_after: Duration,
+    /// A member whose disk hasn't answered for this long leaves the chain by itself.
+    pub disk_suspect: Duration,
+    /// How long a proposer waits for more than a majority.
+    pub promise_grace: Duration,
+    /// Shortest pause before an unfinished change of view is tried again; the pause is drawn up to three times this.
+    pub retry: Duration,
+    /// Time between the numbered barriers that the head sends through the chain.
+    pub tick_every: Duration,
+    /// A learner at most this many entries behind is taken into the chain.
+    pub learner_reach: u64,
+    /// Most members known that are no voters.
+    pub candidates: usize,
+    /// Bounds of the replica. `min_chain` is taken from `fault_tolerance`.
+    pub replica: ReplicaSettings,
+}
+
+impl Settings {
+    /// The usual settings for a fault tolerance.
+    pub fn new(fault_tolerance: usize) -> Self {
+        let replica = ReplicaSettings { min_chain: fault_tolerance + 1, ..ReplicaSettings::default() };
+        Self {
+            fault_tolerance,
+            target_voters: 2 * fault_tolerance + 1,
+            heartbeat: Duration::from_millis(150),
+            suspect: Duration::from_millis(700),
+            replace_after: Duration::from_secs(4),
+            disk_suspect: Duration::from_secs(1),
+            promise_grace: Duration::from_millis(60),
+            retry: Duration::from_millis(150),
+            tick_every: Duration::from_millis(250),
+            learner_reach: 256,
+            candidates: 16,
+            replica,
+        }
+    }
+}
--- a/system/protocol/src/lib.rs
+++ b/system/protocol/src/lib.rs
@@ -1,1 +1,18 @@
-//! What the rollout scheduler speaks to the outside: settings, configuration, heartbeats, orders, batch jobs.
+//! What the rollout scheduler speaks to the outside: the settings of a process, the operator's configuration,
+//! heartbeats of stores, orders to stores, batch jobs, and the verdict that says whether a request may have run.
+
+mod batch;
+mod configuration;
+mod heartbeat;
+mod settings;
+mod validate;
+mod verdict;
+
+pub use batch::{Item, ItemState, ListedResult, ResultPage, ScoringEndpoint, SubmittedJob};
+pub use configuration::{Configuration, Engine, Limits, Model, Route, RouteKind, Service, Split};
+pub use heartbeat::{Heartbeat, HeartbeatReply, LoadedModel, Order, Report, StoreState};
+pub use settings::{
+    Bounds, FaultTolerance, Listen, ProcessLimits, Settings, SettingsError, SETTINGS_VARIABLE,
+};
+pub use validate::{read_configuration, Invalid};
+pub use verdict::Verdict;
--- /dev/null
+++ b/system/wire/src/jobs.rs
@@ -0,0 +1,229 @@
+//! Messages between edges and backends, and the records of batch jobs.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// How many partitions batch jobs are spread over.
+pub const PARTITIONS: u16 = 64;
+
+/// The id of a batch job, as its trainer gave it.
+pub type JobId = String;
+/// Rises each time that a batch job gets another driver; a driver with an older one is refused.
+pub type DriverTerm = u64;
+
+/// The partition of a batch job: FNV-1a of its id.
+pub fn partition_of(job: &str) -> u16 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    let hash = job.bytes().fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME));
+    (hash % u64::from(PARTITIONS)) as u16
+}
+
+/// A batch job as it is kept.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// Its id.
+    pub id: JobId,
+    /// The host that it was sent to.
+    pub host: String,
+    /// The path that it was sent to; host and path pick its route anew whenever it is driven.
+    pub path: String,
+    /// The trainer's step.
+    pub step: u64,
+    /// The model.
+    pub model: String,
+    /// The oldest version of weights allowed.
+    pub min_version: u64,
+    /// How many whole groups the trainer waits for.
+    pub desired: u64,
+    /// Time of day of its first send as far as the edge knows, in milliseconds since 1970.
+    pub accepted_unix_ms: u64,
+    /// Its items, in the trainer's order.
+    pub items: Vec<ItemRecord>,
+}
+
+/// One item as it is kept.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ItemRecord {
+    /// Its id.
+    pub id: String,
+    /// The path of its request.
+    pub path: String,
+    /// Headers of its request.
+    pub headers: Vec<(String, String)>,
+    /// The decoded body.
+    pub body: Vec<u8>,
+    /// Tokens of the prompt and most out.
+    pub tokens: u64,
+    /// Its group.
+    pub group: String,
+    /// Its reward call.
+    pub scoring: Option<ScoringRecord>,
+}
+
+/// A reward call as it is kept.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ScoringRecord {
+    /// Its id.
+    pub id: String,
+    /// The host whose route is taken.
+    pub host: String,
+    /// The path.
+    pub path: String,
+    /// The decoded body.
+    pub body: Vec<u8>,
+}
+
+/// One result as it is kept; its position is its place in the list of its batch job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ResultRecord {
+    /// The index of its item in the batch job.
+    pub item: u32,
+    /// True: completed; false: abandoned.
+    pub completed: bool,
+    /// The data of all events, parted by line feeds.
+    pub text: Vec<u8>,
+    /// Versions of weights that made it.
+    pub versions: Vec<u64>,
+    /// The stamp of the reward call's success.
+    pub score: String,
+}
+
+/// What an edge asks of a backend.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum JobsRequest {
+    /// Keep a batch job (head). The asking edge drives it if nobody does.
+    Create {
+        /// The batch job.
+        job: Arc<JobRecord>,
+    },
+    /// Keep results (head). Those of items that have one already are passed over.
+    Append {
+        /// The batch job.
+        job: JobId,
+        /// The driver's term.
+        term: DriverTerm,
+        /// The results.
+        results: Vec<ResultRecord>,
+    },
+    /// End a batch job (head).
+    End {
+        /// The batch job.
+        job: JobId,
+    },
+    /// Read results (tail).
+    Read {
+        /// The batch job.
+        job: JobId,
+        /// The first position wanted.
+        start_after: u64,
+        /// How long it may wait for one, in milliseconds.
+        wait_ms: u64,
+        /// The most bytes of results.
+        max_bytes: u64,
+    },
+    /// The body of an item (tail).
+    Body {
+        /// The batch job.
+        job: JobId,
+        /// The item's id.
+        item: String,
+    },
+    /// The driver of batch jobs of this partition lives (head).
+    Renew {
+        /// Batch jobs with the driver's terms.
+        jobs: Vec<(JobId, DriverTerm)>,
+    },
+}
+
+/// What becomes of a driver's hold on a batch job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RenewState {
+    /// It still drives it.
+    Held,
+    /// The batch job is ended, or all results are there.
+    Ended,
+    /// Another drives it.
+    Fenced,
+}
+
+/// A backend's answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum JobsAnswer {
+    /// Kept by the whole chain, now or before. `drive` holds the asking edge's term where it is the driver.
+    Created {
+        /// The term under which the asking edge drives the batch job; none if another does or it has ended.
+        drive: Option<DriverTerm>,
+    },
+    /// Kept by the whole chain.
+    Appended,
+    /// The term is an older one.
+    Fenced,
+    /// The batch job is ended; the whole chain knows.
+    Ended,
+    /// Results from the position asked for.
+    Page {
+        /// Items of the batch job.
+        total: u64,
+        /// Results with their items' ids, by position.
+        results: Vec<(String, ResultRecord)>,
+        /// Whether the batch job is ended.
+        ended: bool,
+    },
+    /// The body of an item that isn't listed yet.
+    Body(Vec<u8>),
+    /// There is surely no such batch job, or no such item that isn't listed.
+    Unknown,
+    /// States of the batch jobs asked about, in order.
+    Renewed(Vec<RenewState>),
+    /// This backend is not the one to ask, or can't be sure now; nothing was changed by this message, but an earlier copy
+    /// of the same request may have been taken.
+    NotNow,
+    /// No room; this request was not taken and never will be.
+    Full,
+}
+
+/// One message between an edge and a backend.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum JobsMessage {
+    /// From an edge.
+    Ask {
+        /// Chosen by the edge; the answer carries it.
+        request: u64,
+        /// Where the answer goes.
+        reply_to: SocketAddr,
+        /// The edge's incarnation.
+        edge: u64,
+        /// The partition.
+        partition: u16,
+        /// The epoch of the partition's chain that the edge knows.
+        epoch: u64,
+        /// What is asked.
+        body: JobsRequest,
+    },
+    /// From a backend.
+    Answer {
+        /// From the question.
+        request: u64,
+        /// The answer.
+        body: JobsAnswer,
+    },
+    /// From the head: drive this batch job from now on. The edge shows by `Renew` that it does.
+    Drive {
+        /// The batch job.
+        job: Arc<JobRecord>,
+        /// The term.
+        term: DriverTerm,
+        /// Items that have results.
+        listed: Vec<u32>,
+    },
+    /// From the head: stop what is under way for a batch job.
+    Stop {
+        /// The batch job.
+        job: JobId,
+        /// The term.
+        term: DriverTerm,
+    },
+}
--- a/system/wire/src/lib.rs
+++ b/system/wire/src/lib.rs
@@ -1,1 +1,64 @@
-//! The internal messages of the rollout scheduler and the records that they carry.
+//! The internal messages of the rollout scheduler, and the records that they carry. Every message is one [`Envelope`];
+//! each plane has a module here with its own part of it. Nothing in this crate does I/O.
+
+mod command;
+mod control;
+mod jobs;
+mod node;
+mod registry;
+mod relay;
+
+use serde::{Deserialize, Serialize};
+
+pub use command::{Command, Outcome, RetireState};
+pub use control::{BackendReport, ControlMessage};
+pub use jobs::{
+    partition_of, DriverTerm, ItemRecord, JobId, JobRecord, JobsAnswer, JobsMessage, JobsRequest, RenewState,
+    ResultRecord, ScoringRecord, PARTITIONS,
+};
+pub use node::{NodeRecord, Role};
+pub use registry::{
+    Coordinator, Entry, Key, PartitionRecord, Registry, StoreRecord, Value, MAX_ENTRIES, TOMBSTONE_RANK,
+};
+pub use relay::{RelayMessage, Tick};
+
+/// A message of the control chain.
+pub type ChainMessage = Vec<u8>;
+/// A message of the lease.
+pub type LeaseMessage = Vec<u8>;
+/// A message of a partition's chain.
+pub type ReplicaMessage = Vec<u8>;
+
+/// One internal message.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Envelope {
+    /// Among control nodes: the control chain and its views.
+    Chain {
+        /// The sender's member identity.
+        from: u64,
+        /// The message, encoded by the chain's own types.
+        message: ChainMessage,
+    },
+    /// Among control nodes: the coordinator's lease.
+    Lease {
+        /// The sender's member identity.
+        from: u64,
+        /// The message.
+        message: LeaseMessage,
+    },
+    /// Between any node and a control node.
+    Control(ControlMessage),
+    /// The relay tree.
+    Relay(RelayMessage),
+    /// Between edges and backends.
+    Jobs(JobsMessage),
+    /// Between backends: one partition's chain.
+    Partition {
+        /// The partition.
+        partition: u16,
+        /// The sender's member identity.
+        from: u64,
+        /// The message.
+        message: ReplicaMessage,
+    },
+}
--- /dev/null
+++ b/system/wire/src/relay.rs
@@ -0,0 +1,61 @@
+//! Messages of the relay tree, which brings the registry from the control nodes to all others.
+
+use serde::{Deserialize, Serialize};
+
+use crate::registry::Entry;
+
+/// A proof of freshness: numbered by the head of the control chain, sent on only once the whole chain has passed it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Tick {
+    /// The epoch of the control chain's view.
+    pub epoch: u64,
+    /// Rises within the epoch.
+    pub number: u64,
+}
+
+/// One message between a parent and a child of the tree.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum RelayMessage {
+    /// A node asks to become a child. Its copy is described by one hash for each bucket of keys.
+    Subscribe {
+        /// Drawn anew for each try, so that late answers are told apart.
+        subscription: u64,
+        /// The hash of the copy's entries, by bucket.
+        digest: Vec<u64>,
+    },
+    /// The parent has taken the child; what differs follows as updates.
+    Accepted {
+        /// From the subscription.
+        subscription: u64,
+    },
+    /// The parent has no room, or is not fresh itself; others to ask.
+    Declined {
+        /// From the subscription.
+        subscription: u64,
+        /// Nodes that may have room.
+        others: Vec<std::net::SocketAddr>,
+    },
+    /// Entries that are new, in order of `sequence` without gaps within one subscription.
+    Update {
+        /// From the subscription.
+        subscription: u64,
+        /// From 1, by one for each update.
+        sequence: u64,
+        /// What is new.
+        entries: Vec<Entry>,
+        /// The newest tick that the parent has seen.
+        tick: Tick,
+    },
+    /// The child lives, and has taken everything up to a sequence.
+    Received {
+        /// From the subscription.
+        subscription: u64,
+        /// The newest sequence taken.
+        sequence: u64,
+    },
+    /// Either side ends it.
+    Leave {
+        /// From the subscription.
+        subscription: u64,
+    },
+}
