--- /dev/null
+++ b/system/standin/src/lib.rs
@@ -0,0 +1,15 @@
+//! Stand-ins for the tests and the demonstration of the rollout scheduler: model stores that keep a ledger of what they ran,
+//! an operator and trainers that speak to the system as the platform's do, and a fleet of the real programs on loopback.
+//! Never shipped.
+
+mod call;
+mod fleet;
+mod operator;
+mod store;
+mod trainer;
+
+pub use call::{call, Answer, CallError};
+pub use fleet::{Fleet, FleetError, Node, NodeClass};
+pub use operator::{configuration, Operator};
+pub use store::{Ledger, Store, StoreSettings};
+pub use trainer::{Step, Trainer};
