Keep records in a ring of preallocated files, and commit waiting batches together

First version of the storage crate: Disk with FileDisk and ForgetfulDisk, Ring (batches of frames with crc32, position, batch number and epoch; two superblocks), Writer with group commit.

--- /dev/null
+++ b/system/storage/src/forgetful/state.rs
@@ -0,0 +1,260 @@
+//! What the folder holds, what of it is durable, and what a loss of power leaves.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::ops::Range;
+
+use crate::layout::SECTOR_BYTES;
+use crate::DiskFile;
+
+use super::power_is_off;
+
+/// The folder, its faults and its counters.
+#[derive(Debug, Default)]
+pub(super) struct State {
+    files: BTreeMap<u64, MemoryFile>,
+    next_file: u64,
+    /// Names as the process sees them, and as they were at the last sync of the folder.
+    names: BTreeMap<String, u64>,
+    durable_names: BTreeMap<String, u64>,
+    /// Operations until the power goes, if it is to go.
+    pub operations_left: Option<u64>,
+    /// The power has gone.
+    power_is_off: bool,
+    pub operations: u64,
+    pub bytes_read: u64,
+    pub fail_writes: bool,
+    pub fail_syncs: bool,
+    pub full: bool,
+}
+
+/// A file: what the process reads, what is durable, and the writes between the two.
+#[derive(Debug, Default)]
+pub(super) struct MemoryFile {
+    pub visible: Vec<u8>,
+    durable: Vec<u8>,
+    pending: Vec<Change>,
+}
+
+/// A change that no sync has covered.
+#[derive(Debug)]
+enum Change {
+    Length(usize),
+    Write(usize, Vec<u8>),
+}
+
+impl State {
+    pub fn list(&self) -> io::Result<Vec<DiskFile>> {
+        self.check_power()?;
+        let lengths = self.names.iter().filter_map(|(name, id)| Some((name, self.files.get(id)?)));
+        Ok(lengths
+            .map(|(name, file)| DiskFile { name: name.clone(), length: file.visible.len() as u64 })
+            .collect())
+    }
+
+    pub fn create(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.count_operation()?;
+        if self.full {
+            return Err(io::Error::other("no space is left on the disk"));
+        }
+        if !self.names.contains_key(name) {
+            self.names.insert(name.to_owned(), self.next_file);
+            self.files.insert(self.next_file, MemoryFile::default());
+            self.next_file += 1;
+        }
+        self.file_mut(name)?.change(Change::Length(length as usize));
+        Ok(())
+    }
+
+    pub fn read_at(&mut self, name: &str, offset: u64, buffer: &mut [u8]) -> io::Result<()> {
+        self.check_power()?;
+        let visible = &self.file(name)?.visible;
+        let from = usize::try_from(offset).unwrap_or(usize::MAX);
+        let found = visible.get(from..).and_then(|rest| rest.get(..buffer.len()));
+        buffer.copy_from_slice(found.ok_or(io::ErrorKind::UnexpectedEof)?);
+        self.bytes_read += buffer.len() as u64;
+        Ok(())
+    }
+
+    pub fn write_at(&mut self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        self.check_power()?;
+        let power = self.count_operation();
+        if self.fail_writes {
+            return Err(io::Error::other("the disk refuses writes"));
+        }
+        if self.full {
+            return Err(io::Error::other("no space is left on the disk"));
+        }
+        // The write in which the power goes may have reached the disk.
+        self.file_mut(name)?.change(Change::Write(offset as usize, bytes.to_vec()));
+        power
+    }
+
+    pub fn sync_file(&mut self, name: &str) -> io::Result<()> {
+        self.count_operation()?;
+        let (fail, seed) = (self.fail_syncs, self.operations);
+        let file = self.file_mut(name)?;
+        if fail {
+            file.abandon(&mut Seeded::new(seed));
+            return Err(io::Error::other("the disk refuses syncs"));
+        }
+        file.sync();
+        Ok(())
+    }
+
+    pub fn sync_folder(&mut self) -> io::Result<()> {
+        self.count_operation()?;
+        self.durable_names = self.names.clone();
+        Ok(())
+    }
+
+    pub fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.count_operation()?;
+        self.names.remove(name).map(|_| ()).ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+
+    pub fn file(&self, name: &str) -> io::Result<&MemoryFile> {
+        let id = self.names.get(name).ok_or(io::ErrorKind::NotFound)?;
+        self.files.get(id).ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+
+    fn file_mut(&mut self, name: &str) -> io::Result<&mut MemoryFile> {
+        let id = self.names.get(name).ok_or(io::ErrorKind::NotFound)?;
+        self.files.get_mut(id).ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+
+    pub fn switch_on(&mut self) {
+        self.operations_left = None;
+        self.power_is_off = false;
+    }
+
+    fn check_power(&self) -> io::Result<()> {
+        if self.power_is_off {
+            return Err(power_is_off());
+        }
+        Ok(())
+    }
+
+    /// Counts an operation that changes something; an error if the power goes before it ends.
+    fn count_operation(&mut self) -> io::Result<()> {
+        self.check_power()?;
+        self.operations += 1;
+        match &mut self.operations_left {
+            Some(0) => self.power_is_off = true,
+            Some(left) => *left -= 1,
+            None => {}
+        }
+        self.check_power()
+    }
+
+    pub fn flip_bit(&mut self, name: &str, offset: u64, bit: u8) {
+        let Ok(file) = self.file_mut(name) else { return };
+        for bytes in [&mut file.visible, &mut file.durable] {
+            if let Some(byte) = bytes.get_mut(offset as usize) {
+                *byte ^= 1 << (bit % 8);
+            }
+        }
+    }
+
+    pub fn lose_power(&mut self, seeded: &mut Seeded, lose_all: bool) {
+        let mut names = BTreeMap::new();
+        let all: BTreeSet<&String> = self.names.keys().chain(self.durable_names.keys()).collect();
+        for name in all {
+            let (visible, durable) = (self.names.get(name), self.durable_names.get(name));
+            let kept = if lose_all || seeded.below(2) == 0 { durable } else { visible };
+            if let Some(id) = kept {
+                names.insert(name.clone(), *id);
+            }
+        }
+        self.files.retain(|id, _| names.values().any(|kept| kept == id));
+        self.files.values_mut().for_each(|file| file.lose_power(seeded, lose_all));
+        self.durable_names = names.clone();
+        self.names = names;
+    }
+}
+
+impl MemoryFile {
+    fn change(&mut self, change: Change) {
+        change.apply(&mut self.visible);
+        self.pending.push(change);
+    }
+
+    fn sync(&mut self) {
+        for change in self.pending.drain(..) {
+            change.apply(&mut self.durable);
+        }
+    }
+
+    /// A failed sync: some of the changes became durable, and no later sync covers the others.
+    fn abandon(&mut self, seeded: &mut Seeded) {
+        for change in self.pending.drain(..) {
+            change.apply_some(&mut self.durable, seeded);
+        }
+    }
+
+    fn lose_power(&mut self, seeded: &mut Seeded, lose_all: bool) {
+        if lose_all {
+            self.pending.clear();
+        }
+        self.abandon(seeded);
+        self.visible.clone_from(&self.durable);
+    }
+}
+
+impl Change {
+    fn apply(&self, bytes: &mut Vec<u8>) {
+        match self {
+            Self::Length(length) => bytes.resize(*length, 0),
+            Self::Write(offset, written) => overwrite(bytes, *offset, written, 0..written.len()),
+        }
+    }
+
+    /// There, missing, or torn: either after some byte or sector by sector.
+    fn apply_some(&self, bytes: &mut Vec<u8>, seeded: &mut Seeded) {
+        match (self, seeded.below(4)) {
+            (_, 0) => {}
+            (Self::Length(_), _) | (_, 1) => self.apply(bytes),
+            (Self::Write(offset, written), 2) => {
+                overwrite(bytes, *offset, written, 0..seeded.below(written.len() + 1));
+            }
+            (Self::Write(offset, written), _) => {
+                for start in (0..written.len()).step_by(SECTOR_BYTES as usize) {
+                    let end = written.len().min(start + SECTOR_BYTES as usize);
+                    if seeded.below(2) == 0 {
+                        overwrite(bytes, *offset, written, start..end);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Writes a part of what was written; the file grows if need be.
+fn overwrite(bytes: &mut Vec<u8>, offset: usize, written: &[u8], part: Range<usize>) {
+    let (start, end) = (offset + part.start, offset + part.end);
+    if bytes.len() < end {
+        bytes.resize(end, 0);
+    }
+    if let (Some(target), Some(source)) = (bytes.get_mut(start..end), written.get(part)) {
+        target.copy_from_slice(source);
+    }
+}
+
+/// A small generator of random numbers (SplitMix64), so that a seed decides all.
+pub(super) struct Seeded {
+    state: u64,
+}
+
+impl Seeded {
+    pub fn new(seed: u64) -> Self {
+        Self { state: seed }
+    }
+
+    fn below(&mut self, bound: usize) -> usize {
+        self.state = self.state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.state;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        ((mixed ^ (mixed >> 31)) % bound as u64) as usize
+    }
+}
--- /dev/null
+++ b/system/storage/src/layout.rs
@@ -0,0 +1,111 @@
+//! Where a position of the log lies: the mapping of one endless address space onto a ring of files.
+//!
+//! Positions count bytes from the first batch ever and never repeat, so a batch left from an earlier round cannot
+//! pass for one of this round. Each file starts with a header block, in which only superblocks are kept; the rest
+//! of the files, one after the other and round again, holds the log. A batch may cross from a file to the next.
+
+use std::ops::Range;
+
+use snafu::ensure;
+
+use crate::error::SettingsSnafu;
+use crate::StorageError;
+
+/// The unit of alignment: a batch shares no sector with another, so no write touches an acknowledged sector.
+pub(crate) const SECTOR_BYTES: u64 = 512;
+/// What each file keeps free at its start for superblocks.
+pub(crate) const FILE_HEADER_BYTES: u64 = 4096;
+/// Bound on the files of a ring; each stays open.
+const MAX_FILES: u64 = 256;
+/// Bound on the length of a file, so that positions cannot overflow.
+const MAX_FILE_BYTES: u64 = 1 << 40;
+const FILE_PREFIX: &str = "ring-";
+
+/// The shape of a new ring. A ring that is on the disk already keeps the shape it was made with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RingSettings {
+    /// Number of files, from 2 to 256.
+    pub files: usize,
+    /// Length of each file; rounded down to a multiple of 4,096, at least 8,192.
+    pub file_bytes: u64,
+}
+
+/// The shape of a ring, checked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Layout {
+    files: u64,
+    file_bytes: u64,
+}
+
+/// A part of a range of positions that lies in one file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Piece {
+    /// Index of the file.
+    pub file: u64,
+    /// Offset in the file.
+    pub offset: u64,
+    /// The part of the range, counted from its start.
+    pub range: Range<usize>,
+}
+
+impl Layout {
+    pub fn new(settings: RingSettings) -> Result<Self, StorageError> {
+        Self::checked(settings.files as u64, settings.file_bytes - settings.file_bytes % FILE_HEADER_BYTES)
+    }
+
+    pub fn checked(files: u64, file_bytes: u64) -> Result<Self, StorageError> {
+        ensure!((2..=MAX_FILES).contains(&files), SettingsSnafu { reason: "the files must be 2 to 256" });
+        let bounds = 2 * FILE_HEADER_BYTES..=MAX_FILE_BYTES;
+        ensure!(bounds.contains(&file_bytes), SettingsSnafu { reason: "a file must have 8 KiB to 1 TiB" });
+        ensure!(file_bytes % SECTOR_BYTES == 0, SettingsSnafu { reason: "a file must end with a sector" });
+        Ok(Self { files, file_bytes })
+    }
+
+    pub fn files(&self) -> u64 {
+        self.files
+    }
+
+    pub fn file_bytes(&self) -> u64 {
+        self.file_bytes
+    }
+
+    /// Bytes of log that fit in the ring.
+    pub fn capacity(&self) -> u64 {
+        self.files * self.data_bytes()
+    }
+
+    fn data_bytes(&self) -> u64 {
+        self.file_bytes - FILE_HEADER_BYTES
+    }
+
+    /// The file and the offset in it of a position.
+    pub fn locate(&self, position: u64) -> (u64, u64) {
+        let address = position % self.capacity();
+        (address / self.data_bytes(), FILE_HEADER_BYTES + address % self.data_bytes())
+    }
+
+    /// The parts of a range of positions, in order; each lies in one file.
+    pub fn pieces(self, position: u64, length: usize) -> impl Iterator<Item = Piece> {
+        let mut done = 0;
+        std::iter::from_fn(move || {
+            if done == length {
+                return None;
+            }
+            let (file, offset) = self.locate(position + done as u64);
+            let room = usize::try_from(self.file_bytes - offset).unwrap_or(usize::MAX);
+            let range = done..done + room.min(length - done);
+            done = range.end;
+            Some(Piece { file, offset, range })
+        })
+    }
+}
+
+/// The name of a file of the ring.
+pub(crate) fn file_name(index: u64) -> String {
+    format!("{FILE_PREFIX}{index:03}")
+}
+
+/// Whether a file of the folder belongs to a ring.
+pub(crate) fn is_ring_file(name: &str) -> bool {
+    name.starts_with(FILE_PREFIX)
+}
--- /dev/null
+++ b/system/storage/src/recovery/assembly.rs
@@ -0,0 +1,65 @@
+//! Putting records together from the frames of a batch.
+
+use crate::frame::LENGTH_BYTES;
+
+/// The records of a batch, as far as its frames have been read.
+pub(super) struct Assembly {
+    records: Vec<Vec<u8>>,
+    prefix: Vec<u8>,
+    /// The record being filled and its length.
+    current: Option<(Vec<u8>, usize)>,
+    /// Bound on what a record may claim to be.
+    batch_bytes: u64,
+}
+
+impl Assembly {
+    pub fn new(batch_bytes: u64) -> Self {
+        Self { records: Vec::new(), prefix: Vec::with_capacity(LENGTH_BYTES), current: None, batch_bytes }
+    }
+
+    /// Takes the body of the next frame; false if a record would be longer than its batch.
+    pub fn push(&mut self, mut bytes: &[u8]) -> bool {
+        while !bytes.is_empty() {
+            match &mut self.current {
+                None => {
+                    take(&mut self.prefix, LENGTH_BYTES, &mut bytes);
+                    if !self.start_record() {
+                        return false;
+                    }
+                }
+                Some((record, length)) => take(record, *length, &mut bytes),
+            }
+            self.end_record();
+        }
+        true
+    }
+
+    fn start_record(&mut self) -> bool {
+        let Some(prefix) = self.prefix.first_chunk::<LENGTH_BYTES>() else { return true };
+        let length = u32::from_le_bytes(*prefix);
+        if u64::from(length) > self.batch_bytes {
+            return false;
+        }
+        self.prefix.clear();
+        self.current = Some((Vec::with_capacity(length as usize), length as usize));
+        true
+    }
+
+    fn end_record(&mut self) {
+        if let Some((record, _)) = self.current.take_if(|(record, length)| record.len() == *length) {
+            self.records.push(record);
+        }
+    }
+
+    /// All records, if the last one is whole.
+    pub fn finish(self) -> Option<Vec<Vec<u8>>> {
+        (self.current.is_none() && self.prefix.is_empty()).then_some(self.records)
+    }
+}
+
+/// Moves bytes until the target has this length.
+fn take(target: &mut Vec<u8>, length: usize, bytes: &mut &[u8]) {
+    let (now, later) = bytes.split_at((length - target.len()).min(bytes.len()));
+    target.extend_from_slice(now);
+    *bytes = later;
+}
--- /dev/null
+++ b/system/storage/src/recovery/reader.rs
@@ -0,0 +1,72 @@
+//! Reading the log forwards through one buffer.
+
+use crate::frame::{FrameHeader, FRAME_BYTES, FRAME_HEADER_BYTES};
+use crate::volume::Volume;
+use crate::{Disk, StorageError};
+
+/// What is read at once. Several frames, so that many small batches do not cost a read each.
+const READ_BYTES: usize = 4 * FRAME_BYTES;
+
+/// Reads the ring from a start on, never more than its capacity.
+pub(super) struct Reader<'a, D> {
+    volume: &'a mut Volume<D>,
+    end: u64,
+    buffer: Vec<u8>,
+    buffer_start: u64,
+}
+
+impl<'a, D: Disk> Reader<'a, D> {
+    pub fn new(volume: &'a mut Volume<D>, start: u64) -> Self {
+        let end = start + volume.layout.capacity();
+        Self { volume, end, buffer: Vec::new(), buffer_start: start }
+    }
+
+    pub fn capacity(&self) -> u64 {
+        self.volume.layout.capacity()
+    }
+
+    pub fn corrupt(&self, position: u64, reason: &'static str) -> StorageError {
+        self.volume.corrupt(position, reason)
+    }
+
+    /// The bytes at a position; fewer at the end of the ring.
+    pub fn bytes(&mut self, position: u64, length: usize) -> Result<&[u8], StorageError> {
+        let wanted = length.min(self.left(position));
+        if position < self.buffer_start || self.buffered(position) < wanted {
+            self.fill(position)?;
+        }
+        let from = (position - self.buffer_start) as usize;
+        Ok(self.buffer.get(from..from + wanted).unwrap_or_default())
+    }
+
+    /// The frame at a position, and its body; nothing unless both are whole.
+    pub fn frame(&mut self, position: u64) -> Result<Option<(FrameHeader, &[u8])>, StorageError> {
+        let Some(header) = FrameHeader::decode(self.bytes(position, FRAME_HEADER_BYTES)?) else {
+            return Ok(None);
+        };
+        let frame = self.bytes(position, FRAME_HEADER_BYTES + header.body_bytes as usize)?;
+        let body = frame.get(FRAME_HEADER_BYTES..).unwrap_or_default();
+        let whole = header.position == position
+            && body.len() == header.body_bytes as usize
+            && crc32fast::hash(body) == header.body_crc;
+        Ok(whole.then_some((header, body)))
+    }
+
+    fn left(&self, position: u64) -> usize {
+        usize::try_from(self.end.saturating_sub(position)).unwrap_or(usize::MAX)
+    }
+
+    fn buffered(&self, position: u64) -> usize {
+        let buffer_end = self.buffer_start + self.buffer.len() as u64;
+        buffer_end.saturating_sub(position) as usize
+    }
+
+    fn fill(&mut self, position: u64) -> Result<(), StorageError> {
+        let length = READ_BYTES.min(self.left(position));
+        self.buffer.clear();
+        self.buffer.resize(length, 0);
+        self.buffer_start = position;
+        let filled = self.volume.read(position, &mut self.buffer);
+        filled.inspect_err(|_| self.buffer.clear())
+    }
+}
--- /dev/null
+++ b/system/storage/src/ring.rs
@@ -0,0 +1,246 @@
+//! [`Ring`]: the log of records in its files.
+//!
+//! The log is a sequence of batches. A batch is written only after the one before it was synced. A snapshot is a
+//! batch that takes the place of all before it; once it is durable, a superblock that starts with it is written, and
+//! only once that is durable too, the space before it is used again.
+
+use snafu::ensure;
+
+use crate::batch::write_batch;
+use crate::error::{BrokenSnafu, FullSnafu};
+use crate::frame::{batch_bytes, Batch, BatchKind};
+use crate::layout::{file_name, is_ring_file, Layout, RingSettings};
+use crate::recovery::{read_log, Log};
+use crate::superblock::{read_slots, Slots, Superblock};
+use crate::volume::Volume;
+use crate::{Disk, StorageError};
+
+/// What was on the disk.
+#[derive(Debug, Default)]
+pub struct Recovered {
+    /// The records of the last snapshot.
+    pub snapshot: Vec<Vec<u8>>,
+    /// All records appended after it, in order.
+    pub records: Vec<Vec<u8>>,
+    /// The disk held no ring: this is a new member.
+    pub empty: bool,
+}
+
+/// A log of records in a ring of files.
+#[derive(Debug)]
+pub struct Ring<D: Disk> {
+    volume: Volume<D>,
+    /// The last superblock known to be durable.
+    superblock: Superblock,
+    /// Where the snapshot ends with which the log starts; the start of the log, if there is none.
+    snapshot_end: u64,
+    /// Position and number of the next batch.
+    head: u64,
+    next_batch: u64,
+    /// A write or a sync failed: what stands at the head is unknown.
+    broken: bool,
+    buffer: Vec<u8>,
+}
+
+impl<D: Disk> Ring<D> {
+    /// Opens the ring of a folder, or makes one if there is none. A ring that is there keeps its shape, whatever
+    /// the settings say.
+    pub fn open(mut disk: D, settings: RingSettings) -> Result<(Self, Recovered), StorageError> {
+        match read_slots(&mut disk)? {
+            Slots::Newest(superblock) => Self::recover(disk, superblock),
+            Slots::Empty => Self::create(disk, Layout::new(settings)?),
+            Slots::Unreadable => Err(StorageError::Corrupt {
+                file: file_name(0),
+                offset: 0,
+                reason: "no superblock is readable",
+            }),
+        }
+    }
+
+    fn create(mut disk: D, layout: Layout) -> Result<(Self, Recovered), StorageError> {
+        remove_unfinished(&mut disk)?;
+        for file in 0..layout.files() {
+            disk.create(&file_name(file), layout.file_bytes())?;
+            disk.sync_file(&file_name(file))?;
+        }
+        disk.sync_folder()?;
+        let mut volume = Volume { disk, layout };
+        let superblock = Superblock {
+            generation: 0,
+            epoch: 0,
+            layout,
+            start: 0,
+            start_batch: 1,
+            has_snapshot: false,
+            synced_to: 0,
+        };
+        superblock.write(&mut volume)?;
+        let ring = Self::start(volume, superblock, Log::empty(&superblock))?;
+        Ok((ring, Recovered { empty: true, ..Recovered::default() }))
+    }
+
+    fn recover(mut disk: D, superblock: Superblock) -> Result<(Self, Recovered), StorageError> {
+        check_files(&mut disk, &superblock.layout)?;
+        let mut volume = Volume { disk, layout: superblock.layout };
+        let mut log = read_log(&mut volume, &superblock)?;
+        // Both may have been read from the memory of the operating system only: after a kill between a write and
+        // its sync, or after a failed sync, which leaves pages that look clean. Written again, they are durable.
+        superblock.write(&mut volume)?;
+        if let Some(last) = log.last.filter(|last| last.end > superblock.synced_to) {
+            rewrite(&mut volume, &last)?;
+        }
+        let snapshot = std::mem::take(&mut log.snapshot);
+        let records = std::mem::take(&mut log.records);
+        let ring = Self::start(volume, superblock, log)?;
+        Ok((ring, Recovered { snapshot, records, empty: false }))
+    }
+
+    /// Starts a new epoch, so that the remains of an unfinished batch behind the head are never taken for a part of
+    /// what is written there now.
+    fn start(mut volume: Volume<D>, found: Superblock, log: Log) -> Result<Self, StorageError> {
+        let superblock = Superblock {
+            generation: found.generation + 1,
+            epoch: found.epoch.max(log.epoch()) + 1,
+            layout: found.layout,
+            start: log.start,
+            start_batch: log.start_batch,
+            has_snapshot: log.snapshot_end.is_some(),
+            synced_to: log.head,
+        };
+        superblock.write(&mut volume)?;
+        Ok(Self {
+            volume,
+            superblock,
+            snapshot_end: log.snapshot_end.unwrap_or(log.start),
+            head: log.head,
+            next_batch: log.next_batch,
+            broken: false,
+            buffer: Vec::new(),
+        })
+    }
+
+    /// Appends records; they are durable when this returns. One write and one sync, if they fit in one file.
+    ///
+    /// After an error other than [`StorageError::Full`] the records may or may not be there after a recovery, and the
+    /// ring takes no more of them until a snapshot has succeeded.
+    pub fn append(&mut self, records: &[Vec<u8>]) -> Result<(), StorageError> {
+        ensure!(!self.broken, BrokenSnafu);
+        if records.is_empty() {
+            return Ok(());
+        }
+        let needed = batch_bytes(records).unwrap_or(u64::MAX);
+        let free = self.append_limit().saturating_sub(self.used());
+        ensure!(needed <= free, FullSnafu { needed, free });
+        self.write(BatchKind::Append, records, needed)
+    }
+
+    /// Whether a snapshot should be taken soon: about half of the ring is used, or the ring waits for one after a
+    /// failed write.
+    pub fn needs_snapshot(&self) -> bool {
+        let between = (self.snapshot_bytes() + self.append_limit()) / 2;
+        self.broken || self.used() >= between.max(self.capacity() / 2)
+    }
+
+    /// Puts these records in the place of all that stood before. The old ones are valid until the new ones are
+    /// durable; then their space is free. A snapshot may take up to 7/16 of the ring.
+    pub fn snapshot(&mut self, records: &[Vec<u8>]) -> Result<(), StorageError> {
+        let needed = batch_bytes(records).unwrap_or(u64::MAX);
+        let free = (self.capacity() - self.used()).min(self.snapshot_limit());
+        ensure!(needed <= free, FullSnafu { needed, free });
+        if self.broken {
+            let epoch = self.superblock.epoch + 1;
+            self.write_superblock(Superblock { epoch, synced_to: self.head, ..self.superblock })?;
+        }
+        let (start, start_batch) = (self.head, self.next_batch);
+        self.write(BatchKind::Snapshot, records, needed)?;
+        self.broken = true;
+        let synced_to = self.head;
+        let next = Superblock { start, start_batch, has_snapshot: true, synced_to, ..self.superblock };
+        self.write_superblock(next)?;
+        self.snapshot_end = self.head;
+        self.broken = false;
+        Ok(())
+    }
+
+    fn write(&mut self, kind: BatchKind, records: &[Vec<u8>], bytes: u64) -> Result<(), StorageError> {
+        let end = self.head + bytes;
+        let batch =
+            Batch { kind, epoch: self.superblock.epoch, number: self.next_batch, start: self.head, end };
+        self.broken = true;
+        write_batch(&mut self.volume, batch, records, &mut self.buffer)?;
+        self.broken = false;
+        self.head = end;
+        self.next_batch += 1;
+        Ok(())
+    }
+
+    fn write_superblock(&mut self, next: Superblock) -> Result<(), StorageError> {
+        let next = Superblock { generation: self.superblock.generation + 1, ..next };
+        next.write(&mut self.volume)?;
+        self.superblock = next;
+        Ok(())
+    }
+
+    fn capacity(&self) -> u64 {
+        self.volume.layout.capacity()
+    }
+
+    fn used(&self) -> u64 {
+        self.head - self.superblock.start
+    }
+
+    fn snapshot_bytes(&self) -> u64 {
+        self.snapshot_end - self.superblock.start
+    }
+
+    /// Appends leave room for a snapshot of the length of the last one, and of an eighth of the ring at least.
+    fn append_limit(&self) -> u64 {
+        self.capacity() - self.snapshot_bytes().max(self.capacity() / 8)
+    }
+
+    /// Two snapshots have to fit, with room for appends between them.
+    fn snapshot_limit(&self) -> u64 {
+        self.capacity() / 16 * 7
+    }
+}
+
+/// Removes the files of a creation that was interrupted before anything could be written to them.
+fn remove_unfinished<D: Disk>(disk: &mut D) -> Result<(), StorageError> {
+    let files = disk.list()?;
+    let mut left = files.iter().filter(|file| is_ring_file(&file.name)).peekable();
+    if left.peek().is_none() {
+        return Ok(());
+    }
+    for file in left {
+        disk.remove(&file.name)?;
+    }
+    disk.sync_folder()
+}
+
+/// All files must be there: their names were durable before the first superblock was written.
+fn check_files<D: Disk>(disk: &mut D, layout: &Layout) -> Result<(), StorageError> {
+    let found = disk.list()?;
+    for file in (0..layout.files()).map(file_name) {
+        let length = found.iter().find(|found| found.name == file).map(|found| found.length);
+        if length.is_none_or(|length| length < layout.file_bytes()) {
+            let reason = if length.is_none() { "the file is missing" } else { "the file is too short" };
+            return Err(StorageError::Corrupt { file, offset: length.unwrap_or(0), reason });
+        }
+    }
+    Ok(())
+}
+
+/// Writes a batch again as it was read, and syncs it.
+fn rewrite<D: Disk>(volume: &mut Volume<D>, batch: &Batch) -> Result<(), StorageError> {
+    const PIECE_BYTES: u64 = 256 * 1024;
+    let mut buffer = Vec::new();
+    let mut position = batch.start;
+    while position < batch.end {
+        let length = PIECE_BYTES.min(batch.end - position);
+        buffer.resize(length as usize, 0);
+        volume.read(position, &mut buffer)?;
+        volume.write(position, &buffer)?;
+        position += length;
+    }
+    volume.sync(batch.start, batch.end)
+}
