Carry bincode frames between nodes over pooled, bounded TCP connections

Planes need best-effort messages between nodes. One outbound connection a peer, used one way, with a hello that tells the listen address; queues are kept as encoded bytes so that one write takes all that waits; the inbox is a byte-bounded channel that stops reading when full. A sound connection that its peer's machine ends is opened again at once, which tells a dead process (refused) from a restarted one.

--- /dev/null
+++ b/system/transport/src/backoff.rs
@@ -0,0 +1,69 @@
+//! When a connection to one peer may be tried again. Sans I/O: told of connections made and broken, it says from when on the next
+//! may be opened. Delays double from failure to failure up to a limit, each shortened at random by up to a half, so that nodes
+//! that lost a peer together do not return together.
+
+use std::time::Duration;
+
+/// The delays between attempts to reach one peer. Times are counted from one start of the caller's choice.
+#[derive(Debug, Clone)]
+pub struct Backoff {
+    first: Duration,
+    limit: Duration,
+    failures: u32,
+    connected: Option<Duration>,
+    ready: Duration,
+    random: u64,
+}
+
+impl Backoff {
+    /// Starts ready. Delays go from `first` to `limit`; the seed chooses their shortening.
+    pub fn new(first: Duration, limit: Duration, seed: u64) -> Self {
+        Self { first, limit, failures: 0, connected: None, ready: Duration::ZERO, random: seed }
+    }
+
+    /// From when on the next attempt may be made.
+    pub fn ready_at(&self) -> Duration {
+        self.ready
+    }
+
+    /// Whether an attempt may be made now.
+    pub fn is_ready(&self, now: Duration) -> bool {
+        now >= self.ready
+    }
+
+    /// A connection was made. Earlier failures count until it has lasted.
+    pub fn connected(&mut self, now: Duration) {
+        self.connected = Some(now);
+    }
+
+    /// An attempt failed, or a connection broke. One that had lasted for the longest delay was sound: the next attempt may be made
+    /// at once, and the delays start anew. Returns whether that is so.
+    pub fn failed(&mut self, now: Duration) -> bool {
+        let sound = self.connected.take().is_some_and(|since| now.saturating_sub(since) >= self.limit);
+        if sound {
+            self.failures = 0;
+            self.ready = now;
+        } else {
+            self.ready = now.saturating_add(self.next_delay());
+            self.failures = self.failures.saturating_add(1);
+        }
+        sound
+    }
+
+    fn next_delay(&mut self) -> Duration {
+        let factor = 1u32.checked_shl(self.failures).unwrap_or(u32::MAX);
+        let full = self.first.saturating_mul(factor).min(self.limit);
+        let half = full / 2;
+        half + half.mul_f64(self.next_fraction())
+    }
+
+    /// A number from 0 to 1, by SplitMix64.
+    fn next_fraction(&mut self) -> f64 {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.random;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^= mixed >> 31;
+        (mixed >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
--- /dev/null
+++ b/system/transport/src/inbound.rs
@@ -0,0 +1,241 @@
+//! Connections that others open: accepts a bounded number, learns from the first frame who sends, and reads messages into the
+//! inbox, as many at a time as have arrived. Bytes that are not this protocol's end their connection.
+
+use std::collections::{HashMap, HashSet};
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+use snafu::Snafu;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, Instant, Sleep};
+
+use crate::frame::{self, FrameError, Hello, LONGEST_HELLO_BYTES};
+use crate::inbox::{Incoming, EVENT_OVERHEAD_BYTES};
+use crate::network::Shared;
+use crate::receive::ReceiveBuffer;
+use crate::settings::NetworkSettings;
+use crate::socket;
+
+/// How long accepting rests after the system refuses it, for example for want of descriptors.
+const ACCEPT_REST: Duration = Duration::from_millis(100);
+
+/// The most addresses whose offences are remembered; each is logged as a warning once.
+const WARNED_ADDRESSES: usize = 256;
+
+/// A connection is given this many times the span after which its sender should have closed it.
+const IDLE_SPANS: u32 = 2;
+
+/// Accepts connections until the inbox is dropped.
+pub(crate) async fn accept<M: DeserializeOwned + Send + 'static>(
+    shared: Arc<Shared<M>>,
+    listener: TcpListener,
+) {
+    let senders = Arc::new(Senders::default());
+    let mut connections = JoinSet::new();
+    while !shared.inbox.is_closed() {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, remote)) if connections.len() < shared.settings.max_inbound => {
+                    connections.spawn(serve(Arc::clone(&shared), Arc::clone(&senders), stream, remote));
+                }
+                Ok((_, remote)) => senders.warn(remote, &"more connections than are accepted"),
+                Err(error) => {
+                    log::debug!("cannot accept: {error}");
+                    sleep(ACCEPT_REST).await;
+                }
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+/// Why a connection ended, where that is worth a word.
+#[derive(Debug, Snafu)]
+enum InboundError {
+    #[snafu(transparent)]
+    Frame { source: FrameError },
+    #[snafu(transparent)]
+    Connection { source: io::Error },
+}
+
+/// Serves one connection to its end.
+async fn serve<M>(shared: Arc<Shared<M>>, senders: Arc<Senders>, stream: TcpStream, remote: SocketAddr)
+where
+    M: DeserializeOwned,
+{
+    match read_connection(&shared, &senders, stream).await {
+        Ok(()) => {}
+        Err(InboundError::Connection { source }) => log::debug!("connection from {remote} broke: {source}"),
+        Err(InboundError::Frame { source }) => senders.warn(remote, &source),
+    }
+}
+
+/// Reads the hello, and then messages until the connection ends or its sender opens another.
+async fn read_connection<M>(
+    shared: &Shared<M>,
+    senders: &Senders,
+    stream: TcpStream,
+) -> Result<(), InboundError>
+where
+    M: DeserializeOwned,
+{
+    socket::prepare_accepted(&stream, &shared.settings)?;
+    let mut connection = Connection::new(stream, &shared.settings);
+    let Some(from) = read_hello(&mut connection).await? else { return Ok(()) };
+    let (registration, replaced) = senders.register(from);
+    let result = tokio::select! {
+        result = read_messages(shared, &mut connection, from) => result,
+        _ = replaced => Ok(()),
+    };
+    senders.unregister(from, registration);
+    result
+}
+
+/// Waits for the first frame and returns the sender's listen address, unless the connection ends before.
+async fn read_hello(connection: &mut Connection) -> Result<Option<SocketAddr>, InboundError> {
+    while connection.read().await? {
+        let bytes = connection.buffer.bytes();
+        if let Some(frame) = frame::split(bytes, LONGEST_HELLO_BYTES)? {
+            let from = frame::decode::<Hello>(frame.payload)?.sender()?;
+            let consumed = bytes.len() - frame.rest.len();
+            connection.buffer.consume(consumed);
+            return Ok(Some(from));
+        }
+    }
+    Ok(None)
+}
+
+/// Reads messages into the inbox until the connection ends.
+async fn read_messages<M>(
+    shared: &Shared<M>,
+    connection: &mut Connection,
+    from: SocketAddr,
+) -> Result<(), InboundError>
+where
+    M: DeserializeOwned,
+{
+    let max_payload = shared.settings.max_frame_bytes;
+    loop {
+        let (complete, framing) = connection.buffer.complete(max_payload);
+        if complete.frames > 0 {
+            let size = complete.bytes.saturating_add(complete.frames.saturating_mul(EVENT_OVERHEAD_BYTES));
+            let Some(room) = shared.inbox.reserve(size).await else { return Ok(()) };
+            let mut events = Vec::with_capacity(complete.frames);
+            let decoding = decode_all(connection.buffer.bytes(), max_payload, from, &mut events);
+            connection.buffer.consume(complete.bytes);
+            if !shared.inbox.deliver(events, room) {
+                return Ok(());
+            }
+            decoding?;
+        }
+        framing?;
+        if !connection.read().await? {
+            return Ok(());
+        }
+    }
+}
+
+/// Decodes the whole frames at the front of the bytes, up to the first that is not a message.
+fn decode_all<M: DeserializeOwned>(
+    mut bytes: &[u8],
+    max_payload: usize,
+    from: SocketAddr,
+    events: &mut Vec<Incoming<M>>,
+) -> Result<(), FrameError> {
+    while let Ok(Some(frame)) = frame::split(bytes, max_payload) {
+        events.push(Incoming::Message { from, message: frame::decode(frame.payload)? });
+        bytes = frame.rest;
+    }
+    Ok(())
+}
+
+/// An accepted connection, what it has received, and when it has been silent for too long.
+struct Connection {
+    stream: TcpStream,
+    buffer: ReceiveBuffer,
+    silence: Duration,
+    heard: Instant,
+    alarm: Pin<Box<Sleep>>,
+}
+
+impl Connection {
+    fn new(stream: TcpStream, settings: &NetworkSettings) -> Self {
+        let silence = settings.idle_close.saturating_mul(IDLE_SPANS);
+        let alarm = Box::pin(sleep(silence));
+        Self { stream, buffer: ReceiveBuffer::default(), silence, heard: Instant::now(), alarm }
+    }
+
+    /// Reads more bytes; false if the sender has closed or been silent for long. The alarm is not moved at each read, but when
+    /// it goes off.
+    async fn read(&mut self) -> io::Result<bool> {
+        loop {
+            tokio::select! {
+                biased;
+                count = self.buffer.read_from(&mut self.stream) => {
+                    self.heard = Instant::now();
+                    return Ok(count? > 0);
+                }
+                () = self.alarm.as_mut() => {
+                    let end = self.heard + self.silence;
+                    if end <= Instant::now() {
+                        return Ok(false);
+                    }
+                    self.alarm.as_mut().reset(end);
+                }
+            }
+        }
+    }
+}
+
+/// The newest connection of each sender, and whose offences have been logged.
+#[derive(Default)]
+struct Senders {
+    table: Mutex<SenderTable>,
+}
+
+#[derive(Default)]
+struct SenderTable {
+    last: u64,
+    newest: HashMap<SocketAddr, (u64, oneshot::Sender<()>)>,
+    warned: HashSet<IpAddr>,
+}
+
+impl Senders {
+    /// Makes a connection its sender's newest. The older one is told so by the end of its receiver; what it has not read by then
+    /// is dropped, and so never arrives after what the newer one carries.
+    fn register(&self, from: SocketAddr) -> (u64, oneshot::Receiver<()>) {
+        let (replace, replaced) = oneshot::channel();
+        let mut table = self.table();
+        table.last += 1;
+        let registration = table.last;
+        table.newest.insert(from, (registration, replace));
+        (registration, replaced)
+    }
+
+    fn unregister(&self, from: SocketAddr, registration: u64) {
+        let mut table = self.table();
+        if table.newest.get(&from).is_some_and(|(newest, _)| *newest == registration) {
+            table.newest.remove(&from);
+        }
+    }
+
+    /// Logs what a connection was closed for: as a warning the first time for its address.
+    fn warn(&self, remote: SocketAddr, reason: &dyn std::fmt::Display) {
+        let first = {
+            let warned = &mut self.table().warned;
+            warned.len() < WARNED_ADDRESSES && warned.insert(remote.ip())
+        };
+        let level = if first { log::Level::Warn } else { log::Level::Debug };
+        log::log!(level, "closed a connection from {remote}: {reason}");
+    }
+
+    fn table(&self) -> MutexGuard<'_, SenderTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/system/transport/tests/common/mod.rs
@@ -0,0 +1,81 @@
+//! What the tests of networks share: messages, networks over loopback, and waits that end when something arrives.
+#![allow(dead_code)]
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use gingerledge_transport::{Inbox, Incoming, Network, NetworkSettings, SendOutcome};
+use serde::{Deserialize, Serialize};
+
+/// Nothing in these tests takes this long unless it never comes.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// How long a message to a peer that is not back yet is waited for before it is sent again.
+const RETRY: Duration = Duration::from_millis(20);
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Note {
+    Number(u64),
+    Text(String),
+    Bytes(Vec<u8>),
+    Pair { request: u64, from: Option<SocketAddr> },
+}
+
+pub type Node = (Network<Note>, Inbox<Note>);
+
+/// Settings for a free port of the loopback address.
+pub fn settings() -> NetworkSettings {
+    NetworkSettings::new(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))
+}
+
+pub async fn node() -> Node {
+    node_with(settings()).await
+}
+
+pub async fn node_with(settings: NetworkSettings) -> Node {
+    Network::bind(settings).await.expect("a loopback address can be bound")
+}
+
+/// Runs a test on one thread.
+pub fn run(test: impl std::future::Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(test);
+}
+
+/// The next event, which must come.
+pub async fn event(inbox: &mut Inbox<Note>) -> Incoming<Note> {
+    let event = tokio::time::timeout(PATIENCE, inbox.next()).await;
+    event.expect("an event arrives in time").expect("the inbox is open")
+}
+
+/// The next event, which must be a message.
+pub async fn message(inbox: &mut Inbox<Note>) -> (SocketAddr, Note) {
+    match event(inbox).await {
+        Incoming::Message { from, message } => (from, message),
+        lost @ Incoming::Lost { .. } => panic!("{lost:?} where a message was awaited"),
+    }
+}
+
+pub fn queue(network: &Network<Note>, to: SocketAddr, note: &Note) {
+    assert_eq!(network.send(to, note), SendOutcome::Queued);
+}
+
+/// Sends the note again and again until the receiver has it, and returns the sender it was told.
+pub async fn send_until_received(
+    network: &Network<Note>,
+    to: SocketAddr,
+    note: &Note,
+    inbox: &mut Inbox<Note>,
+) -> SocketAddr {
+    let received = async {
+        loop {
+            let _ = network.send(to, note);
+            match tokio::time::timeout(RETRY, inbox.next()).await {
+                Ok(Some(Incoming::Message { from, message })) if message == *note => return from,
+                Ok(None) => panic!("the inbox is closed"),
+                _ => {}
+            }
+        }
+    };
+    tokio::time::timeout(PATIENCE, received).await.expect("the note arrives in time")
+}
--- /dev/null
+++ b/system/transport/tests/failures.rs
@@ -0,0 +1,371 @@
+//! Peers that are not there, bytes that are not the protocol's, and bounds that are reached.
+
+mod common;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use common::{event, message, node, node_with, queue, run, send_until_received, settings, Note, PATIENCE};
+use gingerledge_transport::{
+    DropReason, Incoming, Network, NetworkSettings, SendOutcome, TransportError, FRAME_CEILING_BYTES,
+    FRAME_VERSION,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use yare::parameterized;
+
+/// An address at which nothing listens.
+async fn vacant_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+    listener.local_addr().expect("its address")
+}
+
+#[test]
+fn a_refused_peer_is_reported_and_backed_off_from() {
+    run(async {
+        let (a, mut inbox) = node().await;
+        let peer = vacant_address().await;
+        queue(&a, peer, &Note::Number(1));
+        assert_eq!(event(&mut inbox).await, Incoming::Lost { peer, refused: true });
+        assert_eq!(a.send(peer, &Note::Number(2)), SendOutcome::Dropped(DropReason::Backoff));
+    });
+}
+
+#[test]
+fn a_peer_that_ends_is_reported_without_anything_sent() {
+    run(async {
+        let (a, mut a_inbox) = node().await;
+        let (b, mut b_inbox) = node().await;
+        let peer = b.local_address();
+        queue(&a, peer, &Note::Number(1));
+        assert_eq!(message(&mut b_inbox).await.1, Note::Number(1));
+        drop((b, b_inbox));
+        assert!(matches!(event(&mut a_inbox).await, Incoming::Lost { peer: lost, .. } if lost == peer));
+    });
+}
+
+/// Bytes that end the connection they arrive on. A frame is a version, a length of 4 bytes, and a payload.
+#[parameterized(
+    another_protocol = { b"GET / HTTP/1.1\r\n\r\n".to_vec() },
+    another_version = { vec![FRAME_VERSION + 1, 0, 0, 0, 1, 0] },
+    oversize = { vec![FRAME_VERSION, 0xff, 0xff, 0xff, 0xff] },
+    empty_hello = { vec![FRAME_VERSION, 0, 0, 0, 0] },
+    hello_of_a_stranger = { vec![FRAME_VERSION, 0, 0, 0, 4, 1, 2, 3, 4] },
+)]
+fn strange_bytes_end_the_connection(bytes: Vec<u8>) {
+    run(async {
+        let (a, mut inbox) = node().await;
+        let mut stream = TcpStream::connect(a.local_address()).await.expect("the network accepts");
+        stream.write_all(&bytes).await.expect("a few bytes can be written");
+        assert_ended(&mut stream).await;
+        assert_eq!(inbox.try_next(), None);
+        assert_serves(&a, &mut inbox).await;
+    });
+}
+
+/// Waits for the end of a connection, by close or reset.
+async fn assert_ended(stream: &mut TcpStream) {
+    let mut byte = [0u8; 1];
+    let read =
+        tokio::time::timeout(PATIENCE, stream.read(&mut byte)).await.expect("the connection ends in time");
+    assert!(matches!(read, Ok(0) | Err(_)), "{read:?}");
+}
+
+/// Checks that a network still takes messages.
+async fn assert_serves(network: &Network<Note>, inbox: &mut gingerledge_transport::Inbox<Note>) {
+    let (other, _other_inbox) = node().await;
+    queue(&other, network.local_address(), &Note::Number(99));
+    assert_eq!(message(inbox).await, (other.local_address(), Note::Number(99)));
+}
+
+/// Takes the hello that a network sends.
+async fn hello_of(network: &Network<Note>) -> Vec<u8> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+    let address = listener.local_addr().expect("its address");
+    queue(network, address, &Note::Number(0));
+    let (mut stream, _) = listener.accept().await.expect("the network connects");
+    let mut hello = vec![0; 5];
+    stream.read_exact(&mut hello).await.expect("a header");
+    let length = u32::from_be_bytes([hello[1], hello[2], hello[3], hello[4]]) as usize;
+    hello.resize(5 + length, 0);
+    stream.read_exact(&mut hello[5..]).await.expect("a payload");
+    network.close(address);
+    hello
+}
+
+/// Frames after a hello that end the connection; the message before them is still delivered.
+#[parameterized(
+    another_version = { vec![9, 0, 0, 0, 1, 0] },
+    oversize = { vec![FRAME_VERSION, 0xff, 0xff, 0xff, 0xff] },
+    unknown_variant = { vec![FRAME_VERSION, 0, 0, 0, 2, 77, 1] },
+    cut_short = { vec![FRAME_VERSION, 0, 0, 0, 1, 0] },
+    bytes_to_spare = { vec![FRAME_VERSION, 0, 0, 0, 3, 0, 1, 1] },
+    claim_of_a_long_list = { vec![FRAME_VERSION, 0, 0, 0, 10, 2, 253, 0, 0, 0, 0, 0, 1, 0, 0] },
+    claim_of_a_long_text = { vec![FRAME_VERSION, 0, 0, 0, 10, 1, 253, 0, 0, 0, 0, 0, 1, 0, 0] },
+)]
+fn strange_frames_end_the_connection_after_what_was_sound(bytes: Vec<u8>) {
+    run(async {
+        let (a, mut inbox) = node().await;
+        let (b, _b_inbox) = node().await;
+        let mut stream = TcpStream::connect(a.local_address()).await.expect("the network accepts");
+        let mut sent = hello_of(&b).await;
+        sent.extend_from_slice(&[FRAME_VERSION, 0, 0, 0, 2, 0, 42]);
+        sent.extend_from_slice(&bytes);
+        stream.write_all(&sent).await.expect("a few bytes can be written");
+        assert_eq!(message(&mut inbox).await, (b.local_address(), Note::Number(42)));
+        assert_ended(&mut stream).await;
+        assert_eq!(inbox.try_next(), None);
+        assert_serves(&a, &mut inbox).await;
+    });
+}
+
+#[test]
+fn bytes_in_pieces_are_put_together() {
+    run(async {
+        let (a, mut inbox) = node().await;
+        let (b, _b_inbox) = node().await;
+        let mut stream = TcpStream::connect(a.local_address()).await.expect("the network accepts");
+        let mut sent = hello_of(&b).await;
+        sent.extend_from_slice(&[FRAME_VERSION, 0, 0, 0, 2, 0, 42, FRAME_VERSION, 0, 0, 0, 2, 0, 43]);
+        for byte in sent {
+            stream.write_all(&[byte]).await.expect("a byte can be written");
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(message(&mut inbox).await.1, Note::Number(42));
+        assert_eq!(message(&mut inbox).await.1, Note::Number(43));
+    });
+}
+
+#[test]
+fn a_message_longer_than_a_frame_is_dropped() {
+    run(async {
+        let mut short = settings();
+        short.max_frame_bytes = 1000;
+        let (a, _a_inbox) = node_with(short).await;
+        let (b, mut b_inbox) = node().await;
+        let large = Note::Bytes(vec![1; 1001]);
+        assert_eq!(a.send(b.local_address(), &large), SendOutcome::Dropped(DropReason::TooLarge));
+        queue(&a, b.local_address(), &Note::Bytes(vec![1; 900]));
+        assert_eq!(a.send(b.local_address(), &large), SendOutcome::Dropped(DropReason::TooLarge));
+        queue(&a, b.local_address(), &Note::Number(1));
+        assert_eq!(message(&mut b_inbox).await.1, Note::Bytes(vec![1; 900]));
+        assert_eq!(message(&mut b_inbox).await.1, Note::Number(1));
+    });
+}
+
+#[test]
+fn a_receiver_with_shorter_frames_closes_the_connection() {
+    run(async {
+        let mut short = settings();
+        short.max_frame_bytes = 1000;
+        let (a, mut a_inbox) = node().await;
+        let (b, mut b_inbox) = node_with(short).await;
+        queue(&a, b.local_address(), &Note::Bytes(vec![1; 2000]));
+        assert!(matches!(event(&mut a_inbox).await, Incoming::Lost { refused: false, .. }));
+        send_until_received(&a, b.local_address(), &Note::Number(1), &mut b_inbox).await;
+    });
+}
+
+#[test]
+fn the_queue_is_bounded_in_frames() {
+    run(async {
+        let mut few = settings();
+        few.queue_frames = 10;
+        let (a, _a_inbox) = node_with(few).await;
+        let (b, mut b_inbox) = node().await;
+        let outcomes: Vec<_> =
+            (0..12).map(|number| a.send(b.local_address(), &Note::Number(number))).collect();
+        assert!(outcomes[..10].iter().all(|outcome| outcome.is_queued()), "{outcomes:?}");
+        assert_eq!(outcomes[10..], [SendOutcome::Dropped(DropReason::QueueFull); 2]);
+        for number in 0..10 {
+            assert_eq!(message(&mut b_inbox).await.1, Note::Number(number));
+        }
+        send_until_received(&a, b.local_address(), &Note::Number(12), &mut b_inbox).await;
+    });
+}
+
+#[test]
+fn the_queue_is_bounded_in_bytes() {
+    run(async {
+        let mut few = settings();
+        few.queue_bytes = 10_000;
+        let (a, _a_inbox) = node_with(few).await;
+        let (b, mut b_inbox) = node().await;
+        let note = Note::Bytes(vec![3; 4000]);
+        queue(&a, b.local_address(), &note);
+        queue(&a, b.local_address(), &note);
+        assert_eq!(a.send(b.local_address(), &note), SendOutcome::Dropped(DropReason::QueueFull));
+        queue(&a, b.local_address(), &Note::Number(1));
+        for expected in [&note, &note, &Note::Number(1)] {
+            assert_eq!(message(&mut b_inbox).await.1, *expected);
+        }
+    });
+}
+
+#[test]
+fn a_receiver_that_takes_nothing_holds_its_sender_up() {
+    run(async {
+        let mut narrow = settings();
+        narrow.queue_bytes = 200_000;
+        narrow.user_timeout = PATIENCE;
+        let (a, _a_inbox) = node_with(narrow.clone()).await;
+        let (b, mut b_inbox) = node_with(narrow).await;
+        let note = Note::Bytes(vec![8; 50_000]);
+        let mut taken = 0u64;
+        let mut refusals = 0;
+        // The system's own buffers hold a few megabytes between the queue and the inbox.
+        while refusals < 1000 {
+            match a.send(b.local_address(), &note) {
+                SendOutcome::Queued => (taken, refusals) = (taken + 1, 0),
+                SendOutcome::Dropped(reason) => {
+                    assert_eq!(reason, DropReason::QueueFull);
+                    refusals += 1;
+                }
+            }
+            assert!(taken < 4000, "nothing holds the sender up");
+            tokio::task::yield_now().await;
+        }
+        for _ in 0..taken {
+            assert_eq!(message(&mut b_inbox).await.1, note);
+        }
+    });
+}
+
+#[test]
+fn a_peer_that_does_not_read_is_lost() {
+    run(async {
+        let mut hasty = settings();
+        hasty.user_timeout = Duration::from_millis(20);
+        let (a, mut inbox) = node_with(hasty).await;
+        let deaf = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+        let peer = deaf.local_addr().expect("its address");
+        queue(&a, peer, &Note::Bytes(vec![0; 30_000_000]));
+        assert_eq!(event(&mut inbox).await, Incoming::Lost { peer, refused: false });
+    });
+}
+
+#[test]
+fn inbound_connections_are_bounded() {
+    run(async {
+        let mut few = settings();
+        few.max_inbound = 2;
+        let (a, mut inbox) = node_with(few).await;
+        let first = node().await;
+        let second = node().await;
+        for (peer, _) in [&first, &second] {
+            queue(peer, a.local_address(), &Note::Number(1));
+            message(&mut inbox).await;
+        }
+        let mut third = node().await;
+        queue(&third.0, a.local_address(), &Note::Number(2));
+        assert!(matches!(event(&mut third.1).await, Incoming::Lost { refused: false, .. }));
+        drop(first);
+        send_until_received(&third.0, a.local_address(), &Note::Number(3), &mut inbox).await;
+    });
+}
+
+#[test]
+fn outbound_peers_are_bounded_and_the_longest_unused_makes_room() {
+    run(async {
+        let mut few = settings();
+        few.max_outbound = 2;
+        let (a, _inbox) = node_with(few).await;
+        let mut peers = [node().await, node().await, node().await];
+        for (peer, _) in &peers[..2] {
+            queue(&a, peer.local_address(), &Note::Number(1));
+        }
+        let full = a.send(peers[2].0.local_address(), &Note::Number(1));
+        assert_eq!(full, SendOutcome::Dropped(DropReason::TooManyPeers));
+        for (_, inbox) in &mut peers[..2] {
+            assert_eq!(message(inbox).await.1, Note::Number(1));
+        }
+        let [.., (third, third_inbox)] = &mut peers;
+        send_until_received(&a, third.local_address(), &Note::Number(2), third_inbox).await;
+    });
+}
+
+#[test]
+fn an_idle_connection_is_closed_and_opened_again_without_a_loss() {
+    run(async {
+        let mut brief = settings();
+        brief.idle_close = Duration::from_millis(10);
+        let (a, mut a_inbox) = node_with(brief).await;
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+        let peer = listener.local_addr().expect("its address");
+        for _ in 0..2 {
+            queue(&a, peer, &Note::Number(1));
+            let (mut stream, _) = listener.accept().await.expect("the network connects");
+            let mut sent = Vec::new();
+            let read = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut sent)).await;
+            read.expect("the connection is closed in time").expect("and not reset");
+            assert!(sent.ends_with(&[FRAME_VERSION, 0, 0, 0, 2, 0, 1]));
+        }
+        assert_eq!(a_inbox.try_next(), None);
+    });
+}
+
+#[test]
+fn the_last_handle_closes_everything() {
+    run(async {
+        let (a, mut a_inbox) = node().await;
+        let (b, mut b_inbox) = node().await;
+        queue(&a, b.local_address(), &Note::Number(1));
+        message(&mut b_inbox).await;
+        let again = a.clone();
+        drop(a);
+        queue(&again, b.local_address(), &Note::Number(2));
+        message(&mut b_inbox).await;
+        drop(again);
+        let end = tokio::time::timeout(PATIENCE, a_inbox.next()).await;
+        assert_eq!(end.expect("the inbox ends in time"), None);
+    });
+}
+
+#[test]
+fn a_dropped_inbox_closes_the_network() {
+    run(async {
+        let (a, inbox) = node().await;
+        drop(inbox);
+        assert_eq!(
+            a.send(vacant_address().await, &Note::Number(1)),
+            SendOutcome::Dropped(DropReason::Closed)
+        );
+    });
+}
+
+#[parameterized(
+    ipv6 = { "[::1]:7000" },
+    no_port = { "127.0.0.1:0" },
+    unspecified = { "0.0.0.0:7000" },
+)]
+fn addresses_that_no_node_can_have_are_refused(address: &str) {
+    run(async {
+        let (a, _inbox) = node().await;
+        let address = address.parse().expect("an address");
+        assert_eq!(a.send(address, &Note::Number(1)), SendOutcome::Dropped(DropReason::Address));
+    });
+}
+
+#[parameterized(
+    ipv6 = { "[::1]:0", 1000 },
+    unspecified = { "0.0.0.0:0", 1000 },
+    no_frames = { "127.0.0.1:0", 0 },
+    frames_beyond_the_ceiling = { "127.0.0.1:0", FRAME_CEILING_BYTES + 1 },
+)]
+fn settings_that_cannot_be_kept_are_refused(listen: &str, max_frame_bytes: usize) {
+    run(async {
+        let mut settings = NetworkSettings::new(listen.parse().expect("an address"));
+        settings.max_frame_bytes = max_frame_bytes;
+        assert!(Network::<Note>::bind(settings).await.is_err());
+    });
+}
+
+#[test]
+fn an_address_in_use_is_refused() {
+    run(async {
+        let (a, _inbox) = node().await;
+        let mut same = settings();
+        same.listen = a.local_address();
+        assert!(matches!(Network::<Note>::bind(same).await, Err(TransportError::Bind { .. })));
+    });
+}
