Let relay messages carry room and the tick's age

Cause: a parent can only name others with room if children say how much they have, and freshness along a path needs the age of a tick, else each hop adds its own. Additive; nobody else builds these messages yet.

--- a/system/wire/src/relay.rs
+++ b/system/wire/src/relay.rs
@@ -20,8 +20,10 @@
     Subscribe {
         /// Drawn anew for each try, so that late answers are told apart.
         subscription: u64,
-        /// The hash of the copy's entries, by bucket.
+        /// The hash of the copy's entries, by bucket; an empty one asks for everything.
         digest: Vec<u64>,
+        /// How many more children of its own the node would take.
+        room: u16,
     },
     /// The parent has taken the child; what differs follows as updates.
     Accepted {
@@ -43,8 +45,10 @@
         sequence: u64,
         /// What is new.
         entries: Vec<Entry>,
-        /// The newest tick that the parent has seen.
+        /// The newest tick for which the child has, with this update, all that the parent had when it saw the tick.
         tick: Tick,
+        /// For how long the parent has had that tick, as counted along the whole path from the root.
+        tick_age_ms: u32,
     },
     /// The child lives, and has taken everything up to a sequence.
     Received {
@@ -52,6 +56,8 @@
         subscription: u64,
         /// The newest sequence taken.
         sequence: u64,
+        /// How many more children of its own the node would take.
+        room: u16,
     },
     /// Either side ends it.
     Leave {
