--- a/system/relay/src/lib.rs
+++ b/system/relay/src/lib.rs
@@ -1,1 +1,23 @@
 //! The relay tree that brings the registry to every node, sans I/O.
+//!
+//! Control nodes are roots: their host feeds [`Event::Learned`] and [`Event::Tick`]. All other nodes subscribe to one parent, a
+//! control node or an edge, and serve what they learn to a bounded number of children. A [`Relay`] owns the node's copy of the
+//! registry; the host reads it by [`Relay::registry`] and acts on [`Action::Changed`].
+//!
+//! It promises:
+//!
+//! - a copy never goes back: entries only rise, whatever parent they come from, and none is removed because a parent lacks it;
+//! - a node is [fresh](Relay::fresh) only while ticks of the control chain move through its whole path from a root, and then has
+//!   every entry that the root had at that tick;
+//! - a node without a fresh parent looks for another until it has one; only a fresh node takes children, so that a cycle starves;
+//! - children, buffered changes, frame sizes and known addresses are bounded by [`RelaySettings`].
+//!
+//! It does not know sockets, clocks or the meaning of most entries.
+
+mod event;
+mod relay;
+mod settings;
+
+pub use event::{Action, Event};
+pub use relay::Relay;
+pub use settings::RelaySettings;
