--- a/system/wire/src/lib.rs
+++ b/system/wire/src/lib.rs
@@ -10,6 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use gingerledge_chain::{ChainMessage, ReplicaMessage};
+
 pub use command::{Command, Outcome, RetireState};
 pub use control::{BackendReport, ControlMessage};
 pub use jobs::{
@@ -22,12 +24,8 @@
 };
 pub use relay::{RelayMessage, Tick};
 
-/// A message of the control chain.
-pub type ChainMessage = Vec<u8>;
 /// A message of the lease.
 pub type LeaseMessage = Vec<u8>;
-/// A message of a partition's chain.
-pub type ReplicaMessage = Vec<u8>;
 
 /// One internal message.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -36,7 +34,7 @@
     Chain {
         /// The sender's member identity.
         from: u64,
-        /// The message, encoded by the chain's own types.
+        /// The message.
         message: ChainMessage,
     },
     /// Among control nodes: the coordinator's lease.
