--- a/src/aggregator/placement.rs
+++ b/src/aggregator/placement.rs
@@ -1,9 +1,7 @@
 //! Where parts go: batch-filling over the replicas that hold their shards, in the order of `rank`.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
-
 use super::*;
+use crate::filling;
 use crate::slots::slot;
 
 /// From this pace on, a server's count is multiplied by its pace; the tie-break tells so many steps apart.
@@ -108,36 +106,36 @@
         let Some(query) = self.queries.get(&id) else { return };
         let (class, aim) = (query.class, query.aim);
         let gathers = now < query.arrived + self.gather(class) * (aim - query.arrived);
-        let mut heap = BinaryHeap::new();
-        for (order, p) in query.parts.clone().into_iter().enumerate() {
+        let mut waiting = Vec::new();
+        for p in query.parts.clone() {
             let Some(part) = self.parts.get(&p).filter(|part| part.state == PartState::Waiting) else {
                 continue;
             };
             if self.may_repeat(now, part, &self.set.classes[class]) {
-                heap.push(Reverse(((0, 0), order, p)));
+                waiting.push(p);
             } else {
                 self.give_up_part(id, p);
                 self.settle(now, id, actions);
             }
         }
-        while let Some(Reverse((key, order, p))) = heap.pop() {
-            let Some(part) = self.parts.get(&p) else { continue };
-            let Some((rank, sid)) = self.best(now, part, class) else { continue };
-            // Counts only rise within a turn, so a part is looked at again until its key holds.
-            if (rank.distrust, rank.count) > key {
-                heap.push(Reverse(((rank.distrust, rank.count), order, p)));
-                continue;
-            }
-            let shut = rank.distrust > 0 && now + HASTE * self.typical[class] <= aim;
-            let open = |server: &Server| server.room(self.set.batch).is_some() || server.calls() == 0;
-            if part.tried.is_empty() && gathers && !self.servers.get(&sid).is_some_and(open) {
-                continue;
+        let best = |aggregator: &Self, p: &RequestId| {
+            let (rank, sid) = aggregator.best(now, aggregator.parts.get(p)?, class)?;
+            Some(((rank.distrust, rank.count), (rank, sid)))
+        };
+        filling::fill(self, waiting, best, |aggregator, p, (rank, sid)| {
+            let Some(part) = aggregator.parts.get(&p) else { return };
+            let shut = rank.distrust > 0 && now + HASTE * aggregator.typical[class] <= aim;
+            let batch = aggregator.set.batch;
+            let open = |server: &Server| server.room(batch).is_some() || server.calls() == 0;
+            let joins = aggregator.servers.get(&sid).is_some_and(open);
+            if part.tried.is_empty() && gathers && !joins {
+                return;
             }
-            if !part.tried.is_empty() && (shut || !self.may_spend(self.set.budget, 0.0)) {
-                continue;
+            if !part.tried.is_empty() && (shut || !aggregator.may_spend(aggregator.set.budget, 0.0)) {
+                return;
             }
-            self.send(now, p, sid, actions);
-        }
+            aggregator.send(now, p, sid, actions);
+        });
     }
 
     /// For which share of its aim a new part may wait for a call to share: what a call of its own would add
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 
 mod aggregator;
 mod asking;
+pub mod filling;
 mod holders;
 mod idle;
 mod interface;
