--- /dev/null
+++ b/system/storage/tests/faults.rs
@@ -0,0 +1,129 @@
+//! A disk that refuses: the ring says so, takes no append that would leave a hole, and heals by a snapshot.
+
+mod common;
+
+use common::{open, record, Model, MIDDLE, SMALL};
+use gingerledge_storage::{ForgetfulDisk, Ring, StorageError};
+use yare::parameterized;
+
+type Fault = fn(&ForgetfulDisk, bool);
+
+const WRITES: Fault = ForgetfulDisk::fail_writes;
+const SYNCS: Fault = ForgetfulDisk::fail_syncs;
+const FULL: Fault = ForgetfulDisk::set_full;
+
+#[parameterized(writes = { WRITES }, syncs = { SYNCS }, full = { FULL })]
+fn after_a_failure_only_a_snapshot_is_taken(fault: Fault) {
+    for seed in 0..50 {
+        let disk = ForgetfulDisk::new();
+        let (mut ring, _) = open(disk.clone(), SMALL);
+        ring.append(&[record(1, 100)]).unwrap();
+        fault(&disk, true);
+        assert!(matches!(ring.append(&[record(2, 3_000)]), Err(StorageError::Io { .. })));
+        fault(&disk, false);
+        assert!(matches!(ring.append(&[record(3, 100)]), Err(StorageError::Broken)));
+        assert!(ring.needs_snapshot());
+        ring.snapshot(&[record(4, 100)]).unwrap();
+        ring.append(&[record(5, 100)]).unwrap();
+        disk.power_loss(seed);
+        assert_eq!(open(disk, SMALL).1.numbers(), (vec![4], vec![5]), "seed {seed}");
+    }
+}
+
+#[parameterized(writes = { WRITES }, syncs = { SYNCS }, full = { FULL })]
+fn a_failed_snapshot_leaves_the_old_one(fault: Fault) {
+    for seed in 0..50 {
+        let disk = ForgetfulDisk::new();
+        let (mut ring, _) = open(disk.clone(), MIDDLE);
+        ring.snapshot(&[record(1, 100_000)]).unwrap();
+        ring.append(&[record(2, 100)]).unwrap();
+        fault(&disk, true);
+        assert!(matches!(ring.snapshot(&[record(3, 100_000)]), Err(StorageError::Io { .. })));
+        assert!(matches!(ring.snapshot(&[record(4, 100_000)]), Err(StorageError::Io { .. })));
+        fault(&disk, false);
+        disk.power_loss(seed);
+        let held = open(disk, MIDDLE).1.numbers();
+        let possible = [(vec![1], vec![2]), (vec![3], vec![])];
+        assert!(possible.contains(&held), "seed {seed}: {held:?}");
+    }
+}
+
+/// The sync of a batch failed, the process ended, and the next one read the batch from memory. It gave it back, so it
+/// has to write it again: the sync that comes next covers nothing.
+#[test]
+fn what_was_recovered_after_a_failed_sync_lasts() {
+    for seed in 0..100 {
+        let disk = ForgetfulDisk::new();
+        let (mut ring, _) = open(disk.clone(), SMALL);
+        ring.append(&[record(1, 100)]).unwrap();
+        disk.fail_syncs(true);
+        ring.append(&[record(2, 3_000)]).unwrap_err();
+        disk.fail_syncs(false);
+        let (mut ring, held) = open(disk.clone(), SMALL);
+        assert_eq!(held.numbers().1, [1, 2]);
+        ring.append(&[record(3, 100)]).unwrap();
+        disk.power_loss(seed);
+        assert_eq!(open(disk, SMALL).1.numbers().1, [1, 2, 3], "seed {seed}");
+    }
+}
+
+/// The same with superblocks: openings fail again and again before one succeeds.
+#[test]
+fn failed_openings_do_no_harm() {
+    for seed in 0..200 {
+        let disk = ForgetfulDisk::new();
+        let (mut ring, _) = open(disk.clone(), SMALL);
+        ring.snapshot(&[record(1, 100)]).unwrap();
+        ring.append(&[record(2, 100)]).unwrap();
+        for _ in 0..3 {
+            disk.fail_syncs(true);
+            assert!(Ring::open(disk.clone(), SMALL).is_err());
+            disk.fail_syncs(false);
+            disk.stop_after(3 + seed % 3);
+            let opened = Ring::open(disk.clone(), SMALL);
+            drop(opened);
+            disk.restart();
+        }
+        disk.power_loss(seed);
+        assert_eq!(open(disk, SMALL).1.numbers(), (vec![1], vec![2]), "seed {seed}");
+    }
+}
+
+/// Random faults, snapshots that heal, and losses of power: what was acknowledged is there.
+#[test]
+fn faults_and_losses_in_a_row() {
+    for seed in 0..500 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let disk = ForgetfulDisk::new();
+        let mut possible = vec![Model::default()];
+        let mut number = 0;
+        for _ in 0..6 {
+            let (mut ring, held) = open(disk.clone(), MIDDLE);
+            assert!(possible.contains(&held), "seed {seed}: {:?}", held.numbers());
+            let mut model = held;
+            possible = vec![model.clone()];
+            for _ in 0..15 {
+                number += 1;
+                let fault = [WRITES, SYNCS, FULL][random.usize(0..3)];
+                let longest = if random.bool() { 300 } else { 70_000 };
+                let records = [record(number, random.usize(8..longest))];
+                let snapshot = ring.needs_snapshot();
+                let after =
+                    if snapshot { Model::with_snapshot(&records) } else { model.with_appended(&records) };
+                fault(&disk, random.u8(0..5) == 0);
+                let result = if snapshot { ring.snapshot(&records) } else { ring.append(&records) };
+                fault(&disk, false);
+                match result {
+                    Ok(()) => {
+                        model = after;
+                        possible = vec![model.clone()];
+                    }
+                    Err(StorageError::Io { .. }) => possible.push(after),
+                    Err(StorageError::Full { .. }) => {}
+                    Err(error) => panic!("seed {seed}: {error}"),
+                }
+            }
+            disk.power_loss(random.u64(..));
+        }
+    }
+}
--- /dev/null
+++ b/system/storage/tests/power_loss.rs
@@ -0,0 +1,228 @@
+//! Losses of power and kills at any step: what was acknowledged is there, and nothing else but the last operation.
+
+mod common;
+
+use common::{open, record, Model, MIDDLE, SMALL};
+use gingerledge_storage::{Disk, ForgetfulDisk, Ring, RingSettings, StorageError};
+use yare::parameterized;
+
+/// A disk, and what may be on it: what was acknowledged, and the same with the operation that was interrupted.
+struct World {
+    seed: u64,
+    random: fastrand::Rng,
+    disk: ForgetfulDisk,
+    settings: RingSettings,
+    longest: usize,
+    next_record: u64,
+    /// The ring was opened with success before, so it must be found.
+    made: bool,
+    possible: Vec<Model>,
+}
+
+impl World {
+    fn new(seed: u64, settings: RingSettings, longest: usize) -> Self {
+        Self {
+            seed,
+            random: fastrand::Rng::with_seed(seed),
+            disk: ForgetfulDisk::new(),
+            settings,
+            longest,
+            next_record: 1,
+            made: false,
+            possible: vec![Model::default()],
+        }
+    }
+
+    /// Opens the ring and holds what it gives against what may be there. What it gave once must stay.
+    fn open(&mut self) -> Result<Ring<ForgetfulDisk>, StorageError> {
+        let (ring, recovered) = Ring::open(self.disk.clone(), self.settings)?;
+        assert!(!(self.made && recovered.empty), "seed {}: the ring is gone", self.seed);
+        self.made = true;
+        let held = Model::from(recovered);
+        assert!(
+            self.possible.contains(&held),
+            "seed {}: {:?} was found, possible are {:?}",
+            self.seed,
+            held.numbers(),
+            self.possible.iter().map(Model::numbers).collect::<Vec<_>>()
+        );
+        self.possible = vec![held];
+        Ok(ring)
+    }
+
+    fn records(&mut self) -> Vec<Vec<u8>> {
+        (0..self.random.usize(1..4))
+            .map(|_| {
+                self.next_record += 1;
+                let longest = if self.random.u8(0..4) == 0 { self.longest } else { 600 };
+                record(self.next_record, self.random.usize(8..longest))
+            })
+            .collect()
+    }
+
+    /// Does something until the power goes, or so many times.
+    fn work(&mut self, ring: &mut Ring<ForgetfulDisk>, operations: usize) -> Result<(), StorageError> {
+        for _ in 0..operations {
+            let before = self.possible[0].clone();
+            let records = self.records();
+            let snapshot = ring.needs_snapshot() || self.random.u8(0..12) == 0;
+            let after =
+                if snapshot { Model::with_snapshot(&records) } else { before.with_appended(&records) };
+            self.possible = vec![before.clone(), after.clone()];
+            let result = if snapshot { ring.snapshot(&records) } else { ring.append(&records) };
+            match result {
+                Ok(()) => self.possible = vec![after],
+                Err(StorageError::Full { .. }) => self.possible = vec![before],
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    fn open_and_work(&mut self, operations: usize) -> Result<(), StorageError> {
+        let mut ring = self.open()?;
+        self.work(&mut ring, operations)
+    }
+
+    /// The power goes, or the process is killed.
+    fn end(&mut self) {
+        if self.random.u8(0..3) == 0 {
+            self.disk.restart();
+        } else {
+            self.disk.power_loss(self.random.u64(..));
+        }
+    }
+
+    fn must_open(&mut self) -> Ring<ForgetfulDisk> {
+        let seed = self.seed;
+        self.open().unwrap_or_else(|error| panic!("seed {seed}: {error}"))
+    }
+}
+
+fn must_be_off(result: Result<(), StorageError>, seed: u64) {
+    match result {
+        Ok(()) | Err(StorageError::Io { .. }) => {}
+        Err(error) => panic!("seed {seed}: {error}"),
+    }
+}
+
+#[parameterized(
+    one_frame = { SMALL, 3_000, 1_500 },
+    several_frames = { MIDDLE, 80_000, 300 },
+    several_writes = { RingSettings { files: 3, file_bytes: 512 * 1024 }, 180_000, 100 },
+)]
+fn many_losses_in_a_row(settings: RingSettings, longest: usize, seeds: u64) {
+    for seed in 0..seeds {
+        let mut world = World::new(seed, settings, longest);
+        for _ in 0..8 {
+            let steps = if world.random.bool() { 8 } else { 60 };
+            world.disk.stop_after(world.random.u64(0..steps));
+            let result = world.open_and_work(40);
+            must_be_off(result, seed);
+            world.end();
+        }
+        world.must_open();
+    }
+}
+
+/// One life with a snapshot in it, cut at each of its steps in turn, with many outcomes of the loss each. Afterwards
+/// a record is appended, and the power goes once more: the remains of the first loss must not come back.
+#[parameterized(
+    one_frame = { SMALL, 3_000 },
+    several_frames = { MIDDLE, 90_000 },
+)]
+fn a_loss_at_each_step(settings: RingSettings, longest: usize) {
+    let life = |seed| World::new(seed, settings, longest);
+    let mut whole = life(1);
+    whole.open_and_work(30).unwrap();
+    for step in 0..whole.disk.operations() {
+        for outcome in 0..12 {
+            let mut world = life(1);
+            world.disk.stop_after(step);
+            must_be_off(world.open_and_work(30), step);
+            world.disk.power_loss(outcome);
+            let mut ring = world.must_open();
+            world.random.seed(step * 100 + outcome);
+            world.work(&mut ring, 2).unwrap();
+            world.disk.power_loss(outcome + 1);
+            world.must_open();
+        }
+    }
+}
+
+#[test]
+fn a_loss_at_each_step_of_a_recovery() {
+    for seed in 0..60 {
+        let mut world = World::new(seed, MIDDLE, 60_000);
+        world.disk.stop_after(20 + seed);
+        must_be_off(world.open_and_work(40), seed);
+        for step in 0..8 {
+            world.disk.power_loss(seed + step);
+            world.disk.stop_after(step);
+            must_be_off(world.open().map(|_| ()), seed);
+        }
+        world.disk.power_loss(seed);
+        world.must_open();
+    }
+}
+
+/// A batch that was written and not synced is found after a kill. It was given back, so it must last.
+#[test]
+fn what_was_recovered_after_a_kill_lasts() {
+    for seed in 0..200 {
+        let disk = ForgetfulDisk::new();
+        let (mut ring, _) = open(disk.clone(), SMALL);
+        ring.append(&[record(1, 50)]).unwrap();
+        disk.stop_after(1);
+        ring.append(&[record(2, 3_000)]).unwrap_err();
+        disk.restart();
+        let (_, held) = open(disk.clone(), SMALL);
+        assert_eq!(held.numbers().1, [1, 2]);
+        disk.power_loss(seed);
+        assert_eq!(open(disk, SMALL).1.numbers().1, [1, 2], "seed {seed}");
+    }
+}
+
+/// The files of an interrupted creation are of any length and any number; none of their names was synced.
+#[test]
+fn an_interrupted_creation_starts_again() {
+    for seed in 0..200 {
+        let disk = ForgetfulDisk::new();
+        let mut world = World::new(seed, SMALL, 1_000);
+        world.disk = disk.clone();
+        disk.stop_after(seed % 16);
+        must_be_off(world.open().map(|_| ()), seed);
+        disk.power_loss(seed / 16);
+        let mut ring = world.must_open();
+        world.work(&mut ring, 3).unwrap();
+        disk.power_loss(0);
+        world.must_open();
+    }
+}
+
+#[test]
+fn the_disk_forgets_what_was_not_synced() {
+    let outcomes: Vec<Option<Vec<u8>>> = (0..400)
+        .map(|seed| {
+            let mut disk = ForgetfulDisk::new();
+            disk.create("old", 2_000).unwrap();
+            disk.sync_file("old").unwrap();
+            disk.sync_folder().unwrap();
+            disk.write_at("old", 0, &[1; 2_000]).unwrap();
+            disk.create("new", 10).unwrap();
+            disk.power_loss(seed);
+            assert!(disk.contents("old").is_some_and(|bytes| bytes.len() == 2_000));
+            if disk.contents("new").is_some() {
+                disk.contents("old")
+            } else {
+                None
+            }
+        })
+        .collect();
+    let torn = |bytes: &Vec<u8>| bytes.contains(&0) && bytes.contains(&1);
+    let kept = outcomes.iter().flatten();
+    assert!(outcomes.contains(&None), "a name was lost");
+    assert!(kept.clone().any(|bytes| *bytes == [1; 2_000]), "a write was kept");
+    assert!(kept.clone().any(|bytes| *bytes == [0; 2_000]), "a write was lost");
+    assert!(kept.clone().any(torn), "a write was torn");
+}
