--- /dev/null
+++ b/system/chain/src/agreement/value.rs
@@ -0,0 +1,71 @@
+//! Which membership follows from which promises.
+
+use std::collections::BTreeMap;
+
+use super::proposer::Promise;
+use crate::{MemberId, Members};
+
+/// A member to take into the chain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Addition {
+    pub member: MemberId,
+    /// The voter whose place it takes, if it isn't a voter itself and none is free.
+    pub replaces: Option<MemberId>,
+}
+
+/// The next membership. None unless a member is among the promises that counted in the present chain: only such a one
+/// is sure to hold everything that was acknowledged.
+///
+/// Members of the chain keep their order, those that count first, so that each log begins with the next one's.
+pub(super) fn next_members(
+    present: &Members,
+    promises: &BTreeMap<MemberId, Promise>,
+    is_left_out: impl Fn(MemberId) -> bool,
+    addition: Option<Addition>,
+) -> Option<Members> {
+    let counts = |member: &MemberId| promises.get(member).is_some_and(|promise| promise.full);
+    let stays = |member: &MemberId| promises.contains_key(member) && !is_left_out(*member);
+    let staying = || present.chain.iter().copied().filter(stays);
+    let mut chain: Vec<MemberId> = staying().filter(counts).collect();
+    if chain.is_empty() {
+        return None;
+    }
+    chain.extend(staying().filter(|member| !counts(member)));
+    let mut voters = present.voters.clone();
+    if let Some(Addition { member, replaces }) = addition {
+        add_voter(&mut voters, member, replaces);
+        chain.retain(|other| voters.contains(other));
+        if !chain.contains(&member) {
+            chain.push(member);
+        }
+    }
+    fill_up(&mut chain, present, &stays, &voters);
+    Some(Members { epoch: present.epoch + 1, voters, chain, fault_tolerance: present.fault_tolerance })
+}
+
+fn add_voter(voters: &mut Vec<MemberId>, member: MemberId, replaces: Option<MemberId>) {
+    if voters.contains(&member) {
+        return;
+    }
+    match replaces.and_then(|gone| voters.iter_mut().find(|voter| **voter == gone)) {
+        Some(place) => *place = member,
+        None => voters.push(member),
+    }
+}
+
+/// A chain too short to commit takes in other voters at once: nothing is lost by having it wait for them.
+fn fill_up(
+    chain: &mut Vec<MemberId>,
+    present: &Members,
+    stays: &impl Fn(&MemberId) -> bool,
+    voters: &[MemberId],
+) {
+    for voter in voters.iter().filter(|voter| stays(voter)) {
+        if chain.len() >= present.min_chain() {
+            return;
+        }
+        if !chain.contains(voter) {
+            chain.push(*voter);
+        }
+    }
+}
--- /dev/null
+++ b/system/chain/src/agreement/voter.rs
@@ -0,0 +1,96 @@
+//! The voter's part: promises and acceptances, each on the disk before it is given.
+
+use std::time::Duration;
+
+use super::{Agreement, AgreementAction, Status, Vote};
+use crate::{AgreementMessage, Ballot, LogRecord, MemberId, Members};
+
+impl Agreement {
+    /// Whether this member may vote for an epoch now; if not, the asker is told why where that helps.
+    fn may_vote(&self, from: MemberId, epoch: u64, out: &mut Vec<AgreementAction>) -> bool {
+        if epoch <= self.epoch() {
+            self.tell_view(from, out);
+            return false;
+        }
+        if epoch > self.epoch() + 1 {
+            self.ask_view(from, out);
+            return false;
+        }
+        self.members.as_ref().is_some_and(|members| members.is_voter(self.me) && members.is_voter(from))
+    }
+
+    pub(super) fn on_prepare(
+        &mut self,
+        now: Duration,
+        from: MemberId,
+        epoch: u64,
+        ballot: Ballot,
+        out: &mut Vec<AgreementAction>,
+    ) {
+        if !self.may_vote(from, epoch, out) {
+            return;
+        }
+        if let Some(promised) = self.promised.filter(|promised| *promised > ballot) {
+            let message = AgreementMessage::Rejected { epoch, promised };
+            out.push(AgreementAction::Send { to: from, message });
+            return;
+        }
+        self.make_way(now, from);
+        self.promised = Some(ballot);
+        out.push(AgreementAction::Seal { epoch: epoch - 1 });
+        out.push(AgreementAction::Persist {
+            record: LogRecord::Promise { epoch, ballot },
+            vote: Vote::Promised { to: from, epoch, ballot },
+        });
+    }
+
+    pub(super) fn on_accept(
+        &mut self,
+        now: Duration,
+        from: MemberId,
+        ballot: Ballot,
+        members: Members,
+        out: &mut Vec<AgreementAction>,
+    ) {
+        let epoch = members.epoch;
+        if !self.may_vote(from, epoch, out) {
+            return;
+        }
+        if let Some(promised) = self.promised.filter(|promised| *promised > ballot) {
+            let message = AgreementMessage::Rejected { epoch, promised };
+            out.push(AgreementAction::Send { to: from, message });
+            return;
+        }
+        self.make_way(now, from);
+        self.promised = Some(ballot);
+        self.accepted = Some((ballot, members.clone()));
+        out.push(AgreementAction::Seal { epoch: epoch - 1 });
+        out.push(AgreementAction::Persist {
+            record: LogRecord::Accepted { ballot, members },
+            vote: Vote::Accepted { to: from, epoch, ballot },
+        });
+    }
+
+    /// A vote is on the disk: it is given, if it still holds.
+    pub fn durable(&mut self, vote: Vote, status: Status, out: &mut Vec<AgreementAction>) {
+        match vote {
+            Vote::Learned => {}
+            Vote::Promised { to, epoch, ballot } => {
+                if epoch == self.epoch() + 1 && self.promised == Some(ballot) {
+                    let accepted = self.accepted.clone();
+                    let full = status.full;
+                    let message = AgreementMessage::Promise { epoch, ballot, accepted, full };
+                    out.push(AgreementAction::Send { to, message });
+                }
+            }
+            Vote::Accepted { to, epoch, ballot } => {
+                if epoch == self.epoch() + 1 && self.promised == Some(ballot) {
+                    out.push(AgreementAction::Send {
+                        to,
+                        message: AgreementMessage::Accepted { epoch, ballot },
+                    });
+                }
+            }
+        }
+    }
+}
--- a/system/chain/src/control_chain.rs
+++ b/system/chain/src/control_chain.rs
@@ -13,7 +13,9 @@
 
 use std::time::Duration;
 
-use crate::{ChainMessage, LogRecord, MemberId, Members, Settings};
+use crate::agreement::Agreement;
+use crate::turn::{Disk, Turn};
+use crate::{ChainMessage, LogRecord, MemberId, Members, Replica, ReplicaSettings, Settings};
 
 /// What happens to a member of the control group.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -147,71 +149,83 @@
 /// One member of the control group.
 #[derive(Debug)]
 pub struct ControlChain {
-    me: MemberId,
-    members: Option<Members>,
+    pub(crate) agreement: Agreement,
+    pub(crate) replica: Replica,
+    pub(crate) disk: Disk,
+    pub(crate) disk_suspect: Duration,
+    /// The first membership, where this member founds the group.
+    pub(crate) founding: Option<Members>,
 }
 
 impl ControlChain {
     /// A founder with an empty disk. All founders are given the same founders in the same order.
     pub fn found(me: MemberId, founders: Vec<MemberId>, settings: Settings, seed: u64) -> Self {
         let fault_tolerance = settings.fault_tolerance;
-        let _ = seed;
         let members = Members { epoch: 1, voters: founders.clone(), chain: founders, fault_tolerance };
-        Self { me, members: Some(members) }
+        Self { founding: Some(members), ..Self::recover(me, Vec::new(), settings, seed) }
     }
 
     /// A member with an empty disk that asks the members announced to it to be taken in.
     pub fn join(me: MemberId, settings: Settings, seed: u64) -> Self {
-        let _ = (settings, seed);
-        Self { me, members: None }
+        Self::recover(me, Vec::new(), settings, seed)
     }
 
     /// A member that starts again with what its disk holds. No record at all is the same as [`ControlChain::join`].
+    /// The seed must differ from life to life.
     pub fn recover(me: MemberId, records: Vec<LogRecord>, settings: Settings, seed: u64) -> Self {
-        let _ = (settings, seed, records);
-        Self { me, members: None }
+        let bounds = ReplicaSettings { min_chain: settings.fault_tolerance + 1, ..settings.replica.clone() };
+        let replica = Replica::recover(me, &records, bounds, seed);
+        let disk_suspect = settings.disk_suspect;
+        let mut agreement = Agreement::new(me, settings, seed);
+        for record in &records {
+            agreement.restore(record);
+        }
+        Self { agreement, replica, disk: Disk::default(), disk_suspect, founding: None }
     }
 
     /// Takes an event and appends what is to be done.
     pub fn handle(&mut self, now: Duration, event: ChainEvent, out: &mut Vec<ChainAction>) {
-        let _ = (now, event, out);
+        Turn::new(self, now, out).run(event);
     }
 
     /// When [`ChainEvent::Tick`] is wanted next.
     pub fn next_timer(&self) -> Option<Duration> {
-        None
+        let agreement = self.agreement.next_timer();
+        Some(self.replica.next_timer().map_or(agreement, |at| at.min(agreement)))
     }
 
     /// This member's identity.
     pub fn me(&self) -> MemberId {
-        self.me
+        self.agreement.me()
     }
 
     /// The membership in force as far as known here.
     pub fn members(&self) -> Option<&Members> {
-        self.members.as_ref()
+        self.agreement.members()
     }
 
     /// The head of the chain as far as known here.
     pub fn head(&self) -> Option<MemberId> {
-        self.members.as_ref()?.chain.first().copied()
+        self.members()?.chain.first().copied()
     }
 
     /// Whether this member is in the chain, holds all that is committed, and hasn't sealed the view.
     pub fn is_serving(&self) -> bool {
-        false
+        self.replica.is_serving()
     }
 
     /// The last entry applied here.
     pub fn applied(&self) -> u64 {
-        0
+        self.replica.applied()
     }
 
     /// Everything that must stay on the disk once the state after the last applied entry is encoded as `state`. The
-    /// host writes these records in place of all that it has written before: all earlier ones may then go. It must have
-    /// applied all the actions so far, and may do it when it likes; [`ControlChain::applied`] names the state's entry.
-    pub fn checkpoint(&self, state: Vec<u8>) -> Vec<LogRecord> {
-        let _ = state;
-        Vec::new()
+    /// host writes these records after all that it was told to persist before, and may then drop all of that. It must
+    /// have done all the actions so far; [`ControlChain::applied`] names the state's entry. None while the state is
+    /// being replaced by another member's: ask again later.
+    pub fn checkpoint(&self, state: Vec<u8>) -> Option<Vec<LogRecord>> {
+        let mut records = self.replica.checkpoint(state)?;
+        records.extend(self.agreement.checkpoint());
+        Some(records)
     }
 }
--- a/system/chain/src/lib.rs
+++ b/system/chain/src/lib.rs
@@ -4,14 +4,18 @@
 //! [`ControlChain`] is a replica whose views are decided by a majority of its own voters (the control plane).
 //! Neither owns a socket, file, timer or clock: events go in with the time, actions come out.
 
+mod agreement;
 mod control_chain;
 mod members;
 mod message;
 mod record;
+mod replica;
 mod settings;
+mod turn;
 
 pub use control_chain::{ChainAction, ChainEvent, ControlChain};
 pub use members::{MemberId, Members, View};
 pub use message::{AgreementMessage, Ballot, ChainMessage, Heartbeat, ReplicaMessage};
 pub use record::LogRecord;
+pub use replica::{Replica, ReplicaAction, ReplicaEvent};
 pub use settings::{ReplicaSettings, Settings};
--- a/system/chain/src/message.rs
+++ b/system/chain/src/message.rs
@@ -80,12 +80,8 @@
         epoch: u64,
         /// The probe's round.
         round: u64,
-        /// The sender's last durable entry.
-        durable: u64,
-        /// Up to where the sender knows the log to be committed.
-        committed: u64,
-        /// Whether the sender is the tail and certain that nothing beyond `committed` was ever acknowledged.
-        current: bool,
+        /// From the tail, if it is certain that nothing beyond was ever acknowledged: up to where the log is committed.
+        committed: Option<u64>,
     },
     /// A numbered barrier, passed from the head to the tail.
     Barrier {
@@ -126,6 +122,8 @@
     pub epoch: u64,
     /// Whether its disk answers.
     pub ready: bool,
+    /// Whether it has sealed that epoch, so that the next one must be decided.
+    pub sealed: bool,
     /// Whom it has heard of lately.
     pub hears: Vec<MemberId>,
 }
@@ -160,10 +158,8 @@
         ballot: Ballot,
         /// What the sender has accepted before.
         accepted: Option<(Ballot, Members)>,
-        /// Whether the sender holds everything that may have been committed.
+        /// Whether the sender counted in the chain of the epoch before, so that it holds all that was committed.
         full: bool,
-        /// The sender's last durable entry.
-        last: u64,
     },
     /// Accept this value.
     Accept {
@@ -196,3 +192,22 @@
     /// Between the voters.
     Agreement(AgreementMessage),
 }
+
+impl ReplicaMessage {
+    /// The epoch that the message belongs to.
+    pub fn epoch(&self) -> u64 {
+        match self {
+            Self::Resume { epoch, .. }
+            | Self::AskResume { epoch }
+            | Self::Append { epoch, .. }
+            | Self::Chunk { epoch, .. }
+            | Self::ChunkAck { epoch, .. }
+            | Self::Ack { epoch, .. }
+            | Self::Probe { epoch, .. }
+            | Self::Confirm { epoch, .. }
+            | Self::Barrier { epoch, .. }
+            | Self::BarrierDone { epoch, .. }
+            | Self::Newer { epoch } => *epoch,
+        }
+    }
+}
--- a/system/chain/src/record.rs
+++ b/system/chain/src/record.rs
@@ -47,6 +47,13 @@
         /// The state, as the host encoded it.
         bytes: Vec<u8>,
     },
+    /// The head of an epoch may number barriers up to here; after a restart it goes on behind.
+    Barriers {
+        /// The epoch.
+        epoch: u64,
+        /// The last number that may have been used.
+        reserved: u64,
+    },
     /// A membership of the control group has been learned.
     Members {
         /// The membership.
--- /dev/null
+++ b/system/chain/src/replica/install.rs
@@ -0,0 +1,133 @@
+//! Coming into a view: whether this member counts in it, and where its entries then come from and go to.
+
+use std::time::Duration;
+
+use super::feed::Feed;
+use super::{Pending, Replica, ReplicaAction};
+use crate::{LogRecord, MemberId, View};
+
+impl Replica {
+    pub(super) fn on_started(&mut self, now: Duration, out: &mut Vec<ReplicaAction>) {
+        if let Some(bytes) = self.stored_state.take() {
+            out.push(ReplicaAction::InstallSnapshot { seq: self.log.applied(), bytes });
+        }
+        if self.view.is_some() {
+            self.in_force(now, out);
+        }
+    }
+
+    /// Takes up a newer view: on the disk first, then in force.
+    pub(super) fn install(&mut self, view: View, out: &mut Vec<ReplicaAction>) {
+        if view.epoch <= self.epoch() {
+            return;
+        }
+        let full = self.counts_in(&view);
+        let mut records = vec![LogRecord::View { view: view.clone(), full }];
+        if !full && self.log.last() > self.log.committed() {
+            self.log.truncate(self.log.committed());
+            records.push(LogRecord::Truncate { after: self.log.committed() });
+        }
+        let epoch = view.epoch;
+        self.view = Some(view);
+        self.installed = false;
+        self.full = full;
+        self.becoming_full = false;
+        self.intake.reset(None);
+        self.feeds.clear();
+        self.snapshot = None;
+        self.barriers.reset();
+        self.persist(records, Pending::View { epoch }, out);
+    }
+
+    /// Whether this member holds all that was committed before a view: it counted in the view just before, stays in the
+    /// chain, and the members that stay keep their order and come first. Else two logs could differ in their ends.
+    fn counts_in(&self, next: &View) -> bool {
+        let Some(view) = &self.view else {
+            return next.epoch == 1 && next.contains(self.me) && self.log.last() == 0;
+        };
+        let stay: Vec<MemberId> =
+            view.chain.iter().copied().filter(|member| next.contains(*member)).collect();
+        self.full
+            && next.epoch == view.epoch + 1
+            && view.contains(self.me)
+            && next.contains(self.me)
+            && next.chain.starts_with(&stay)
+    }
+
+    /// The view is on the disk.
+    pub(super) fn in_force(&mut self, now: Duration, out: &mut Vec<ReplicaAction>) {
+        self.installed = true;
+        self.reads.restart();
+        self.barriers.start(now);
+        let epoch = self.epoch();
+        out.push(ReplicaAction::Installed { epoch });
+        if self.is_full() {
+            out.push(ReplicaAction::BecameFull { epoch });
+        }
+        if self.is_active() {
+            self.connect(now, out);
+        }
+        self.take_early(now, out);
+    }
+
+    fn connect(&mut self, now: Duration, out: &mut Vec<ReplicaAction>) {
+        let Some(view) = &self.view else { return };
+        let predecessor = view.predecessor(self.me);
+        let successor = view.successor(self.me);
+        let tail = view.tail();
+        let source = if view.contains(self.me) { predecessor } else { tail.filter(|_| self.learning) };
+        self.intake.reset(source);
+        self.send_resume(now, out);
+        if let Some(successor) = successor {
+            self.feeds.push(Feed::new(successor, false, now));
+            self.ask_resume(now, out);
+        }
+    }
+
+    /// Messages of this view that came before it was in force.
+    fn take_early(&mut self, now: Duration, out: &mut Vec<ReplicaAction>) {
+        let epoch = self.epoch();
+        for (from, message) in std::mem::take(&mut self.early) {
+            if message.epoch() > epoch {
+                self.early.push_back((from, message));
+            } else if message.epoch() == epoch && self.is_active() {
+                self.dispatch(now, from, message, out);
+            }
+        }
+    }
+
+    pub(super) fn on_seal(&mut self, epoch: u64, out: &mut Vec<ReplicaAction>) {
+        self.seal_in_memory(epoch);
+        self.persist(vec![LogRecord::Sealed { epoch }], Pending::Sealed { epoch }, out);
+    }
+
+    pub(super) fn on_learn(&mut self, now: Duration, out: &mut Vec<ReplicaAction>) {
+        if self.learning {
+            return;
+        }
+        self.learning = true;
+        if self.is_active() && !self.in_chain() {
+            self.connect(now, out);
+        }
+    }
+
+    /// Becomes full once all that the predecessor held when it was asked is durable here.
+    pub(super) fn check_full(&mut self, out: &mut Vec<ReplicaAction>) {
+        let complete = self.intake.full_at.is_some_and(|seq| seq <= self.log.durable());
+        if !complete || self.full || self.becoming_full || !self.is_active() || !self.in_chain() {
+            return;
+        }
+        self.becoming_full = true;
+        let epoch = self.epoch();
+        self.persist(vec![LogRecord::Full { epoch }], Pending::Full { epoch }, out);
+    }
+
+    pub(super) fn now_full(&mut self, epoch: u64, out: &mut Vec<ReplicaAction>) {
+        self.full = true;
+        self.becoming_full = false;
+        out.push(ReplicaAction::BecameFull { epoch });
+        for feed in &mut self.feeds {
+            feed.ask_at_once();
+        }
+    }
+}
--- /dev/null
+++ b/system/chain/src/replica/intake.rs
@@ -0,0 +1,220 @@
+//! Taking entries and snapshots from the predecessor, or from the tail as a learner.
+
+use std::time::Duration;
+
+use super::{Pending, Replica, ReplicaAction};
+use crate::{LogRecord, MemberId, ReplicaMessage};
+
+/// A learner that has heard nothing for this many times the resend span asks again, so that the tail knows of it.
+const LEARNER_IDLE_RESENDS: u32 = 2;
+
+/// Where entries come from in the view, and what is known of them.
+#[derive(Debug, Default)]
+pub(super) struct Intake {
+    source: Option<MemberId>,
+    /// Whether a `Resume` has not been answered yet.
+    awaiting: bool,
+    /// When it was last sent, or something came.
+    heard_at: Duration,
+    /// Up to where the source knows the log to be committed.
+    committed: u64,
+    /// What must be durable here to count in the view.
+    pub full_at: Option<u64>,
+    assembly: Option<Assembly>,
+    /// Whether a snapshot is being written.
+    installing: bool,
+    /// What was acknowledged last.
+    acknowledged: Option<(u64, u64)>,
+}
+
+impl Intake {
+    pub fn reset(&mut self, source: Option<MemberId>) {
+        *self = Self { source, awaiting: source.is_some(), installing: self.installing, ..Self::default() };
+    }
+}
+
+/// A part of a snapshot.
+pub(super) struct Chunk {
+    pub seq: u64,
+    pub total: u64,
+    pub offset: u64,
+    pub bytes: Vec<u8>,
+}
+
+/// A snapshot on its way in.
+#[derive(Debug)]
+struct Assembly {
+    seq: u64,
+    total: u64,
+    bytes: Vec<u8>,
+}
+
+impl Replica {
+    pub(super) fn send_resume(&mut self, now: Duration, out: &mut Vec<ReplicaAction>) {
+        let Some(source) = self.intake.source else { return };
+        if self.intake.installing || !self.is_active() {
+            return;
+        }
+        self.intake.awaiting = true;
+        self.intake.heard_at = now;
+        let learner = !self.in_chain();
+        let message = ReplicaMessage::Resume {
+            epoch: self.epoch(),
+            last: self.log.last(),
+            full: self.is_full(),
+            learner,
+        };
+        out.push(ReplicaAction::Send { to: source, message });
+    }
+
+    pub(super) fn on_ask_resume(&mut self, now: Duration, from: MemberId, out: &mut Vec<ReplicaAction>) {
+        let just_sent = self.intake.awaiting && self.intake.heard_at == now;
+        if self.intake.source == Some(from) && !just_sent {
+            self.send_resume(now, out);
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn on_append(
+        &mut self,
+        now: Duration,
+        from: MemberId,
+        first: u64,
+        commands: Vec<Vec<u8>>,
+        committed: u64,
+        full_at: Option<u64>,
+        out: &mut Vec<ReplicaAction>,
+    ) {
+        if self.intake.source != Some(from) || self.intake.installing || first == 0 {
+            return;
+        }
+        if first > self.log.last() + 1 {
+            if !self.intake.awaiting {
+                self.send_resume(now, out);
+            }
+            return;
+        }
+        self.intake.awaiting = false;
+        self.intake.heard_at = now;
+        self.intake.assembly = None;
+        self.intake.committed = self.intake.committed.max(committed);
+        self.intake.full_at = self.intake.full_at.or(full_at);
+        let held = (self.log.last() + 1 - first) as usize;
+        let epoch = self.epoch();
+        let records: Vec<_> =
+            commands.into_iter().skip(held).map(|command| self.log.append(epoch, command)).collect();
+        if records.is_empty() {
+            self.intake.acknowledged = None;
+        } else {
+            let pending = Pending::Entries { up_to: self.log.last(), generation: self.log.generation() };
+            self.persist(records, pending, out);
+        }
+        self.commit_as_told();
+    }
+
+    pub(super) fn commit_as_told(&mut self) {
+        self.log.commit(self.intake.committed);
+    }
+
+    pub(super) fn on_chunk(
+        &mut self,
+        now: Duration,
+        from: MemberId,
+        chunk: Chunk,
+        out: &mut Vec<ReplicaAction>,
+    ) {
+        if self.intake.source != Some(from) || self.intake.installing || self.is_full() {
+            return;
+        }
+        self.intake.heard_at = now;
+        if chunk.seq <= self.log.committed() {
+            self.intake.acknowledged = None;
+            return;
+        }
+        let Some(received) = self.assemble(&chunk) else { return };
+        let message = ReplicaMessage::ChunkAck { epoch: self.epoch(), seq: chunk.seq, received };
+        out.push(ReplicaAction::Send { to: from, message });
+        if received == chunk.total {
+            self.persist_snapshot(out);
+        }
+    }
+
+    /// Adds a part, and gives how much there is.
+    fn assemble(&mut self, chunk: &Chunk) -> Option<u64> {
+        if chunk.total > self.settings.snapshot_bytes as u64 {
+            return None;
+        }
+        let same = |assembly: &Assembly| assembly.seq == chunk.seq && assembly.total == chunk.total;
+        if !self.intake.assembly.as_ref().is_some_and(same) {
+            if chunk.offset != 0 {
+                return Some(0);
+            }
+            self.intake.assembly = Some(Assembly { seq: chunk.seq, total: chunk.total, bytes: Vec::new() });
+        }
+        let assembly = self.intake.assembly.as_mut()?;
+        let fits = assembly.bytes.len() + chunk.bytes.len() <= chunk.total as usize;
+        if chunk.offset == assembly.bytes.len() as u64 && fits {
+            assembly.bytes.extend_from_slice(&chunk.bytes);
+        }
+        Some(assembly.bytes.len() as u64)
+    }
+
+    fn persist_snapshot(&mut self, out: &mut Vec<ReplicaAction>) {
+        let Some(Assembly { seq, bytes, .. }) = self.intake.assembly.take() else { return };
+        self.intake.installing = true;
+        let record = LogRecord::Snapshot { seq, bytes: bytes.clone() };
+        self.persist(vec![record], Pending::Snapshot { seq, bytes }, out);
+    }
+
+    pub(super) fn snapshot_durable(&mut self, seq: u64, bytes: Vec<u8>, out: &mut Vec<ReplicaAction>) {
+        self.intake.installing = false;
+        self.intake.acknowledged = None;
+        if seq > self.log.committed() {
+            self.log.reset(seq);
+            self.recovered = self.recovered.max(seq);
+            out.push(ReplicaAction::InstallSnapshot { seq, bytes });
+        }
+    }
+
+    /// Tells the source what has become durable or committed here.
+    pub(super) fn acknowledge(&mut self, out: &mut Vec<ReplicaAction>) {
+        let Some(source) = self.intake.source else { return };
+        let state = (self.log.durable(), self.log.committed());
+        if !self.is_active() || self.intake.awaiting_first() || self.intake.acknowledged == Some(state) {
+            return;
+        }
+        self.intake.acknowledged = Some(state);
+        let message = ReplicaMessage::Ack { epoch: self.epoch(), durable: state.0, committed: state.1 };
+        out.push(ReplicaAction::Send { to: source, message });
+    }
+
+    pub(super) fn intake_tick(&mut self, now: Duration, out: &mut Vec<ReplicaAction>) {
+        if self.intake_timer().is_some_and(|at| at <= now) {
+            self.send_resume(now, out);
+        }
+    }
+
+    pub(super) fn intake_timer(&self) -> Option<Duration> {
+        self.intake.source?;
+        if self.intake.installing || !self.is_active() {
+            return None;
+        }
+        if self.intake.awaiting || (self.in_chain() && !self.full) {
+            return Some(self.intake.heard_at + self.settings.resend);
+        }
+        let learner = !self.in_chain();
+        learner.then(|| self.intake.heard_at + self.settings.resend * LEARNER_IDLE_RESENDS)
+    }
+}
+
+impl Intake {
+    /// Whether a snapshot is being written.
+    pub fn is_installing(&self) -> bool {
+        self.installing
+    }
+
+    /// Whether nothing has come in this view yet: there is nothing to acknowledge.
+    fn awaiting_first(&self) -> bool {
+        self.awaiting && self.acknowledged.is_none() && self.assembly.is_none() && !self.installing
+    }
+}
--- /dev/null
+++ b/system/chain/src/replica/log.rs
@@ -0,0 +1,172 @@
+//! The entries of one replica that are held in memory, and how far they are durable, committed and applied.
+//!
+//! Always: `applied <= committed <= durable <= last`, and every entry after `applied` is held.
+
+use std::collections::VecDeque;
+
+use crate::record::LogRecord;
+
+/// One command with the epoch in which it was written here.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    pub epoch: u64,
+    pub command: Vec<u8>,
+}
+
+/// The entries and their positions.
+#[derive(Debug, Default)]
+pub(crate) struct Log {
+    /// Entries `offset + 1 ..= last`.
+    entries: VecDeque<Entry>,
+    offset: u64,
+    bytes: usize,
+    unapplied_bytes: usize,
+    durable: u64,
+    committed: u64,
+    applied: u64,
+    /// Counts truncations and snapshots, so that a sync that ends after one isn't taken for that of later entries.
+    generation: u64,
+}
+
+impl Log {
+    /// Number of the last entry, durable or not.
+    pub fn last(&self) -> u64 {
+        self.offset + self.entries.len() as u64
+    }
+
+    /// Number of the last synced entry.
+    pub fn durable(&self) -> u64 {
+        self.durable
+    }
+
+    /// Number of the last entry known to be committed and durable here.
+    pub fn committed(&self) -> u64 {
+        self.committed
+    }
+
+    /// Number of the last entry given to the host.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// The number before the oldest entry still held.
+    pub fn offset(&self) -> u64 {
+        self.offset
+    }
+
+    /// Changes whenever entries become void.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Bytes of the commands that aren't applied.
+    pub fn unapplied_bytes(&self) -> usize {
+        self.unapplied_bytes
+    }
+
+    /// Adds an entry and gives the record to persist.
+    pub fn append(&mut self, epoch: u64, command: Vec<u8>) -> LogRecord {
+        let record = LogRecord::Entry {
+            epoch,
+            seq: self.last() + 1,
+            committed: self.committed,
+            command: command.clone(),
+        };
+        self.push(Entry { epoch, command });
+        record
+    }
+
+    fn push(&mut self, entry: Entry) {
+        self.bytes += entry.command.len();
+        self.unapplied_bytes += entry.command.len();
+        self.entries.push_back(entry);
+    }
+
+    /// An entry that is still held.
+    pub fn get(&self, seq: u64) -> Option<&Entry> {
+        let index = seq.checked_sub(self.offset + 1)?;
+        self.entries.get(usize::try_from(index).ok()?)
+    }
+
+    /// The entries up to here are synced, if none became void since they were written.
+    pub fn synced(&mut self, up_to: u64, generation: u64) {
+        if generation == self.generation {
+            self.durable = self.durable.max(up_to.min(self.last()));
+        }
+    }
+
+    /// The entries up to here are committed; what isn't durable here doesn't count yet.
+    pub fn commit(&mut self, up_to: u64) -> bool {
+        let committed = up_to.min(self.durable);
+        let risen = committed > self.committed;
+        self.committed = self.committed.max(committed);
+        risen
+    }
+
+    /// The next committed entry that wasn't applied, which then counts as applied.
+    pub fn take_next(&mut self) -> Option<(u64, Vec<u8>)> {
+        if self.applied >= self.committed {
+            return None;
+        }
+        let seq = self.applied + 1;
+        let command = self.get(seq)?.command.clone();
+        self.applied = seq;
+        self.unapplied_bytes -= command.len();
+        Some((seq, command))
+    }
+
+    /// Drops the entries after a number.
+    pub fn truncate(&mut self, after: u64) {
+        let after = after.max(self.committed);
+        while self.last() > after {
+            if let Some(entry) = self.entries.pop_back() {
+                self.bytes -= entry.command.len();
+                self.unapplied_bytes -= entry.command.len();
+            }
+        }
+        self.durable = self.durable.min(after);
+        self.generation += 1;
+    }
+
+    /// Starts again from a state.
+    pub fn reset(&mut self, seq: u64) {
+        self.entries.clear();
+        self.bytes = 0;
+        self.unapplied_bytes = 0;
+        self.offset = seq;
+        self.durable = seq;
+        self.committed = seq;
+        self.applied = seq;
+        self.generation += 1;
+    }
+
+    /// Drops applied entries beyond the bounds, the oldest first.
+    pub fn trim(&mut self, most_entries: usize, most_bytes: usize) {
+        while self.offset < self.applied && (self.entries.len() > most_entries || self.bytes > most_bytes) {
+            let Some(entry) = self.entries.pop_front() else { return };
+            self.bytes -= entry.command.len();
+            self.offset += 1;
+        }
+    }
+
+    /// Records of all the entries after a number.
+    pub fn records_after(&self, seq: u64) -> Vec<LogRecord> {
+        (seq + 1..=self.last())
+            .filter_map(|seq| {
+                let entry = self.get(seq)?;
+                let command = entry.command.clone();
+                Some(LogRecord::Entry { epoch: entry.epoch, seq, committed: self.committed, command })
+            })
+            .collect()
+    }
+
+    /// Takes back an entry from the disk. An entry out of order is left out.
+    pub fn restore(&mut self, epoch: u64, seq: u64, committed: u64, command: Vec<u8>) {
+        if seq != self.last() + 1 {
+            return;
+        }
+        self.push(Entry { epoch, command });
+        self.durable = seq;
+        self.commit(committed);
+    }
+}
--- /dev/null
+++ b/system/chain/src/replica/recovery.rs
@@ -0,0 +1,75 @@
+//! What a replica keeps on its disk, and how it starts again from that.
+
+use std::time::Duration;
+
+use super::{Replica, ReplicaAction};
+use crate::{LogRecord, MemberId, ReplicaSettings};
+
+impl Replica {
+    /// A replica that starts again with the records on its disk, in the order written. Records of the control group's
+    /// vote count for the seals that they imply.
+    pub fn recover(me: MemberId, records: &[LogRecord], settings: ReplicaSettings, seed: u64) -> Self {
+        let mut replica = Self::new(me, settings, seed);
+        for record in records {
+            replica.restore(record);
+        }
+        replica.recovered = replica.log.committed();
+        replica
+    }
+
+    fn restore(&mut self, record: &LogRecord) {
+        match record {
+            LogRecord::View { view, full } => {
+                if view.epoch != self.epoch() {
+                    self.barriers.reset();
+                }
+                self.view = Some(view.clone());
+                self.full = *full;
+            }
+            LogRecord::Full { epoch } if *epoch == self.epoch() => self.full = true,
+            LogRecord::Sealed { epoch } => self.seal_in_memory(*epoch),
+            LogRecord::Entry { epoch, seq, committed, command } => {
+                self.log.restore(*epoch, *seq, *committed, command.clone())
+            }
+            LogRecord::Truncate { after } => self.log.truncate(*after),
+            LogRecord::Snapshot { seq, bytes } => {
+                self.log.reset(*seq);
+                self.stored_state = Some(bytes.clone());
+            }
+            LogRecord::Barriers { epoch, reserved } if *epoch == self.epoch() => {
+                self.barriers.restore(*reserved)
+            }
+            LogRecord::Promise { epoch, .. } => self.seal_in_memory(epoch.saturating_sub(1)),
+            LogRecord::Accepted { members, .. } => self.seal_in_memory(members.epoch.saturating_sub(1)),
+            LogRecord::Full { .. } | LogRecord::Barriers { .. } | LogRecord::Members { .. } => {}
+        }
+    }
+
+    /// Everything that must stay on the disk once the state after [`Replica::applied`] is encoded as `state`. The host
+    /// writes it after all that was to be persisted before, and may then drop all of that. None while a snapshot from
+    /// another member is being written; ask again later.
+    pub fn checkpoint(&self, state: Vec<u8>) -> Option<Vec<LogRecord>> {
+        if self.intake.is_installing() {
+            return None;
+        }
+        let mut records = vec![LogRecord::Snapshot { seq: self.log.applied(), bytes: state }];
+        if let Some(view) = &self.view {
+            // What is being written counts: it is on the disk before these records are.
+            let full = self.full || self.becoming_full;
+            records.push(LogRecord::View { view: view.clone(), full });
+            records.push(self.barriers.record(view.epoch));
+        }
+        if self.sealed > 0 {
+            records.push(LogRecord::Sealed { epoch: self.sealed });
+        }
+        records.extend(self.log.records_after(self.log.applied()));
+        Some(records)
+    }
+
+    pub(super) fn on_tick(&mut self, now: Duration, out: &mut Vec<ReplicaAction>) {
+        self.intake_tick(now, out);
+        self.feeds_tick(now, out);
+        self.reads_tick(now, out);
+        self.barrier_tick(now, out);
+    }
+}
--- a/system/chain/src/settings.rs
+++ b/system/chain/src/settings.rs
@@ -31,6 +31,10 @@
     pub read_timeout: Duration,
     /// Most reads that wait at once.
     pub reads: usize,
+    /// Most members outside the chain that a tail feeds at once.
+    pub learners: usize,
+    /// Time between the numbered barriers that the head sends through the chain; none: it sends none.
+    pub tick_every: Option<Duration>,
 }
 
 impl Default for ReplicaSettings {
@@ -49,6 +53,8 @@
             resend: Duration::from_millis(200),
             read_timeout: Duration::from_millis(1000),
             reads: 1024,
+            learners: 4,
+            tick_every: None,
         }
     }
 }
@@ -64,16 +70,19 @@
     pub heartbeat: Duration,
     /// A member not heard of for this long is left out of the chain.
     pub suspect: Duration,
+    /// How much longer than `suspect` the others may be silent after this process has started.
+    pub start_grace: Duration,
     /// A voter not heard of for this long is replaced, where another member stands ready.
     pub replace_after: Duration,
     /// A member whose disk hasn't answered for this long leaves the chain by itself.
     pub disk_suspect: Duration,
-    /// How long a proposer waits for more than a majority.
+    /// How long a proposer with a majority waits for the other members that live.
     pub promise_grace: Duration,
-    /// Shortest pause before an unfinished change of view is tried again; the pause is drawn up to three times this.
+    /// An attempt to change the view is given up after this.
+    pub attempt: Duration,
+    /// Shortest pause before the next attempt; the pause is drawn up to three times this. Also the lead of each member
+    /// of the chain over the next one in proposing.
     pub retry: Duration,
-    /// Time between the numbered barriers that the head sends through the chain.
-    pub tick_every: Duration,
     /// A learner at most this many entries behind is taken into the chain.
     pub learner_reach: u64,
     /// Most members known that are no voters.
@@ -85,17 +94,22 @@
 impl Settings {
     /// The usual settings for a fault tolerance.
     pub fn new(fault_tolerance: usize) -> Self {
-        let replica = ReplicaSettings { min_chain: fault_tolerance + 1, ..ReplicaSettings::default() };
+        let replica = ReplicaSettings {
+            min_chain: fault_tolerance + 1,
+            tick_every: Some(Duration::from_millis(250)),
+            ..ReplicaSettings::default()
+        };
         Self {
             fault_tolerance,
             target_voters: 2 * fault_tolerance + 1,
             heartbeat: Duration::from_millis(150),
             suspect: Duration::from_millis(700),
+            start_grace: Duration::from_millis(700),
             replace_after: Duration::from_secs(4),
             disk_suspect: Duration::from_secs(1),
-            promise_grace: Duration::from_millis(60),
+            promise_grace: Duration::from_millis(200),
+            attempt: Duration::from_millis(700),
             retry: Duration::from_millis(150),
-            tick_every: Duration::from_millis(250),
             learner_reach: 256,
             candidates: 16,
             replica,
--- /dev/null
+++ b/system/chain/src/turn.rs
@@ -0,0 +1,222 @@
+//! Carries one event through the votes and the replica of a member of the control group, until nothing more follows.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::agreement::{AgreementAction, Status, Vote};
+use crate::control_chain::{ChainAction, ChainEvent, ControlChain};
+use crate::{AgreementMessage, ChainMessage, LogRecord, MemberId, ReplicaAction, ReplicaEvent};
+
+/// On whose behalf records are being written.
+#[derive(Debug)]
+enum Owner {
+    Replica { token: u64 },
+    Vote(Vote),
+}
+
+/// The writes under way, oldest first.
+#[derive(Debug, Default)]
+pub(crate) struct Disk {
+    next_token: u64,
+    writes: VecDeque<(u64, Duration, Owner)>,
+}
+
+impl Disk {
+    fn write(&mut self, now: Duration, owner: Owner) -> u64 {
+        self.next_token += 1;
+        self.writes.push_back((self.next_token, now, owner));
+        self.next_token
+    }
+
+    fn done(&mut self, up_to: u64) -> Option<Owner> {
+        self.writes.front().filter(|(token, ..)| *token <= up_to)?;
+        self.writes.pop_front().map(|(_, _, owner)| owner)
+    }
+
+    fn is_ready(&self, now: Duration, within: Duration) -> bool {
+        self.writes.front().is_none_or(|(_, since, _)| now < *since + within)
+    }
+}
+
+/// One event on its way.
+pub(crate) struct Turn<'a> {
+    chain: &'a mut ControlChain,
+    now: Duration,
+    out: &'a mut Vec<ChainAction>,
+    from_replica: Vec<ReplicaAction>,
+    from_agreement: Vec<AgreementAction>,
+    /// Votes from this member to itself.
+    to_myself: VecDeque<AgreementMessage>,
+}
+
+impl<'a> Turn<'a> {
+    pub fn new(chain: &'a mut ControlChain, now: Duration, out: &'a mut Vec<ChainAction>) -> Self {
+        Self {
+            chain,
+            now,
+            out,
+            from_replica: Vec::new(),
+            from_agreement: Vec::new(),
+            to_myself: VecDeque::new(),
+        }
+    }
+
+    pub fn run(&mut self, event: ChainEvent) {
+        self.chain.agreement.passed(self.now);
+        self.take(event);
+        self.settle();
+        while let Some(message) = self.to_myself.pop_front() {
+            self.vote_message(self.chain.me(), message);
+            self.settle();
+        }
+    }
+
+    fn status(&self) -> Status {
+        Status {
+            full: self.chain.replica.is_full(),
+            serving: self.chain.replica.is_serving(),
+            disk_ready: self.chain.disk.is_ready(self.now, self.chain.disk_suspect),
+        }
+    }
+
+    fn take(&mut self, event: ChainEvent) {
+        match event {
+            ChainEvent::Started => self.start(),
+            ChainEvent::Message { from, message: ChainMessage::Replica(message) } => {
+                self.replica(ReplicaEvent::Message { from, message })
+            }
+            ChainEvent::Message { from, message: ChainMessage::Agreement(message) } => {
+                self.vote_message(from, message)
+            }
+            ChainEvent::Durable { token } => self.durable(token),
+            ChainEvent::Submit { command } => self.replica(ReplicaEvent::Submit { command }),
+            ChainEvent::Read { token } => self.replica(ReplicaEvent::Read { token }),
+            ChainEvent::MemberAnnounced { member, replaces } => {
+                self.chain.agreement.announced(member, replaces)
+            }
+            ChainEvent::SnapshotReady { seq, bytes } => {
+                self.replica(ReplicaEvent::SnapshotReady { seq, bytes })
+            }
+            ChainEvent::Tick => {
+                let status = self.status();
+                self.chain.agreement.on_tick(self.now, status, &mut self.from_agreement);
+                self.replica(ReplicaEvent::Tick);
+            }
+        }
+    }
+
+    fn start(&mut self) {
+        if let Some(members) = self.chain.founding.take() {
+            self.chain.agreement.learn(self.now, members, &mut self.from_agreement);
+        }
+        self.chain.agreement.start(self.now);
+        self.replica(ReplicaEvent::Learn);
+        self.replica(ReplicaEvent::Started);
+        // A crash may have come between the records of a membership and of its view.
+        if let Some(members) =
+            self.chain.members().filter(|members| members.epoch > self.chain.replica.epoch())
+        {
+            let view = members.view();
+            if self.from_agreement.is_empty() {
+                self.replica(ReplicaEvent::Install { view });
+            }
+        }
+    }
+
+    fn durable(&mut self, token: u64) {
+        while let Some(owner) = self.chain.disk.done(token) {
+            match owner {
+                Owner::Replica { token } => self.replica(ReplicaEvent::Durable { token }),
+                Owner::Vote(vote) => {
+                    let status = self.status();
+                    self.chain.agreement.durable(vote, status, &mut self.from_agreement);
+                }
+            }
+            self.settle();
+        }
+    }
+
+    fn replica(&mut self, event: ReplicaEvent) {
+        self.chain.replica.handle(self.now, event, &mut self.from_replica);
+    }
+
+    fn vote_message(&mut self, from: MemberId, message: AgreementMessage) {
+        let status = self.status();
+        self.chain.agreement.on_message(self.now, from, message, status, &mut self.from_agreement);
+    }
+
+    /// Does what the two machines want of each other, and hands the rest to the host.
+    fn settle(&mut self) {
+        while !self.from_replica.is_empty() || !self.from_agreement.is_empty() {
+            for action in std::mem::take(&mut self.from_agreement) {
+                self.agreement_action(action);
+            }
+            for action in std::mem::take(&mut self.from_replica) {
+                self.replica_action(action);
+            }
+        }
+    }
+
+    fn agreement_action(&mut self, action: AgreementAction) {
+        match action {
+            AgreementAction::Send { to, message } if to == self.chain.me() => {
+                self.to_myself.push_back(message)
+            }
+            AgreementAction::Send { to, message } => {
+                self.out.push(ChainAction::Send { to, message: ChainMessage::Agreement(message) })
+            }
+            AgreementAction::Persist { record, vote } => self.persist(vec![record], Owner::Vote(vote)),
+            AgreementAction::Seal { epoch } => self.chain.replica.seal_in_memory(epoch),
+            AgreementAction::Install { members } => {
+                self.replica(ReplicaEvent::Install { view: members.view() })
+            }
+        }
+    }
+
+    fn persist(&mut self, records: Vec<LogRecord>, owner: Owner) {
+        let token = self.chain.disk.write(self.now, owner);
+        self.out.push(ChainAction::Persist { token, records });
+    }
+
+    fn replica_action(&mut self, action: ReplicaAction) {
+        match action {
+            ReplicaAction::Send { to, message } => {
+                self.out.push(ChainAction::Send { to, message: ChainMessage::Replica(message) })
+            }
+            ReplicaAction::Persist { token, records } => self.persist(records, Owner::Replica { token }),
+            ReplicaAction::Installed { .. } => {
+                if let Some(members) = self.chain.members().cloned() {
+                    self.out.push(ChainAction::ViewInstalled { members });
+                }
+            }
+            ReplicaAction::LearnerProgress { member, behind } => {
+                let status = self.status();
+                let out = &mut self.from_agreement;
+                self.chain.agreement.caught_up(self.now, member, behind, status, out);
+            }
+            ReplicaAction::Behind { member, epoch } => {
+                self.chain.agreement.behind(member, epoch, &mut self.from_agreement)
+            }
+            ReplicaAction::Sealed { .. } => {}
+            action => self.out.extend(for_host(action)),
+        }
+    }
+}
+
+/// The actions that mean the same to the host of a replica and of a control chain.
+fn for_host(action: ReplicaAction) -> Option<ChainAction> {
+    Some(match action {
+        ReplicaAction::Apply { seq, command, reply } => ChainAction::Apply { seq, command, reply },
+        ReplicaAction::TakeSnapshot => ChainAction::TakeSnapshot,
+        ReplicaAction::InstallSnapshot { seq, bytes } => ChainAction::InstallSnapshot { seq, bytes },
+        ReplicaAction::ReadReady { token, seq } => ChainAction::ReadReady { token, seq },
+        ReplicaAction::ReadFailed { token } => ChainAction::ReadFailed { token },
+        ReplicaAction::NotHead { command, head } => ChainAction::NotHead { command, head },
+        ReplicaAction::Busy { command } => ChainAction::Busy { command },
+        ReplicaAction::BecameFull { epoch } => ChainAction::BecameFull { epoch },
+        ReplicaAction::Barrier { epoch, number, committed } => {
+            ChainAction::Tick { epoch, number, committed_seq: committed }
+        }
+        _ => return None,
+    })
+}
