--- /dev/null
+++ b/system/lease/src/granter.rs
@@ -0,0 +1,78 @@
+//! The voter's side. Nothing is kept on a disk: a voter that has just started grants nothing for as long as a grant of
+//! its life before could last.
+
+use std::time::Duration;
+
+use crate::{Message, Settings, Voter};
+
+#[derive(Debug)]
+struct Granted {
+    holder: Voter,
+    round: u64,
+    until: Duration,
+}
+
+/// A question, as it is in [`Message::Request`].
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Request {
+    pub epoch: u64,
+    pub round: u64,
+    pub renewal: bool,
+    pub attempt: u64,
+}
+
+/// What a voter has granted.
+#[derive(Debug, Default)]
+pub(crate) struct Granter {
+    granted: Option<Granted>,
+    highest: u64,
+    /// Grants nothing before this.
+    silent_until: Duration,
+    /// The highest epoch in which nothing more is granted.
+    sealed: u64,
+}
+
+impl Granter {
+    /// Grants may be out that this voter doesn't know of.
+    pub fn be_silent(&mut self, now: Duration, settings: &Settings) {
+        self.silent_until = self.silent_until.max(now + settings.silence());
+    }
+
+    pub fn seal(&mut self, epoch: u64) {
+        self.sealed = self.sealed.max(epoch);
+    }
+
+    /// Until when somebody else than `me` may hold the lease, as far as known here.
+    pub fn taken_until(&self, me: Voter) -> Duration {
+        let others = self.granted.as_ref().filter(|granted| granted.holder != me);
+        others.map_or(Duration::ZERO, |granted| granted.until)
+    }
+
+    pub fn highest(&self) -> u64 {
+        self.highest
+    }
+
+    /// Answers a request of the present epoch. A new round must be higher than all before; a renewal need not be, since
+    /// its sender counts it only while it still holds the lease, so that no higher round can have been held.
+    pub fn request(&mut self, now: Duration, from: Voter, request: Request, settings: &Settings) -> Message {
+        let Request { epoch, round, renewal, attempt } = request;
+        let wait = self.wait_for(now, from);
+        let stale = round <= self.highest && !renewal;
+        if !wait.is_zero() || stale || epoch <= self.sealed {
+            return Message::Refuse { attempt, highest: self.highest, wait };
+        }
+        self.highest = self.highest.max(round);
+        self.granted = Some(Granted { holder: from, round, until: now + settings.term });
+        Message::Grant { epoch, round, attempt }
+    }
+
+    fn wait_for(&self, now: Duration, from: Voter) -> Duration {
+        self.silent_until.max(self.taken_until(from)).saturating_sub(now)
+    }
+
+    pub fn release(&mut self, from: Voter, round: u64) {
+        if self.granted.as_ref().is_some_and(|granted| granted.holder == from && granted.round <= round) {
+            self.granted = None;
+        }
+    }
+}
--- /dev/null
+++ b/system/lease/src/lease.rs
@@ -0,0 +1,363 @@
+//! One process's part: voter and candidate.
+
+use std::time::Duration;
+
+use crate::granter::{Granter, Request};
+use crate::holder::Holder;
+use crate::{Message, Settings, Voter};
+
+/// What happens to a process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The process has started; given once, first. A founder of the whole system, that can't have granted anything
+    /// before, says so.
+    Started {
+        /// Whether this is its first life, and that of all the voters.
+        founding: bool,
+    },
+    /// The voters of an epoch. Older and repeated ones are ignored.
+    Voters {
+        /// The epoch.
+        epoch: u64,
+        /// The voters.
+        voters: Vec<Voter>,
+    },
+    /// This process has sealed an epoch: it grants nothing more in it.
+    Sealed {
+        /// The epoch.
+        epoch: u64,
+    },
+    /// Who may hold the lease, the preferred one first. A process that isn't named doesn't ask, and gives up the lease.
+    Candidates {
+        /// The candidates.
+        order: Vec<Voter>,
+    },
+    /// A message has arrived.
+    Message {
+        /// The sender.
+        from: Voter,
+        /// The message.
+        message: Message,
+    },
+    /// Give the lease up; this process asks again only after a term.
+    Release,
+    /// The time of [`Lease::next_timer`] has come.
+    Tick,
+}
+
+/// What the host is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message, once.
+    Send {
+        /// The receiver.
+        to: Voter,
+        /// The message.
+        message: Message,
+    },
+    /// The lease is held.
+    Acquired {
+        /// The round: higher than those before, unless a majority of the voters started again at once.
+        round: u64,
+        /// Until when, if it isn't renewed.
+        until: Duration,
+    },
+    /// The lease is held for longer.
+    Renewed {
+        /// The round.
+        round: u64,
+        /// Until when.
+        until: Duration,
+    },
+    /// The lease isn't held any more.
+    Lost {
+        /// The round.
+        round: u64,
+    },
+}
+
+/// One process's part in the lease.
+#[derive(Debug)]
+pub struct Lease {
+    me: Voter,
+    settings: Settings,
+    rng: fastrand::Rng,
+    epoch: u64,
+    voters: Vec<Voter>,
+    candidates: Vec<Voter>,
+    granter: Granter,
+    holder: Holder,
+    started: bool,
+    /// Whether nobody can have granted anything before this life.
+    founding: bool,
+}
+
+impl Lease {
+    /// A process that has just started. The seed must differ from life to life.
+    pub fn new(me: Voter, settings: Settings, seed: u64) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        // Questions of an earlier life must not be taken for those of this one.
+        let holder = Holder { attempts: rng.u64(..) >> 1, ..Holder::default() };
+        Self {
+            me,
+            settings,
+            rng,
+            epoch: 0,
+            voters: Vec::new(),
+            candidates: Vec::new(),
+            granter: Granter::default(),
+            holder,
+            started: false,
+            founding: false,
+        }
+    }
+
+    /// Whether the lease is held now. To be asked right before each act under it.
+    pub fn held(&self, now: Duration) -> bool {
+        self.holder.held(now)
+    }
+
+    /// Until when the lease is held, if it is.
+    pub fn held_until(&self, now: Duration) -> Option<Duration> {
+        self.holder.until.filter(|until| now < *until)
+    }
+
+    /// The round that is held or was asked for last.
+    pub fn round(&self) -> u64 {
+        self.holder.round
+    }
+
+    /// When [`Event::Tick`] is wanted next.
+    pub fn next_timer(&self) -> Option<Duration> {
+        if !self.started || self.voters.is_empty() {
+            return None;
+        }
+        let attempt = self.holder.attempt.as_ref().map(|attempt| attempt.asked_at + self.settings.attempt);
+        let asks = (self.is_candidate() && self.holder.attempt.is_none()).then_some(self.holder.ask_at);
+        [attempt, asks, self.holder.until].into_iter().flatten().min()
+    }
+
+    /// Takes an event and appends what is to be done.
+    pub fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
+        self.check_expiry(now, out);
+        match event {
+            Event::Started { founding } => self.on_started(now, founding),
+            Event::Voters { epoch, voters } => self.on_voters(now, epoch, voters),
+            Event::Sealed { epoch } => self.granter.seal(epoch),
+            Event::Candidates { order } => self.on_candidates(now, order, out),
+            Event::Message { from, message } => self.on_message(now, from, message, out),
+            Event::Release => self.on_release(now, out),
+            Event::Tick => self.on_tick(now, out),
+        }
+    }
+
+    fn is_candidate(&self) -> bool {
+        self.candidates.contains(&self.me)
+    }
+
+    fn rank(&self) -> u32 {
+        self.candidates.iter().position(|candidate| *candidate == self.me).unwrap_or(0) as u32
+    }
+
+    fn majority(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    fn on_started(&mut self, now: Duration, founding: bool) {
+        self.started = true;
+        self.founding = founding;
+        if !founding {
+            self.granter.be_silent(now, &self.settings);
+        }
+        self.holder.ask_at = now + self.settings.stagger * self.rank();
+    }
+
+    /// Takes up the voters of a newer epoch. Where they differ, or may have differed in between, a majority of the old
+    /// ones and one of the new ones need not meet: then this voter waits until all old grants have ended.
+    fn on_voters(&mut self, now: Duration, epoch: u64, mut voters: Vec<Voter>) {
+        if epoch <= self.epoch {
+            return;
+        }
+        voters.sort();
+        let first = self.epoch == 0;
+        let same = self.epoch + 1 == epoch && self.voters == voters;
+        let fresh = first && self.founding;
+        if !same && !fresh {
+            self.granter.be_silent(now, &self.settings);
+        }
+        if !same {
+            self.holder.attempt = None;
+        }
+        self.epoch = epoch;
+        self.voters = voters;
+    }
+
+    fn on_candidates(&mut self, now: Duration, order: Vec<Voter>, out: &mut Vec<Action>) {
+        let before = self.rank();
+        let was = self.is_candidate();
+        self.candidates = order;
+        if !self.is_candidate() {
+            self.give_up(out);
+        } else if !was || self.rank() != before {
+            self.holder.ask_at = self.holder.ask_at.max(now + self.settings.stagger * self.rank());
+        }
+    }
+
+    fn on_release(&mut self, now: Duration, out: &mut Vec<Action>) {
+        self.give_up(out);
+        self.holder.ask_at = now + self.settings.term;
+    }
+
+    /// Ends the lease or the question under way, and tells the voters.
+    fn give_up(&mut self, out: &mut Vec<Action>) {
+        let held = self.holder.until.take().is_some();
+        let asked = self.holder.attempt.take().is_some();
+        if held {
+            out.push(Action::Lost { round: self.holder.round });
+        }
+        if !held && !asked {
+            return;
+        }
+        let round = self.holder.round;
+        self.granter.release(self.me, round);
+        for to in self.others() {
+            out.push(Action::Send { to, message: Message::Release { round } });
+        }
+    }
+
+    fn others(&self) -> Vec<Voter> {
+        self.voters.iter().copied().filter(|voter| *voter != self.me).collect()
+    }
+
+    fn check_expiry(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if self.holder.until.is_some_and(|until| until <= now) {
+            self.holder.until = None;
+            out.push(Action::Lost { round: self.holder.round });
+        }
+    }
+
+    fn on_tick(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if !self.started || self.voters.is_empty() {
+            return;
+        }
+        let late = |asked_at: Duration| asked_at + self.settings.attempt <= now;
+        if self.holder.attempt.as_ref().is_some_and(|attempt| late(attempt.asked_at)) {
+            self.attempt_failed(now, out);
+        }
+        if self.holder.attempt.is_none() && self.is_candidate() && self.holder.ask_at <= now {
+            self.consider(now, out);
+        }
+    }
+
+    /// Renews the lease, or asks for it if nobody else is known to hold it.
+    fn consider(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if !self.held(now) {
+            let free_at = self.granter.taken_until(self.me);
+            if free_at > now {
+                self.holder.ask_at = free_at + self.settings.stagger * self.rank();
+                return;
+            }
+            self.holder.round = self.holder.round.max(self.granter.highest()).max(self.holder.seen) + 1;
+        }
+        self.ask(now, out);
+    }
+
+    fn ask(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let attempt = self.holder.start_attempt(now);
+        self.holder.ask_at = now + self.settings.renew_every();
+        let request =
+            Request { epoch: self.epoch, round: self.holder.round, renewal: self.held(now), attempt };
+        let Request { epoch, round, renewal, .. } = request;
+        let message = Message::Request { epoch, round, renewal, attempt };
+        for to in self.others() {
+            out.push(Action::Send { to, message: message.clone() });
+        }
+        if self.voters.contains(&self.me) {
+            let answer = self.granter.request(now, self.me, request, &self.settings);
+            self.on_answer(now, self.me, answer, out);
+        }
+    }
+
+    fn on_message(&mut self, now: Duration, from: Voter, message: Message, out: &mut Vec<Action>) {
+        match message {
+            Message::Request { epoch, round, renewal, attempt } => {
+                if self.started && epoch == self.epoch && self.voters.contains(&self.me) {
+                    let request = Request { epoch, round, renewal, attempt };
+                    let message = self.granter.request(now, from, request, &self.settings);
+                    out.push(Action::Send { to: from, message });
+                }
+            }
+            Message::Release { round } => self.on_released(now, from, round),
+            answer => self.on_answer(now, from, answer, out),
+        }
+    }
+
+    /// The holder has given up: the next one need not wait for the end of the term.
+    fn on_released(&mut self, now: Duration, from: Voter, round: u64) {
+        self.granter.release(from, round);
+        if !self.held(now) && self.granter.taken_until(self.me) <= now {
+            let turn = now + self.settings.stagger * self.rank();
+            self.holder.ask_at = self.holder.ask_at.min(turn.max(now));
+        }
+    }
+
+    fn on_answer(&mut self, now: Duration, from: Voter, answer: Message, out: &mut Vec<Action>) {
+        match answer {
+            Message::Grant { epoch, round, attempt } => {
+                let current =
+                    epoch == self.epoch && round == self.holder.round && self.voters.contains(&from);
+                let majority = self.majority();
+                let Some(asked) = self.holder.attempt.as_mut().filter(|asked| asked.number == attempt) else {
+                    return;
+                };
+                if current {
+                    asked.grants.insert(from);
+                }
+                if asked.grants.len() >= majority {
+                    let (until, renewal) = (asked.asked_at + self.settings.usable(), asked.renewal);
+                    self.granted(now, until, renewal, out);
+                }
+            }
+            Message::Refuse { attempt, highest, wait } => {
+                let asked = self.holder.attempt.as_ref().is_some_and(|asked| asked.number == attempt);
+                if !asked {
+                    return;
+                }
+                self.holder.seen = self.holder.seen.max(highest);
+                if !self.held(now) {
+                    let free_at = now + wait + self.settings.stagger * self.rank();
+                    self.holder.ask_at = self.holder.ask_at.max(free_at.min(now + self.settings.silence()));
+                }
+            }
+            Message::Request { .. } | Message::Release { .. } => {}
+        }
+    }
+
+    /// A renewal that comes after the lease has ended is given back: a higher round may have been held since.
+    fn granted(&mut self, now: Duration, until: Duration, renewal: bool, out: &mut Vec<Action>) {
+        if until <= now || (renewal && !self.held(now)) {
+            self.give_up(out);
+            return;
+        }
+        self.holder.attempt = None;
+        let round = self.holder.round;
+        let action = match self.holder.until {
+            Some(_) => Action::Renewed { round, until },
+            None => Action::Acquired { round, until },
+        };
+        self.holder.until = Some(until);
+        out.push(action);
+    }
+
+    /// No majority in time. Without a lease the few grants are given back, so that others need not wait for them.
+    fn attempt_failed(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if self.held(now) {
+            self.holder.attempt = None;
+            self.holder.ask_at = now;
+            return;
+        }
+        self.give_up(out);
+        let pause = self.settings.stagger.mul_f64(1.0 + 2.0 * self.rng.f64());
+        self.holder.ask_at = self.holder.ask_at.max(now + pause);
+    }
+}
