Bring the registry to every node by a tree that heals itself

The machine of the relay: a parent's feeds from one change log, digests by 512 buckets kept up with each entry, ticks with their age, a search that keeps the old parent until another accepts.

--- /dev/null
+++ b/system/relay/src/digest.rs
@@ -0,0 +1,55 @@
+//! Hashes that describe a copy of the registry, the same in every process.
+//!
+//! An entry counts with its key, version and rank only: two entries that agree in these are the same. The hashes of a bucket's
+//! entries are combined by exclusive or, so that an entry is taken in or out without a look at the others.
+
+use gingerledge_wire::{Entry, Key};
+
+/// Into how many buckets keys are divided: many, so that few differing entries cause few others to be sent.
+pub(crate) const BUCKETS: usize = 512;
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// The bucket of a key.
+pub(crate) fn bucket_of(key: &Key) -> usize {
+    bucket_of_hash(hash_key(key))
+}
+
+/// The bucket of an entry and its part of that bucket's hash.
+pub(crate) fn fingerprint(entry: &Entry) -> (usize, u64) {
+    let key = hash_key(&entry.key);
+    let (version, rank) = entry.rank();
+    let whole =
+        mix(key ^ mix(version.wrapping_mul(2).wrapping_add(u64::from(rank)).wrapping_add(FNV_OFFSET)));
+    (bucket_of_hash(key), whole)
+}
+
+/// A hash of bytes.
+pub(crate) fn hash_bytes(start: u64, bytes: &[u8]) -> u64 {
+    bytes.iter().fold(start ^ FNV_OFFSET, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME))
+}
+
+/// Spreads a hash over all its bits (the finalizer of splitmix64).
+pub(crate) fn mix(mut hash: u64) -> u64 {
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
+
+fn bucket_of_hash(hash: u64) -> usize {
+    (hash % BUCKETS as u64) as usize
+}
+
+fn hash_key(key: &Key) -> u64 {
+    let hash = match key {
+        Key::Configuration => hash_bytes(1, &[]),
+        Key::NamedVersion(model) => hash_bytes(2, model.as_bytes()),
+        Key::Store(id) => hash_bytes(3, id.as_bytes()),
+        Key::Weights(id, model) => hash_bytes(mix(hash_bytes(4, id.as_bytes())), model.as_bytes()),
+        Key::Node(incarnation) => hash_bytes(5, &incarnation.to_le_bytes()),
+        Key::Partition(partition) => hash_bytes(6, &partition.to_le_bytes()),
+        Key::Coordinator => hash_bytes(7, &[]),
+    };
+    mix(hash)
+}
--- /dev/null
+++ b/system/relay/src/freshness.rs
@@ -0,0 +1,65 @@
+//! The newest tick, and how old it is along its whole path.
+
+use std::time::Duration;
+
+use gingerledge_wire::Tick;
+
+/// The newest tick of this node and how long it counts. Its age starts at the root that confirmed it and grows along the path,
+/// except for the time on the wire.
+#[derive(Debug)]
+pub(crate) struct Freshness {
+    limit: Duration,
+    newest: Option<(Tick, Duration)>,
+}
+
+impl Freshness {
+    /// Without a tick yet. A node is fresh while its tick is younger than `limit`.
+    pub fn new(limit: Duration) -> Self {
+        Self { limit, newest: None }
+    }
+
+    /// Whether the newest tick is young enough.
+    pub fn is_fresh(&self, now: Duration) -> bool {
+        self.expires_at().is_some_and(|at| now < at)
+    }
+
+    /// Until when the node is fresh without another tick.
+    pub fn expires_at(&self) -> Option<Duration> {
+        self.newest.map(|(_, at)| at)
+    }
+
+    /// The newest tick, or the lowest of all if there is none.
+    pub fn tick(&self) -> Tick {
+        self.newest.map(|(tick, _)| tick).unwrap_or_default()
+    }
+
+    /// The age of the newest tick.
+    pub fn age(&self, now: Duration) -> Duration {
+        self.expires_at().map_or(Duration::MAX, |at| (now + self.limit).saturating_sub(at))
+    }
+
+    /// Takes a tick from the control chain itself.
+    pub fn confirmed(&mut self, tick: Tick, now: Duration) {
+        self.newest = Some((tick, now + self.limit));
+    }
+
+    /// Takes a parent's tick of some age if it proves anything new; says whether it does. `rises` says that it is higher than
+    /// any before it from the same subscription. Only a node that is no longer fresh goes to a lower tick than it had: the
+    /// control chain may count anew after all of it started again.
+    pub fn relayed(&mut self, tick: Tick, age: Duration, rises: bool, now: Duration) -> bool {
+        if tick == Tick::default() || age >= self.limit {
+            return false;
+        }
+        let expires_at = now + (self.limit - age);
+        let news = match self.newest {
+            None => true,
+            Some((known, known_at)) => {
+                expires_at > known_at && (tick > known || (rises && !self.is_fresh(now)))
+            }
+        };
+        if news {
+            self.newest = Some((tick, expires_at));
+        }
+        news
+    }
+}
--- a/system/relay/src/lib.rs
+++ b/system/relay/src/lib.rs
@@ -14,9 +14,22 @@
 //!
 //! It does not know sockets, clocks or the meaning of most entries.
 
+mod candidates;
+mod children;
+mod digest;
+mod directory;
 mod event;
+mod feed;
+mod freshness;
+mod link;
+mod log;
 mod relay;
+mod replica;
+mod search;
 mod settings;
+mod suspects;
+mod upstream;
+mod weight;
 
 pub use event::{Action, Event};
 pub use relay::Relay;
--- a/system/relay/src/relay.rs
+++ b/system/relay/src/relay.rs
@@ -1,71 +1,267 @@
-//! The machine of one node.
+//! The machine of one node: takes events, keeps the copy, and brings its parts together.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use gingerledge_wire::{Entry, Registry, Tick};
+use gingerledge_wire::{Entry, Registry, RelayMessage, Tick, Value};
 
+use crate::children::{leave, Children};
 use crate::event::{Action, Event};
+use crate::feed::{Feed, Source};
+use crate::freshness::Freshness;
+use crate::log::ChangeLog;
+use crate::replica::Replica;
 use crate::settings::RelaySettings;
+use crate::suspects::Suspects;
+use crate::upstream::{Asking, Upstream};
 
 /// One node's part of the tree, with its copy of the registry.
 #[derive(Debug)]
 pub struct Relay {
     settings: RelaySettings,
-    registry: Registry,
-    tick: Option<(Tick, Duration)>,
+    me: SocketAddr,
+    root: bool,
+    started: bool,
+    replica: Replica,
+    suspects: Suspects,
+    freshness: Freshness,
+    upstream: Upstream,
+    children: Children,
+    log: ChangeLog,
+}
+
+/// An update, as it came from a parent.
+struct Update {
+    from: SocketAddr,
+    subscription: u64,
+    sequence: u64,
+    entries: Vec<Entry>,
+    tick: Tick,
+    tick_age: Duration,
 }
 
 impl Relay {
     /// The relay of the node that takes internal messages at `me`. A `root` is fed by its host and has no parent.
-    pub fn new(settings: RelaySettings, _me: SocketAddr, _root: bool, _seed: u64) -> Self {
-        Self { settings, registry: Registry::default(), tick: None }
+    pub fn new(settings: RelaySettings, me: SocketAddr, root: bool, seed: u64) -> Self {
+        Self {
+            me,
+            root,
+            started: false,
+            replica: Replica::new(&settings),
+            suspects: Suspects::default(),
+            freshness: Freshness::new(settings.freshness),
+            upstream: Upstream::new(settings.clone(), me, seed),
+            children: Children::new(settings.max_children),
+            log: ChangeLog::new(settings.max_pending),
+            settings,
+        }
     }
 
     /// Takes one event and adds what is to be done.
     pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        self.expire(now, actions);
         match event {
-            Event::Learned(entries) => self.learn(entries, actions),
-            Event::Tick(tick) => self.tick = Some((tick, now)),
-            _ => {}
+            Event::Started => self.started = true,
+            Event::Message { from, message } => self.on_message(from, message, now, actions),
+            Event::Lost { peer } => self.on_lost(peer, now),
+            Event::Learned(entries) => self.merge(entries, now, actions),
+            Event::Tick(tick) => self.freshness.confirmed(tick, now),
+            Event::ControlKnown(seeds) => self.upstream.set_seeds(seeds, now),
+            Event::Timer => {}
         }
+        self.let_go_of_suspects(now, actions);
+        if !self.root && self.started {
+            self.look_up(now, actions);
+        }
+        self.feed_children(now, actions);
     }
 
     /// When [`Event::Timer`] is due, if at all.
     pub fn next_timer(&self) -> Option<Duration> {
-        None
+        let upstream = self.upstream.next_timer(self.freshness.expires_at(), self.children.room());
+        let children = self.children.next_timer(self.source());
+        let doubts = self.suspects.next_timer(self.doubt_after());
+        [upstream, children, doubts, self.replica.next_expiry()].into_iter().flatten().min()
     }
 
     /// This node's copy of the registry.
     pub fn registry(&self) -> &Registry {
-        &self.registry
+        self.replica.registry()
     }
 
     /// Whether the copy had, within the last [`RelaySettings::freshness`], all that the control chain had confirmed.
     pub fn fresh(&self, now: Duration) -> bool {
-        self.tick.is_some_and(|(_, at)| now.saturating_sub(at) < self.settings.freshness)
+        self.freshness.is_fresh(now)
     }
 
-    /// When the newest tick came, less its age then.
+    /// When the newest tick was confirmed at a root, less the time on the wire.
     pub fn last_tick_at(&self) -> Option<Duration> {
-        self.tick.map(|(_, at)| at)
+        self.freshness.expires_at().map(|at| at.saturating_sub(self.settings.freshness))
     }
 
     /// The node's parent in the tree, while it has one.
     pub fn parent(&self) -> Option<SocketAddr> {
-        None
+        self.upstream.parent()
     }
 
     /// How many children the node has.
     pub fn children(&self) -> usize {
-        0
+        self.children.len()
+    }
+
+    fn source(&self) -> Source<'_> {
+        Source {
+            settings: &self.settings,
+            replica: &self.replica,
+            log: &self.log,
+            freshness: &self.freshness,
+        }
+    }
+
+    /// Acts on deadlines before anything else: after a standstill of this process the event may be old.
+    fn expire(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        self.replica.expire(now);
+        self.upstream.expire(now, actions);
+        self.children.drop_silent(self.settings.child_silence, now, actions);
     }
 
-    fn learn(&mut self, entries: Vec<Entry>, actions: &mut Vec<Action>) {
-        let changed: Vec<Entry> =
-            entries.into_iter().filter(|entry| self.registry.merge(entry.clone())).collect();
+    fn on_message(
+        &mut self,
+        from: SocketAddr,
+        message: RelayMessage,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        match message {
+            RelayMessage::Subscribe { subscription, digest, room } => {
+                let answer = self.answer_subscription(from, subscription, &digest, room, now);
+                actions.push(Action::Send { to: from, message: answer });
+            }
+            RelayMessage::Accepted { subscription } => {
+                if self.upstream.link_of(from, subscription, now, actions).is_none() {
+                    actions.push(leave(from, subscription));
+                }
+            }
+            RelayMessage::Declined { subscription, others } => {
+                self.upstream.declined(from, subscription, others)
+            }
+            RelayMessage::Update { subscription, sequence, entries, tick, tick_age_ms } => {
+                let tick_age = Duration::from_millis(u64::from(tick_age_ms));
+                let update = Update { from, subscription, sequence, entries, tick, tick_age };
+                self.on_update(update, now, actions);
+            }
+            RelayMessage::Received { subscription, sequence, room } => {
+                if !self.children.received(from, subscription, sequence, room, now) {
+                    actions.push(leave(from, subscription));
+                }
+            }
+            RelayMessage::Leave { subscription } => {
+                self.upstream.left(from, subscription);
+                self.children.leave(from, subscription);
+            }
+        }
+    }
+
+    /// Takes a node as a child, or names others. One that can't vouch for its own copy takes nobody, which keeps cycles from
+    /// lasting: no ticks come into one, so that nobody in it is fresh for long.
+    fn answer_subscription(
+        &mut self,
+        from: SocketAddr,
+        subscription: u64,
+        digest: &[u64],
+        room: u16,
+        now: Duration,
+    ) -> RelayMessage {
+        if !self.fresh(now) {
+            self.children.remove(&from);
+            return RelayMessage::Declined { subscription, others: Vec::new() };
+        }
+        let above = from == self.me || self.upstream.looks_to(from);
+        if above || !self.children.has_place(&from, room) {
+            return RelayMessage::Declined { subscription, others: self.children.others(&from) };
+        }
+        let feed = Feed::new(subscription, digest, self.source());
+        self.children.insert(from, feed, room, now);
+        RelayMessage::Accepted { subscription }
+    }
+
+    fn on_update(&mut self, update: Update, now: Duration, actions: &mut Vec<Action>) {
+        let Some(link) = self.upstream.link_of(update.from, update.subscription, now, actions) else {
+            actions.push(leave(update.from, update.subscription));
+            return;
+        };
+        if !link.take_update(update.sequence, &update.entries, now) {
+            self.upstream.leave_parent(actions);
+            return;
+        }
+        let rises = link.take_tick(update.tick);
+        self.merge(update.entries, now, actions);
+        self.freshness.relayed(update.tick, update.tick_age, rises, now);
+    }
+
+    fn on_lost(&mut self, peer: SocketAddr, now: Duration) {
+        self.upstream.lost(peer, now);
+        self.children.remove(&peer);
+    }
+
+    /// Takes in what is new, for this node and its children.
+    fn merge(&mut self, entries: Vec<Entry>, now: Duration, actions: &mut Vec<Action>) {
+        let mut changed = Vec::new();
+        for entry in entries {
+            self.suspects.confirm(&entry.key);
+            if !self.replica.merge(&entry, now) {
+                continue;
+            }
+            if self.children.len() > 0 {
+                self.log.push(entry.key.clone());
+            }
+            changed.push(entry);
+        }
         if !changed.is_empty() {
             actions.push(Action::Changed(changed));
         }
     }
+
+    /// For how long a node may be without a tick before it doubts the entries of sessions, and then how long it waits for parents
+    /// to confirm them.
+    fn doubt_after(&self) -> Duration {
+        self.settings.tombstone_retention / 2
+    }
+
+    fn doubt_if_long_apart(&mut self, now: Duration) {
+        let Some(apart_since) = self.freshness.expires_at() else { return };
+        if apart_since + self.doubt_after() <= now {
+            self.suspects.doubt_sessions(self.replica.registry(), apart_since);
+        }
+    }
+
+    fn let_go_of_suspects(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let keys = self.suspects.judge(self.fresh(now), self.doubt_after(), now);
+        let known = keys.into_iter().filter_map(|key| self.registry().entry(&key).cloned());
+        let gone: Vec<Entry> = known.map(|entry| Entry { value: Value::Gone, ..entry }).collect();
+        self.merge(gone, now, actions);
+    }
+
+    /// Looks for a parent if need be, and tells the one there is how far this node is.
+    fn look_up(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        self.doubt_if_long_apart(now);
+        let digest = if self.suspects.is_empty() { self.replica.digest() } else { &[] };
+        let asking = Asking { directory: self.replica.directory(), digest, room: self.children.room() };
+        let (me, children) = (self.me, &self.children);
+        let skip = |address: &SocketAddr| *address == me || children.contains(address);
+        actions.extend(self.upstream.search(now, self.freshness.expires_at(), asking, skip));
+        actions.extend(self.upstream.report(self.children.room(), now));
+    }
+
+    fn feed_children(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let source = Source {
+            settings: &self.settings,
+            replica: &self.replica,
+            log: &self.log,
+            freshness: &self.freshness,
+        };
+        self.children.feed(now, source, actions);
+        let needed_from = self.children.needed_from().unwrap_or(self.log.end());
+        self.log.trim(needed_from);
+    }
 }
--- a/system/relay/src/settings.rs
+++ b/system/relay/src/settings.rs
@@ -26,12 +26,16 @@
     pub keepalive: Duration,
     /// A child says at least this often that it lives.
     pub received_interval: Duration,
+    /// A child says at most this often how much room it has.
+    pub room_interval: Duration,
     /// How long a node waits for the answer to a subscription.
     pub answer_timeout: Duration,
     /// The shortest pause between rounds of attempts.
     pub retry_least: Duration,
     /// The longest pause between rounds of attempts.
     pub retry_most: Duration,
+    /// For how long an address that didn't answer is asked after all others.
+    pub failure_memory: Duration,
     /// A copy that is being sent in full may delay ticks for at most this long.
     pub snapshot_timeout: Duration,
     /// An update is not larger than about this, unless a single entry is.
@@ -67,9 +71,11 @@
             update_interval: Duration::from_millis(20),
             keepalive: Duration::from_millis(400),
             received_interval: Duration::from_secs(1),
+            room_interval: Duration::from_millis(100),
             answer_timeout: Duration::from_millis(250),
             retry_least: Duration::from_millis(50),
             retry_most: Duration::from_millis(500),
+            failure_memory: Duration::from_secs(5),
             snapshot_timeout: Duration::from_secs(5),
             update_bytes: 256 * 1024,
             window_bytes: 1024 * 1024,
--- /dev/null
+++ b/system/relay/src/weight.rs
@@ -0,0 +1,32 @@
+//! How large an entry is on its way, about.
+
+use gingerledge_wire::{Entry, Key, Value};
+
+/// Of an entry without its text.
+const FIXED_BYTES: usize = 32;
+
+/// About how many bytes an entry takes in a message.
+pub(crate) fn weight(entry: &Entry) -> usize {
+    FIXED_BYTES + key_weight(&entry.key) + value_weight(&entry.value)
+}
+
+fn key_weight(key: &Key) -> usize {
+    match key {
+        Key::NamedVersion(text) | Key::Store(text) => text.len(),
+        Key::Weights(id, model) => id.len() + model.len(),
+        Key::Configuration | Key::Node(_) | Key::Partition(_) | Key::Coordinator => 0,
+    }
+}
+
+fn value_weight(value: &Value) -> usize {
+    match value {
+        Value::Configuration(json) => json.len(),
+        Value::Store(store) => {
+            let models: usize = store.models.iter().map(|model| model.name.len() + FIXED_BYTES).sum();
+            store.service.len() + store.zone.len() + store.software.len() + models
+        }
+        Value::Node(node) => node.name.len() + node.zone.len(),
+        Value::Partition(record) => (record.chain.len() + record.full.len()) * size_of::<u64>(),
+        Value::Version(_) | Value::Coordinator(_) | Value::Gone => 0,
+    }
+}
--- /dev/null
+++ b/system/relay/tests/world/node.rs
@@ -0,0 +1,102 @@
+//! One process of the world.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gingerledge_relay::{Event, Relay, RelaySettings};
+use gingerledge_wire::{Key, RelayMessage, Role};
+
+/// Processor time of one message at a whole core.
+const MESSAGE_COST: Duration = Duration::from_micros(15);
+/// Processor time of each byte of a message at a whole core.
+const BYTE_COST: Duration = Duration::from_nanos(10);
+/// The part of a core that a control node has.
+const CONTROL_CORES: f64 = 0.25;
+/// The part of a core that any other node has.
+const OTHER_CORES: f64 = 0.047;
+
+/// Counts of messages.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    pub messages: u64,
+    pub bytes: u64,
+}
+
+impl Traffic {
+    pub fn add(&mut self, bytes: usize) {
+        self.messages += 1;
+        self.bytes += bytes as u64;
+    }
+}
+
+/// One process.
+pub struct Node {
+    pub role: Role,
+    pub settings: RelaySettings,
+    /// None while it is down.
+    pub relay: Option<Relay>,
+    pub life: u32,
+    pub frozen: bool,
+    pub dark: bool,
+    pub armed: Option<Duration>,
+    pub waiting: Vec<Event>,
+    pub busy_until: Duration,
+    pub peers: BTreeSet<SocketAddr>,
+    pub seen: BTreeMap<Key, ((u64, u8), Duration)>,
+    pub sent: Traffic,
+    pub received: Traffic,
+}
+
+impl Node {
+    pub fn new(role: Role, settings: RelaySettings) -> Self {
+        Self {
+            role,
+            settings,
+            relay: None,
+            life: 0,
+            frozen: false,
+            dark: false,
+            armed: None,
+            waiting: Vec::new(),
+            busy_until: Duration::ZERO,
+            peers: BTreeSet::new(),
+            seen: BTreeMap::new(),
+            sent: Traffic::default(),
+            received: Traffic::default(),
+        }
+    }
+
+    /// Whether the process is up and not frozen.
+    pub fn runs(&self) -> bool {
+        self.relay.is_some() && !self.frozen
+    }
+
+    pub fn start(&mut self, me: SocketAddr, seed: u64) {
+        self.stop();
+        self.dark = false;
+        self.life += 1;
+        self.relay = Some(Relay::new(self.settings.clone(), me, self.role == Role::Control, seed));
+    }
+
+    pub fn stop(&mut self) {
+        self.relay = None;
+        self.frozen = false;
+        self.armed = None;
+        self.waiting.clear();
+        self.seen.clear();
+    }
+
+    /// Spends processor time on a message.
+    pub fn work(&mut self, now: Duration, bytes: usize) {
+        let cores = if self.role == Role::Control { CONTROL_CORES } else { OTHER_CORES };
+        let cost = (MESSAGE_COST + BYTE_COST * bytes as u32).div_f64(cores);
+        self.busy_until = self.busy_until.max(now) + cost;
+    }
+}
+
+/// How long a message is as the transport encodes it.
+pub fn encoded_bytes(message: &RelayMessage) -> usize {
+    let bytes = bincode::serde::encode_to_vec(message, bincode::config::standard());
+    bytes.map_or(0, |bytes| bytes.len())
+}
--- a/system/wire/src/registry.rs
+++ b/system/wire/src/registry.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::sync::Arc;
 
 use gingerledge_protocol::{LoadedModel, StoreState};
@@ -117,12 +118,18 @@
 }
 
 impl Registry {
+    /// Whether an entry is newer than what is known, and there is room for it.
+    pub fn accepts(&self, entry: &Entry) -> bool {
+        match self.entries.get(&entry.key) {
+            Some(known) => known.rank() < entry.rank(),
+            None => self.entries.len() < MAX_ENTRIES,
+        }
+    }
+
     /// Takes an entry in if it is newer than what is known; says whether it was.
     pub fn merge(&mut self, entry: Entry) -> bool {
-        match self.entries.get(&entry.key) {
-            Some(known) if known.rank() >= entry.rank() => return false,
-            None if self.entries.len() >= MAX_ENTRIES => return false,
-            _ => {}
+        if !self.accepts(&entry) {
+            return false;
         }
         self.entries.insert(entry.key.clone(), entry);
         true
@@ -138,6 +145,22 @@
         self.entries.values()
     }
 
+    /// The entries after a key in the order of keys, or all; those that say "gone" too.
+    pub fn entries_after(&self, key: Option<&Key>) -> impl Iterator<Item = &Entry> {
+        let from = key.map_or(Bound::Unbounded, Bound::Excluded);
+        self.entries.range((from, Bound::Unbounded)).map(|(_, entry)| entry)
+    }
+
+    /// How many entries there are, those that say "gone" too.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there are none at all.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Lets go of an entry for good, for instance of one that has said "gone" for long enough.
     pub fn forget(&mut self, key: &Key) {
         self.entries.remove(key);
