Drive batch jobs: placement by filling, generations, reward calls, hand-in, and the trainers' calls

Ruled out: text shared between plan and generation by RefCell (a generation owns its text and keeps it when dropped); a timer per event (silence is looked at twice in its bound).

--- /dev/null
+++ b/system/data/src/rollout/drive.rs
@@ -0,0 +1,115 @@
+//! The batch jobs that this edge drives.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use gingerledge_wire::{DriverTerm, JobId, ResultRecord};
+use slotmap::{new_key_type, SlotMap};
+use tokio::task::JoinSet;
+
+use super::plan::{Ended, JobPlan, RewardEnded, Rules, Text};
+use crate::Shared;
+
+/// The most batch jobs that one edge drives at a time.
+pub(super) const MAX_DRIVES: usize = 256;
+
+new_key_type! {
+    /// One term of this edge as the driver of one batch job.
+    pub(super) struct DriveKey;
+}
+
+/// What ended, and for which drive.
+pub(super) enum Outcome {
+    /// A generation, with the text so far.
+    Generation { drive: DriveKey, item: u32, carried: Carried, ended: Ended },
+    /// A reward call.
+    Reward { drive: DriveKey, item: u32, ended: RewardEnded },
+    /// Results were kept.
+    Appended { drive: DriveKey },
+}
+
+/// One batch job that this edge drives.
+pub(super) struct Drive {
+    pub(super) plan: JobPlan,
+    pub(super) term: DriverTerm,
+    /// Nothing is sent from then on, unless a renewal succeeds.
+    pub(super) held_until: Duration,
+    /// It is given up then, unless a renewal succeeds before: the end of its hold, or of the time for the first renewal.
+    pub(super) given_up_at: Duration,
+    /// All results are due then.
+    pub(super) due: Duration,
+    /// What the route said last.
+    pub(super) rules: Option<Rules>,
+    /// Results that are not kept by the backends yet.
+    pub(super) results: Vec<ResultRecord>,
+    /// Results are on their way to the backends.
+    pub(super) appending: bool,
+    /// Its generations, reward calls and hand-ins; dropped, they end.
+    pub(super) tasks: JoinSet<()>,
+}
+
+/// All batch jobs that this edge drives.
+#[derive(Default)]
+pub(super) struct Drives {
+    pub(super) all: SlotMap<DriveKey, Drive>,
+    by_job: HashMap<JobId, DriveKey>,
+}
+
+impl Drives {
+    /// The drive of a batch job.
+    pub(super) fn of(&self, job: &str) -> Option<DriveKey> {
+        self.by_job.get(job).copied()
+    }
+
+    /// Adds one; there must be none of its batch job.
+    pub(super) fn insert(&mut self, drive: Drive) -> DriveKey {
+        let job = drive.plan.job().id.clone();
+        let key = self.all.insert(drive);
+        self.by_job.insert(job, key);
+        key
+    }
+
+    /// Takes one out. Dropping it ends all that is under way for it.
+    pub(super) fn remove(&mut self, key: DriveKey) -> Option<Drive> {
+        let drive = self.all.remove(key)?;
+        self.by_job.remove(&drive.plan.job().id);
+        Some(drive)
+    }
+
+    /// All of them, those whose results are due first in front.
+    pub(super) fn by_due(&self) -> Vec<DriveKey> {
+        let mut keys: Vec<_> = self.all.iter().map(|(key, drive)| (drive.due, key)).collect();
+        keys.sort();
+        keys.into_iter().map(|(_, key)| key).collect()
+    }
+}
+
+/// The text of a generation under way. If the generation is dropped, what there is of it is kept.
+pub(super) struct Carried {
+    shared: Rc<Shared>,
+    model: String,
+    item: String,
+    /// The text so far.
+    pub(super) text: Text,
+}
+
+impl Carried {
+    pub(super) fn new(shared: &Rc<Shared>, model: &str, item: &str, text: Text) -> Self {
+        Self { shared: Rc::clone(shared), model: model.to_owned(), item: item.to_owned(), text }
+    }
+
+    /// The text, at the end of the generation.
+    pub(super) fn take(mut self) -> Text {
+        std::mem::take(&mut self.text)
+    }
+}
+
+impl Drop for Carried {
+    fn drop(&mut self) {
+        let text = std::mem::take(&mut self.text);
+        if !text.is_empty() {
+            self.shared.rollout.kept.borrow_mut().put(&self.model, &self.item, text);
+        }
+    }
+}
--- /dev/null
+++ b/system/data/src/rollout/plan/mod.rs
@@ -0,0 +1,179 @@
+//! The plan of one batch job: which of its generations go where, and what becomes of each. It does no I/O and reads no clock.
+//!
+//! Groups begin in the trainer's order and are placed together, each generation at the store with the fewest of this edge's
+//! requests out ([`stoatlane::filling`]). An item has one position and is listed once: [`JobPlan`] gives each result out once,
+//! and `abandoned` only for a reason that permits it.
+
+mod groups;
+mod item;
+mod pace;
+mod placement;
+mod room;
+mod text;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gingerledge_wire::{JobRecord, ResultRecord};
+
+pub use groups::Groups;
+pub use item::{Ended, RewardEnded};
+use item::{Item, State};
+pub use pace::Paces;
+pub use placement::{Placement, StoreView};
+pub use room::Rooms;
+pub use text::{Added, Text, MAX_TEXT_BYTES};
+
+/// What the route of a batch job says now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rules {
+    /// All events of one text must be made under one version.
+    pub single_version: bool,
+    /// So many 500s of stores end an item.
+    pub max_attempts: u32,
+    /// Items may be given up from then on, on the clock of the plan; none if never.
+    pub retained_until: Option<Duration>,
+}
+
+/// What is to be done after an event.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Nothing now; the plan places the item again in its time.
+    Wait,
+    /// The text is whole: make the reward call.
+    Reward,
+    /// The item has ended.
+    List(ResultRecord),
+}
+
+/// The plan of one batch job that this edge drives.
+#[derive(Debug)]
+pub struct JobPlan {
+    job: Arc<JobRecord>,
+    items: Vec<Item>,
+    groups: Groups,
+    random: fastrand::Rng,
+}
+
+impl JobPlan {
+    /// A plan for a batch job of which some items have results already.
+    pub fn new(job: Arc<JobRecord>, listed: &[u32], seed: u64) -> Self {
+        let mut items: Vec<Item> = job.items.iter().map(|_| Item::default()).collect();
+        for &index in listed {
+            if let Some(item) = items.get_mut(index as usize) {
+                item.state = State::Listed;
+            }
+        }
+        let groups = Groups::new(&job);
+        Self { job, items, groups, random: fastrand::Rng::with_seed(seed) }
+    }
+
+    /// The batch job.
+    pub fn job(&self) -> &Arc<JobRecord> {
+        &self.job
+    }
+
+    /// Takes over text that was kept of an item, if the item has not begun and the versions fit.
+    pub fn keep_text(&mut self, index: u32, text: Text, rules: Rules) {
+        let min_version = self.job.min_version;
+        if let Some(item) = self.items.get_mut(index as usize) {
+            if item.is_fresh() && text.fits(min_version, rules.single_version) {
+                item.text = text;
+            }
+        }
+    }
+
+    /// Gives out the texts so far of the items that have no result, for whoever drives the batch job next.
+    pub fn take_texts(&mut self) -> Vec<(u32, Text)> {
+        let open = self.items.iter_mut().enumerate().filter(|(_, item)| item.state != State::Listed);
+        open.map(|(index, item)| (index as u32, std::mem::take(&mut item.text)))
+            .filter(|(_, text)| !text.is_empty())
+            .collect()
+    }
+
+    /// Whether all items have results.
+    pub fn is_finished(&self) -> bool {
+        self.items.iter().all(|item| item.state == State::Listed)
+    }
+
+    /// A generation ended; `text` is what there is of it now.
+    pub fn generation_ended(
+        &mut self,
+        now: Duration,
+        index: u32,
+        text: Text,
+        ended: Ended,
+        rules: Rules,
+    ) -> Step {
+        let Some(item) = self.items.get_mut(index as usize) else { return Step::Wait };
+        if item.state != State::Out {
+            return Step::Wait;
+        }
+        item.text = text;
+        if !item.text.fits(self.job.min_version, rules.single_version) {
+            item.start_over();
+        }
+        let step = item.generation_ended(now, ended, rules, &mut self.random);
+        self.with_result(index, step)
+    }
+
+    /// A reward call ended.
+    pub fn reward_ended(&mut self, now: Duration, index: u32, ended: RewardEnded, rules: Rules) -> Step {
+        let Some(item) = self.items.get_mut(index as usize) else { return Step::Wait };
+        if item.state != State::Rewarding {
+            return Step::Wait;
+        }
+        let step = item.reward_ended(now, ended, rules, &mut self.random);
+        self.with_result(index, step)
+    }
+
+    /// Items whose reward call is due again; they count as being called from now on.
+    pub fn due_rewards(&mut self, now: Duration) -> Vec<u32> {
+        let mut due = Vec::new();
+        for (index, item) in self.items.iter_mut().enumerate() {
+            if matches!(item.state, State::Whole { from } if from <= now) {
+                item.state = State::Rewarding;
+                due.push(index as u32);
+            }
+        }
+        due
+    }
+
+    /// The route is surely gone, or the time for which items are retained is over: ends all items that are not out.
+    pub fn abandon_open(&mut self) -> Vec<ResultRecord> {
+        let mut results = Vec::new();
+        for (index, item) in self.items.iter_mut().enumerate() {
+            if matches!(item.state, State::Unplaced { .. } | State::Whole { .. }) {
+                item.state = State::Listed;
+                results.push(abandoned(index as u32));
+            }
+        }
+        results
+    }
+
+    /// When something is due next without any event.
+    pub fn next_due(&self, now: Duration) -> Option<Duration> {
+        let dues = self.items.iter().filter_map(|item| match item.state {
+            State::Unplaced { from } | State::Whole { from } if from > now => Some(from),
+            _ => None,
+        });
+        dues.min()
+    }
+
+    fn with_result(&mut self, index: u32, step: item::ItemStep) -> Step {
+        match step {
+            item::ItemStep::Wait => Step::Wait,
+            item::ItemStep::Reward => Step::Reward,
+            item::ItemStep::Abandoned => Step::List(abandoned(index)),
+            item::ItemStep::Completed { score } => {
+                let text = self.items.get_mut(index as usize).map(|item| std::mem::take(&mut item.text));
+                let (text, versions) = text.unwrap_or_default().into_parts();
+                Step::List(ResultRecord { item: index, completed: true, text, versions, score })
+            }
+        }
+    }
+}
+
+fn abandoned(item: u32) -> ResultRecord {
+    ResultRecord { item, completed: false, text: Vec::new(), versions: Vec::new(), score: String::new() }
+}
--- /dev/null
+++ b/system/data/src/rollout/plan/placement.rs
@@ -0,0 +1,193 @@
+//! Where the generations of a group go: batch-filling over the stores that are eligible.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use stoatlane::filling;
+
+use super::item::Item;
+use super::{JobPlan, Rules, Text};
+
+/// A store of the route's service that takes requests, as it stands now.
+#[derive(Clone, Debug)]
+pub struct StoreView {
+    /// Its instance id.
+    pub id: Rc<str>,
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// The version of the model's weights there.
+    pub version: u64,
+    /// Requests that this edge has out there, of all kinds.
+    pub out: u32,
+    /// The most requests of this edge that it may have.
+    pub limit: u32,
+    /// Whether it failed lately and is taken only where there is no other.
+    pub avoided: bool,
+    /// Whether it is in the edge's zone.
+    pub own_zone: bool,
+    /// How long its generations take, in percent of what is usual.
+    pub pace_percent: u32,
+}
+
+/// A generation that goes to a store now.
+#[derive(Debug)]
+pub struct Placement {
+    /// The index of the item.
+    pub item: u32,
+    /// The place of the store among those given.
+    pub store: usize,
+    /// The text so far, which the run carries on.
+    pub text: Text,
+    /// The version that the store must have, where only one will do.
+    pub only_version: Option<u64>,
+}
+
+/// What is compared first: whether the store failed lately, then its requests out, counting the one to be placed.
+type Key = (bool, u32);
+
+/// A store whose generations take this much longer than usual, in percent, counts by how much longer; below, all count alike.
+const SLOW_PERCENT: u32 = 175;
+const USUAL_PERCENT: u32 = 100;
+
+/// What one call of [`JobPlan::place`] works on.
+struct Turn<'a> {
+    plan: &'a mut JobPlan,
+    stores: &'a mut [StoreView],
+    placed: Vec<Placement>,
+    single: bool,
+    salt: u64,
+}
+
+impl JobPlan {
+    /// Places what can be placed now, and counts it at the stores. First the items of groups that have begun; then further groups,
+    /// in the trainer's order, each as a whole: one for which there is no room waits, and those behind it. No more groups begin
+    /// than the trainer waits for.
+    pub fn place(&mut self, now: Duration, stores: &mut [StoreView], rules: Rules) -> Vec<Placement> {
+        if stores.is_empty() {
+            return Vec::new();
+        }
+        let salt = self.random.u64(..);
+        let mut turn = Turn { plan: self, stores, placed: Vec::new(), single: rules.single_version, salt };
+        let (fresh, begun): (Vec<usize>, Vec<usize>) =
+            (0..turn.plan.groups.all.len()).partition(|&group| turn.plan.is_fresh(group));
+        for &group in &begun {
+            let ready: Vec<u32> = turn.plan.ready(group, now).collect();
+            turn.fill(group, ready);
+        }
+        let more = turn.plan.groups.desired.saturating_sub(begun.len());
+        for &group in fresh.iter().take(more) {
+            let ready: Vec<u32> = turn.plan.ready(group, now).collect();
+            if !turn.has_room(ready.len()) {
+                break;
+            }
+            turn.fill(group, ready);
+        }
+        turn.placed
+    }
+
+    /// Whether an item waits for a store now that may go to one: any of a group that has begun, or of one that may begin.
+    pub fn wants_places(&self, now: Duration) -> bool {
+        let mut begun = 0;
+        for group in 0..self.groups.all.len() {
+            if !self.is_fresh(group) {
+                begun += 1;
+                if self.ready(group, now).next().is_some() {
+                    return true;
+                }
+            }
+        }
+        begun < self.groups.desired
+    }
+
+    /// Whether no item of the group has been at a store.
+    fn is_fresh(&self, group: usize) -> bool {
+        let fresh = |&index: &u32| self.items.get(index as usize).is_some_and(Item::is_fresh);
+        self.groups.all.get(group).is_some_and(|group| group.items.iter().all(fresh))
+    }
+
+    /// The items of a group that wait for a store now.
+    fn ready(&self, group: usize, now: Duration) -> impl Iterator<Item = u32> + '_ {
+        let ready = move |index: &u32| self.items.get(*index as usize).is_some_and(|item| item.is_ready(now));
+        let items = self.groups.all.get(group).map_or(&[][..], |group| &group.items);
+        items.iter().copied().filter(ready)
+    }
+}
+
+impl Turn<'_> {
+    /// Whether a group that has not begun may: there is room for all of it, or as much as there ever is.
+    fn has_room(&self, items: usize) -> bool {
+        let fitting = self.stores.iter().filter(|store| store.version >= self.plan.job.min_version);
+        let limits: u32 = fitting.clone().map(|store| store.limit).fold(0, u32::saturating_add);
+        let room = fitting.map(|store| store.limit.saturating_sub(store.out)).fold(0, u32::saturating_add);
+        let needed = u32::try_from(items).unwrap_or(u32::MAX).min((limits / 2).max(1));
+        room >= needed
+    }
+
+    /// Places the items of one group together.
+    fn fill(&mut self, group: usize, items: Vec<u32>) {
+        for &index in &items {
+            self.start_over_if_lost(index);
+        }
+        let best = |turn: &Self, &index: &u32| turn.best(group, index);
+        filling::fill(self, items, best, |turn, index, store| turn.put(group, index, store));
+    }
+
+    /// The version that a store must have for an item: that of its text, where all of it must be of one.
+    fn only_version(&self, item: &Item) -> Option<u64> {
+        item.text.versions().last().copied().filter(|_| self.single)
+    }
+
+    /// Text of a version that no store has any more can't be carried on.
+    fn start_over_if_lost(&mut self, index: u32) {
+        let Some(item) = self.plan.items.get(index as usize) else { return };
+        let Some(version) = self.only_version(item) else { return };
+        if !self.stores.iter().any(|store| store.version == version) {
+            if let Some(item) = self.plan.items.get_mut(index as usize) {
+                item.start_over();
+            }
+        }
+    }
+
+    /// The best store for an item: not failing, the fewest requests out; ties go to one that has read the group's prompt, then to
+    /// the edge's zone, then by chance.
+    fn best(&self, group: usize, index: u32) -> Option<(Key, usize)> {
+        let item = self.plan.items.get(index as usize)?;
+        let group = self.plan.groups.all.get(group)?;
+        let only = self.only_version(item);
+        let eligible = |store: &StoreView| match only {
+            Some(version) => store.version == version,
+            None => store.version >= self.plan.job.min_version,
+        };
+        let fitting =
+            self.stores.iter().enumerate().filter(|(_, store)| eligible(store) && store.out < store.limit);
+        let best = fitting.min_by_key(|(place, store)| {
+            (key(store), !group.was_read_at(&store.id), !store.own_zone, turn_of(self.salt, *place), *place)
+        });
+        best.map(|(place, store)| (key(store), place))
+    }
+
+    fn put(&mut self, group: usize, index: u32, place: usize) {
+        let only_version = self.plan.items.get(index as usize).and_then(|item| self.only_version(item));
+        let (Some(item), Some(store)) = (self.plan.items.get_mut(index as usize), self.stores.get_mut(place))
+        else {
+            return;
+        };
+        store.out += 1;
+        if let Some(group) = self.plan.groups.all.get_mut(group) {
+            group.read_at(&store.id);
+        }
+        self.placed.push(Placement { item: index, store: place, text: item.placed(), only_version });
+    }
+}
+
+fn key(store: &StoreView) -> Key {
+    let scale = if store.pace_percent >= SLOW_PERCENT { store.pace_percent } else { USUAL_PERCENT };
+    (store.avoided, (store.out + 1).saturating_mul(scale) / USUAL_PERCENT)
+}
+
+/// A number that is another for each place, and for each salt.
+fn turn_of(salt: u64, place: usize) -> u64 {
+    const ODD: u64 = 0x9e37_79b9_7f4a_7c15;
+    (salt ^ place as u64).wrapping_mul(ODD).rotate_left(32).wrapping_mul(ODD)
+}
