Bound all transport queues together, take large frames in turn, and add flush

A dropped inbox closes connections at once; accepted connections that do not say who they are, or stall in a large frame, are closed after five user timeouts. flush() waits until what is queued is handed to the system, for a program that ends.

--- a/system/transport/src/frame.rs
+++ b/system/transport/src/frame.rs
@@ -83,12 +83,12 @@
     Encoding,
 }
 
-/// Appends the message to the buffer as one frame and returns the frame's length. On failure the buffer is as before.
+/// Appends the message to the buffer as one frame. On failure the buffer is as before.
 pub(crate) fn append<T: Serialize>(
     buffer: &mut Vec<u8>,
     message: &T,
     max_payload: usize,
-) -> Result<usize, EncodeFailure> {
+) -> Result<(), EncodeFailure> {
     let start = buffer.len();
     buffer.extend_from_slice(&[FRAME_VERSION, 0, 0, 0, 0]);
     let mut writer = PayloadWriter { buffer, room: max_payload, overflowed: false };
@@ -99,7 +99,7 @@
     match (encoded, u32::try_from(length - HEADER_BYTES), header) {
         (Ok(()), Ok(payload), Some(header)) => {
             header.copy_from_slice(&payload.to_be_bytes());
-            Ok(length)
+            Ok(())
         }
         _ => {
             buffer.truncate(start);
--- a/system/transport/src/inbound.rs
+++ b/system/transport/src/inbound.rs
@@ -4,21 +4,20 @@
 use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, Instant, Sleep};
+use tokio::time::sleep;
 
+use crate::connection::{Connection, LargeFrames};
 use crate::frame::{self, FrameError, Hello, LONGEST_HELLO_BYTES};
 use crate::inbox::{Incoming, EVENT_OVERHEAD_BYTES};
 use crate::network::Shared;
-use crate::receive::ReceiveBuffer;
 use crate::settings::NetworkSettings;
 use crate::socket;
 
@@ -28,21 +27,20 @@
 /// The most addresses whose offences are remembered; each is logged as a warning once.
 const WARNED_ADDRESSES: usize = 256;
 
-/// A connection is given this many times the span after which its sender should have closed it.
-const IDLE_SPANS: u32 = 2;
-
-/// Accepts connections until the inbox is dropped.
-pub(crate) async fn accept<M: DeserializeOwned + Send + 'static>(
-    shared: Arc<Shared<M>>,
-    listener: TcpListener,
-) {
+/// Accepts connections until the inbox is dropped, and then closes them.
+pub(crate) async fn accept<M>(shared: Arc<Shared<M>>, listener: TcpListener)
+where
+    M: DeserializeOwned + Send + 'static,
+{
     let senders = Arc::new(Senders::default());
+    let large_frames = LargeFrames::new();
     let mut connections = JoinSet::new();
-    while !shared.inbox.is_closed() {
+    loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, remote)) if connections.len() < shared.settings.max_inbound => {
-                    connections.spawn(serve(Arc::clone(&shared), Arc::clone(&senders), stream, remote));
+                    let connection = Connection::new(stream, &shared.settings, large_frames.clone());
+                    connections.spawn(serve(Arc::clone(&shared), Arc::clone(&senders), connection, remote));
                 }
                 Ok((_, remote)) => senders.warn(remote, &"more connections than are accepted"),
                 Err(error) => {
@@ -51,8 +49,10 @@
                 }
             },
             Some(_) = connections.join_next() => {}
+            () = shared.inbox.closed() => break,
         }
     }
+    shared.links().forget_all();
 }
 
 /// Why a connection ended, where that is worth a word.
@@ -65,11 +65,11 @@
 }
 
 /// Serves one connection to its end.
-async fn serve<M>(shared: Arc<Shared<M>>, senders: Arc<Senders>, stream: TcpStream, remote: SocketAddr)
+async fn serve<M>(shared: Arc<Shared<M>>, senders: Arc<Senders>, connection: Connection, remote: SocketAddr)
 where
     M: DeserializeOwned,
 {
-    match read_connection(&shared, &senders, stream).await {
+    match read_connection(&shared, &senders, connection).await {
         Ok(()) => {}
         Err(InboundError::Connection { source }) => log::debug!("connection from {remote} broke: {source}"),
         Err(InboundError::Frame { source }) => senders.warn(remote, &source),
@@ -80,14 +80,13 @@
 async fn read_connection<M>(
     shared: &Shared<M>,
     senders: &Senders,
-    stream: TcpStream,
+    mut connection: Connection,
 ) -> Result<(), InboundError>
 where
     M: DeserializeOwned,
 {
-    socket::prepare_accepted(&stream, &shared.settings)?;
-    let mut connection = Connection::new(stream, &shared.settings);
-    let Some(from) = read_hello(&mut connection).await? else { return Ok(()) };
+    socket::prepare_accepted(connection.stream(), &shared.settings)?;
+    let Some(from) = read_hello(&mut connection, &shared.settings).await? else { return Ok(()) };
     let (registration, replaced) = senders.register(from);
     let result = tokio::select! {
         result = read_messages(shared, &mut connection, from) => result,
@@ -98,13 +97,17 @@
 }
 
 /// Waits for the first frame and returns the sender's listen address, unless the connection ends before.
-async fn read_hello(connection: &mut Connection) -> Result<Option<SocketAddr>, InboundError> {
-    while connection.read().await? {
-        let bytes = connection.buffer.bytes();
+async fn read_hello(
+    connection: &mut Connection,
+    settings: &NetworkSettings,
+) -> Result<Option<SocketAddr>, InboundError> {
+    while connection.read(settings).await? {
+        let bytes = connection.received().bytes();
         if let Some(frame) = frame::split(bytes, LONGEST_HELLO_BYTES)? {
             let from = frame::decode::<Hello>(frame.payload)?.sender()?;
             let consumed = bytes.len() - frame.rest.len();
-            connection.buffer.consume(consumed);
+            connection.consume(consumed);
+            connection.identified(settings);
             return Ok(Some(from));
         }
     }
@@ -122,20 +125,20 @@
 {
     let max_payload = shared.settings.max_frame_bytes;
     loop {
-        let (complete, framing) = connection.buffer.complete(max_payload);
+        let (complete, framing) = connection.received().complete(max_payload);
         if complete.frames > 0 {
             let size = complete.bytes.saturating_add(complete.frames.saturating_mul(EVENT_OVERHEAD_BYTES));
             let Some(room) = shared.inbox.reserve(size).await else { return Ok(()) };
             let mut events = Vec::with_capacity(complete.frames);
-            let decoding = decode_all(connection.buffer.bytes(), max_payload, from, &mut events);
-            connection.buffer.consume(complete.bytes);
+            let decoding = decode_all(connection.received().bytes(), max_payload, from, &mut events);
+            connection.consume(complete.bytes);
             if !shared.inbox.deliver(events, room) {
                 return Ok(());
             }
             decoding?;
         }
         framing?;
-        if !connection.read().await? {
+        if !connection.read(&shared.settings).await? {
             return Ok(());
         }
     }
@@ -155,44 +158,6 @@
     Ok(())
 }
 
-/// An accepted connection, what it has received, and when it has been silent for too long.
-struct Connection {
-    stream: TcpStream,
-    buffer: ReceiveBuffer,
-    silence: Duration,
-    heard: Instant,
-    alarm: Pin<Box<Sleep>>,
-}
-
-impl Connection {
-    fn new(stream: TcpStream, settings: &NetworkSettings) -> Self {
-        let silence = settings.idle_close.saturating_mul(IDLE_SPANS);
-        let alarm = Box::pin(sleep(silence));
-        Self { stream, buffer: ReceiveBuffer::default(), silence, heard: Instant::now(), alarm }
-    }
-
-    /// Reads more bytes; false if the sender has closed or been silent for long. The alarm is not moved at each read, but when
-    /// it goes off.
-    async fn read(&mut self) -> io::Result<bool> {
-        loop {
-            tokio::select! {
-                biased;
-                count = self.buffer.read_from(&mut self.stream) => {
-                    self.heard = Instant::now();
-                    return Ok(count? > 0);
-                }
-                () = self.alarm.as_mut() => {
-                    let end = self.heard + self.silence;
-                    if end <= Instant::now() {
-                        return Ok(false);
-                    }
-                    self.alarm.as_mut().reset(end);
-                }
-            }
-        }
-    }
-}
-
 /// The newest connection of each sender, and whose offences have been logged.
 #[derive(Default)]
 struct Senders {
--- a/system/transport/src/inbox.rs
+++ b/system/transport/src/inbox.rs
@@ -1,6 +1,7 @@
 //! What has arrived, in a bounded channel. Whoever reads from connections first reserves room and then hands over a batch; the
 //! room is free again once the batch has been taken. So connections are not read while the inbox is full.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::vec;
@@ -42,6 +43,12 @@
     room: Option<OwnedSemaphorePermit>,
 }
 
+impl<M> fmt::Debug for Inbox<M> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("Inbox").field("batches", &self.batches.len()).finish_non_exhaustive()
+    }
+}
+
 impl<M> Inbox<M> {
     /// Waits for the next event; nothing more comes after the last handle of the network is dropped. Cancel safe.
     pub async fn next(&mut self) -> Option<Incoming<M>> {
@@ -103,6 +110,11 @@
         self.batches.is_closed()
     }
 
+    /// Waits until nobody receives any more.
+    pub(crate) async fn closed(&self) {
+        self.batches.closed().await;
+    }
+
     /// Waits for room. What is larger than the inbox waits until it is empty.
     pub(crate) async fn reserve(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
         let bytes = u32::try_from(bytes).unwrap_or(u32::MAX).min(self.capacity);
--- a/system/transport/src/lib.rs
+++ b/system/transport/src/lib.rs
@@ -5,12 +5,13 @@
 //! used one way: the peer answers on its own. What one connection carries arrives in order; what is in flight when a connection
 //! breaks is lost, and [`Incoming::Lost`] says so. Nothing here retransmits: the protocols above do.
 //!
-//! Everything is bounded: connections both ways, each peer's queue in frames and bytes, a frame's length, and the inbox, which
-//! holds senders up by not reading from them. [`Network::send`] never blocks; it says at once what it drops, and why.
+//! Everything is bounded: connections both ways, each peer's queue in frames and bytes, all queues together, a frame's length,
+//! large frames that are half received, and the inbox, which holds senders up by not reading from them. [`Network::send`] never blocks; it says at once what it drops, and why.
 //!
 //! [`Pending`] matches replies to requests for callers whose messages carry a request number.
 
 mod backoff;
+mod connection;
 mod error;
 mod frame;
 mod inbound;
--- a/system/transport/src/links.rs
+++ b/system/transport/src/links.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicUsize;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -69,50 +70,60 @@
     hello: Vec<u8>,
     seed: u64,
     last: u64,
+    queued_bytes: Arc<AtomicUsize>,
+    drained: Arc<Notify>,
     links: HashMap<SocketAddr, Link>,
 }
 
 impl Links {
     /// An empty table. Each connection starts with the hello; the seed varies the delays between attempts.
     pub(crate) fn new(settings: NetworkSettings, hello: Vec<u8>, seed: u64) -> Self {
-        Self { settings, hello, seed, last: 0, links: HashMap::new() }
+        let (queued_bytes, drained) = (Arc::default(), Arc::default());
+        Self { settings, hello, seed, last: 0, queued_bytes, drained, links: HashMap::new() }
     }
 
-    /// Queues a message. Returns the link if a task is to be started for it.
+    /// Queues a message. Returns the link if a task is to be started for it. The time is asked only where no connection is open.
     pub(crate) fn send<T: Serialize>(
         &mut self,
         peer: SocketAddr,
         message: &T,
-        now: Duration,
+        now: impl FnOnce() -> Duration,
     ) -> Result<Option<Opening>, DropReason> {
         if !self.links.contains_key(&peer) {
             self.make_room()?;
         }
-        let seed = self.seed;
-        let link = self.links.entry(peer).or_insert_with(|| Link::new(peer, seed));
-        link.used = now;
+        let link = self.links.entry(peer).or_insert_with(|| Link::new(peer, self.seed, &self.queued_bytes));
         match link.phase {
             Phase::Failed(_) => Err(DropReason::Backoff),
-            Phase::Down if !link.backoff.is_ready(now) => Err(DropReason::Backoff),
+            Phase::Open(_) => link.push(message, &self.settings).map(|()| None),
             Phase::Down => {
+                let now = now();
+                if !link.backoff.is_ready(now) {
+                    return Err(DropReason::Backoff);
+                }
                 link.queue.restart(&self.hello);
-                link.queue.push(message, &self.settings)?;
+                if let Err(reason) = link.queue.push(message, &self.settings) {
+                    link.queue.clear();
+                    return Err(reason);
+                }
                 self.last += 1;
                 let id = LinkId(self.last);
-                link.phase = Phase::Open(id);
+                (link.phase, link.used) = (Phase::Open(id), now);
                 Ok(Some(Opening { id, wake: Arc::clone(&link.wake) }))
             }
-            Phase::Open(_) => {
-                let was_empty = link.queue.is_empty();
-                link.queue.push(message, &self.settings)?;
-                if was_empty {
-                    link.wake.notify_one();
-                }
-                Ok(None)
-            }
         }
     }
 
+    /// What is told whenever nothing waits for some peer any more.
+    pub(crate) fn drained(&self) -> Arc<Notify> {
+        Arc::clone(&self.drained)
+    }
+
+    /// Whether nothing waits for any peer.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.links.values().all(|link| link.queue.is_settled())
+    }
+
     /// Keeps the handle of a link's task, to end it when the peer is forgotten.
     pub(crate) fn started(&mut self, peer: SocketAddr, id: LinkId, task: AbortHandle) {
         match self.own(peer, id) {
@@ -140,9 +151,11 @@
         let Some(link) = self.own(peer, id) else { return Work::Close };
         link.queue.take(buffer);
         if !buffer.is_empty() {
+            link.used = now;
             return Work::Write;
         }
         let idle = now.saturating_sub(link.used);
+        self.drained.notify_waiters();
         if idle < idle_close {
             return Work::Wait(idle_close - idle);
         }
@@ -156,28 +169,31 @@
         let Some(link) = self.links.get_mut(&peer).filter(|link| link.phase == Phase::Open(id)) else {
             return false;
         };
-        link.queue.restart(&self.hello);
         let reopen = link.backoff.failed(now) && answered;
-        if !reopen {
+        if reopen {
+            link.queue.restart(&self.hello);
+        } else {
+            link.queue.clear();
             link.phase = Phase::Failed(id);
         }
+        self.drained.notify_waiters();
         reopen
     }
 
     /// The link's connection could not be made, and its queue is dropped.
     pub(crate) fn not_connected(&mut self, peer: SocketAddr, id: LinkId, now: Duration) {
         if let Some(link) = self.own(peer, id) {
-            link.queue = FrameQueue::default();
+            link.queue.clear();
             link.backoff.failed(now);
             link.phase = Phase::Failed(id);
         }
+        self.drained.notify_waiters();
     }
 
     /// The failure has been reported, and the link's task ends.
     pub(crate) fn reported(&mut self, peer: SocketAddr, id: LinkId) {
         if let Some(link) = self.own(peer, id) {
             link.phase = Phase::Down;
-            link.queue = FrameQueue::default();
             link.task = None;
         }
     }
@@ -187,6 +203,7 @@
         if let Some(task) = self.links.remove(&peer).and_then(|link| link.task) {
             task.abort();
         }
+        self.drained.notify_waiters();
     }
 
     /// Forgets all peers.
@@ -196,13 +213,13 @@
         }
     }
 
-    /// Where the table is full, forgets the peer without queue that was used longest ago.
+    /// Where the table is full, forgets the peer without queue that was written to longest ago.
     fn make_room(&mut self) -> Result<(), DropReason> {
         if self.links.len() < self.settings.max_outbound {
             return Ok(());
         }
-        let settled = self.links.iter().filter(|(_, link)| link.queue.is_settled());
-        let oldest = settled.min_by_key(|(_, link)| link.used).map(|(&peer, _)| peer);
+        let unused = self.links.iter().filter(|(_, link)| link.is_unused());
+        let oldest = unused.min_by_key(|(_, link)| link.used).map(|(&peer, _)| peer);
         self.forget(oldest.ok_or(DropReason::TooManyPeers)?);
         Ok(())
     }
@@ -216,16 +233,35 @@
 }
 
 impl Link {
-    fn new(peer: SocketAddr, seed: u64) -> Self {
+    fn new(peer: SocketAddr, seed: u64, queued_bytes: &Arc<AtomicUsize>) -> Self {
         let mut hasher = DefaultHasher::new();
         (seed, peer).hash(&mut hasher);
         Self {
             phase: Phase::Down,
-            queue: FrameQueue::default(),
+            queue: FrameQueue::new(queued_bytes),
             backoff: Backoff::new(FIRST_RETRY, LONGEST_RETRY, hasher.finish()),
             used: Duration::ZERO,
             wake: Arc::new(Notify::new()),
             task: None,
         }
     }
+
+    /// Queues a message for the task, and wakes it where it may wait.
+    fn push<T: Serialize>(&mut self, message: &T, settings: &NetworkSettings) -> Result<(), DropReason> {
+        let was_empty = self.queue.is_empty();
+        self.queue.push(message, settings)?;
+        if was_empty {
+            self.wake.notify_one();
+        }
+        Ok(())
+    }
+
+    /// Whether nothing is lost if the peer is forgotten.
+    fn is_unused(&self) -> bool {
+        match self.phase {
+            Phase::Down => true,
+            Phase::Open(_) => self.queue.is_settled(),
+            Phase::Failed(_) => false,
+        }
+    }
 }
--- a/system/transport/src/network.rs
+++ b/system/transport/src/network.rs
@@ -1,7 +1,9 @@
 //! The handle by which messages are sent, and what it shares with the tasks of its connections.
 
+use std::fmt;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -34,6 +36,12 @@
     }
 }
 
+impl<M> fmt::Debug for Network<M> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("Network").field("local", &self.shared.local).finish_non_exhaustive()
+    }
+}
+
 impl<M: Serialize + DeserializeOwned + Send + 'static> Network<M> {
     /// Binds and starts accepting, on the runtime it is called on. Messages arrive in the inbox with the sender's advertised
     /// listen address, which it tells in the first frame of a connection.
@@ -71,6 +79,23 @@
         self.shared.local
     }
 
+    /// Waits until all that is queued has been handed to the system or dropped, at most for a time; returns whether it has. For a
+    /// program that is about to end.
+    pub async fn flush(&self, limit: Duration) -> bool {
+        let drained = self.shared.links().drained();
+        let flushed = async {
+            loop {
+                let mut change = pin!(drained.notified());
+                change.as_mut().enable();
+                if self.shared.links().is_settled() {
+                    return;
+                }
+                change.await;
+            }
+        };
+        tokio::time::timeout(limit, flushed).await.is_ok()
+    }
+
     /// Forgets a peer: closes the connection to it, without a [`Lost`](crate::Incoming::Lost), and drops what waits for it.
     pub fn close(&self, to: SocketAddr) {
         self.shared.links().forget(to);
@@ -123,9 +148,8 @@
         if self.inbox.is_closed() {
             return Err(DropReason::Closed);
         }
-        let now = self.now();
         let mut links = self.links();
-        if let Some(opening) = links.send(to, message, now)? {
+        if let Some(opening) = links.send(to, message, || self.now())? {
             let id = opening.id;
             let task = self.runtime.spawn(outbound::run(Arc::clone(self), to, opening));
             links.started(to, id, task.abort_handle());
--- a/system/transport/src/outbound.rs
+++ b/system/transport/src/outbound.rs
@@ -17,16 +17,13 @@
 use crate::network::Shared;
 use crate::socket;
 
-/// A write that moves nothing for as many user timeouts breaks the connection: the peer lives, but does not read.
-const STALLED_WRITE_TIMEOUTS: u32 = 5;
-
 /// How a connection that had been made ended.
 enum End {
     /// It was closed from here, because it was idle or its peer was forgotten.
     Closed,
     /// The peer's machine ended or reset it.
     Answered,
-    /// Nothing was heard of the peer in time.
+    /// Nothing was heard of the peer in time, or nothing sensible.
     Silent,
 }
 
@@ -67,6 +64,12 @@
     matches!(error.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset)
 }
 
+/// Whether the peer's machine said that the connection has ended.
+fn is_answer(error: &io::Error) -> bool {
+    use io::ErrorKind::{BrokenPipe, ConnectionReset, UnexpectedEof};
+    matches!(error.kind(), UnexpectedEof | ConnectionReset | BrokenPipe)
+}
+
 /// Writes what waits, all of it at a time, until the connection ends.
 async fn write_frames<M>(
     shared: &Shared<M>,
@@ -89,7 +92,7 @@
         };
         if let Err(error) = written {
             log::debug!("connection to {peer} broke: {error}");
-            return if error.kind() == io::ErrorKind::TimedOut { End::Silent } else { End::Answered };
+            return if is_answer(&error) { End::Answered } else { End::Silent };
         }
     }
 }
@@ -115,7 +118,7 @@
 
 /// Writes the whole buffer; a write that moves nothing for long fails.
 async fn write_all<M>(writer: &mut WriteHalf<'_>, mut bytes: &[u8], shared: &Shared<M>) -> io::Result<()> {
-    let limit = shared.settings.user_timeout.saturating_mul(STALLED_WRITE_TIMEOUTS);
+    let limit = shared.settings.stall_limit();
     while !bytes.is_empty() {
         let written = match tokio::time::timeout(limit, writer.write(bytes)).await {
             Ok(written) => written?,
--- a/system/transport/src/receive.rs
+++ b/system/transport/src/receive.rs
@@ -3,18 +3,19 @@
 
 use std::io;
 
-use tokio::io::{AsyncRead, AsyncReadExt};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
 
 use crate::frame::{self, FrameError};
 
 /// Each read may take as much at least.
 const SMALLEST_READ_BYTES: usize = 4 * 1024;
 
-/// Reads grow to this while they are filled.
-const LARGEST_READ_BYTES: usize = 256 * 1024;
+/// Reads grow to this while they are filled, and shrink while they are not.
+const LARGEST_READ_BYTES: usize = 64 * 1024;
 
 /// A buffer that has grown beyond this is given back once it is empty.
-const KEPT_BUFFER_BYTES: usize = 32 * 1024;
+const KEPT_BUFFER_BYTES: usize = 16 * 1024;
 
 /// The whole frames at the front of a buffer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,13 +43,17 @@
         &self.bytes
     }
 
-    /// Reads once, and returns how many bytes came: none at the end of the stream. Cancel safe.
-    pub(crate) async fn read_from(&mut self, stream: &mut (impl AsyncRead + Unpin)) -> io::Result<usize> {
+    /// Reads once, and returns how many bytes came: none at the end of the stream. Nothing is reserved before bytes are there.
+    /// Cancel safe.
+    pub(crate) async fn read_from(&mut self, stream: &mut TcpStream) -> io::Result<usize> {
+        stream.readable().await?;
         self.bytes.reserve(self.read_size);
         let room = self.bytes.capacity() - self.bytes.len();
         let count = stream.read_buf(&mut self.bytes).await?;
         if count == room {
             self.read_size = (self.read_size * 2).min(LARGEST_READ_BYTES);
+        } else if count < self.read_size / 8 {
+            self.read_size = (self.read_size / 2).max(SMALLEST_READ_BYTES);
         }
         Ok(count)
     }
@@ -73,7 +78,7 @@
     pub(crate) fn consume(&mut self, count: usize) {
         self.bytes.drain(..count.min(self.bytes.len()));
         if self.bytes.is_empty() && self.bytes.capacity() > KEPT_BUFFER_BYTES {
-            *self = Self::default();
+            self.bytes = Vec::new();
         }
     }
 }
--- a/system/transport/src/settings.rs
+++ b/system/transport/src/settings.rs
@@ -8,6 +8,15 @@
 
 const MEBIBYTE: usize = 1024 * 1024;
 
+/// All queues together may hold as much as this many full ones.
+const FULL_QUEUES: usize = 4;
+
+/// A connection on which nothing moves that should is broken after this many user timeouts: the peer lives, but does not act.
+const STALLED_TIMEOUTS: u32 = 5;
+
+/// An accepted connection is closed after this many of the spans after which its sender should have closed it.
+const INBOUND_IDLE_SPANS: u32 = 2;
+
 /// What a network may use, and how long it waits.
 #[derive(Debug, Clone)]
 pub struct NetworkSettings {
@@ -18,7 +27,7 @@
     /// The most frames that wait for one peer, including those being written.
     pub queue_frames: usize,
     /// The most bytes that wait for one peer, including those being written. A larger frame is taken while nothing else waits.
-    /// The inbox holds as many bytes of messages that have not been taken from it.
+    /// The inbox holds as many bytes of messages that have not been taken from it, and all queues together four times as many.
     pub queue_bytes: usize,
     /// The most connections that are accepted from others at a time.
     pub max_inbound: usize,
@@ -58,4 +67,20 @@
         snafu::ensure!(named, ListenAddressSnafu { address: self.listen });
         Ok(())
     }
+
+    /// The most bytes that wait for all peers together.
+    pub(crate) fn total_queue_bytes(&self) -> usize {
+        let largest = self.max_frame_bytes.saturating_add(self.queue_bytes);
+        self.queue_bytes.saturating_mul(FULL_QUEUES).max(largest)
+    }
+
+    /// How long a write may move nothing, and a sender that has begun something may say nothing.
+    pub(crate) fn stall_limit(&self) -> Duration {
+        self.user_timeout.saturating_mul(STALLED_TIMEOUTS)
+    }
+
+    /// How long an accepted connection may carry nothing.
+    pub(crate) fn inbound_idle_limit(&self) -> Duration {
+        self.idle_close.saturating_mul(INBOUND_IDLE_SPANS)
+    }
 }
--- a/system/transport/tests/common/mod.rs
+++ b/system/transport/tests/common/mod.rs
@@ -6,6 +6,8 @@
 
 use gingerledge_transport::{Inbox, Incoming, Network, NetworkSettings, SendOutcome};
 use serde::{Deserialize, Serialize};
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Nothing in these tests takes this long unless it never comes.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -79,3 +81,32 @@
     };
     tokio::time::timeout(PATIENCE, received).await.expect("the note arrives in time")
 }
+
+/// An address at which nothing listens.
+pub async fn vacant_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+    listener.local_addr().expect("its address")
+}
+
+/// Waits for the end of a connection, by close or reset.
+pub async fn assert_ended(stream: &mut TcpStream) {
+    let mut byte = [0u8; 1];
+    let read =
+        tokio::time::timeout(PATIENCE, stream.read(&mut byte)).await.expect("the connection ends in time");
+    assert!(matches!(read, Ok(0) | Err(_)), "{read:?}");
+}
+
+/// Takes the hello that a network sends.
+pub async fn hello_of(network: &Network<Note>) -> Vec<u8> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+    let address = listener.local_addr().expect("its address");
+    queue(network, address, &Note::Number(0));
+    let (mut stream, _) = listener.accept().await.expect("the network connects");
+    let mut hello = vec![0; 5];
+    stream.read_exact(&mut hello).await.expect("a header");
+    let length = u32::from_be_bytes([hello[1], hello[2], hello[3], hello[4]]) as usize;
+    hello.resize(5 + length, 0);
+    stream.read_exact(&mut hello[5..]).await.expect("a payload");
+    network.close(address);
+    hello
+}
