--- /dev/null
+++ b/system/jobs/src/partition/mod.rs
@@ -0,0 +1,391 @@
+//! One partition at one backend: its replica, its state, and what its head and its tail keep beside them. Sans I/O.
+//!
+//! The head takes questions that write and proposes commands; the tail answers them once they are committed. The tail
+//! answers reads. A replica that is neither, or that does not count in its view, answers [`JobsAnswer::NotNow`].
+
+mod asks;
+mod creations;
+mod holds;
+mod output;
+mod reads;
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use gingerledge_chain::{LogRecord, MemberId, Replica, ReplicaAction, ReplicaEvent, ReplicaMessage, View};
+use gingerledge_wire::{JobsAnswer, JobsMessage, PartitionRecord};
+
+pub use holds::Edges;
+pub use output::{Context, Moment, PartitionAction};
+
+use crate::error::JobsError;
+use crate::settings::JobsSettings;
+use crate::store::{Command, Outcome, Proposal, Store};
+use asks::Renewals;
+pub use asks::Room;
+use creations::Creations;
+use holds::{HoldAction, Holds, Timeouts};
+use output::answer;
+use reads::Reads;
+
+/// More views than these are not gone through one by one; a replica that missed more catches up anew.
+const MOST_SKIPPED_VIEWS: u64 = 4096;
+
+/// One partition at one backend.
+#[derive(Debug)]
+pub struct Partition {
+    me: MemberId,
+    settings: JobsSettings,
+    replica: Replica,
+    store: Store,
+    /// The last entry in `store`.
+    applied: u64,
+    /// The state could not be read; this replica takes part in nothing.
+    broken: bool,
+    is_head: bool,
+    is_tail: bool,
+    reads: Reads,
+    renewals: Renewals,
+    creations: Creations,
+    holds: Holds,
+    next_read: u64,
+    next_forget: Duration,
+    actions: VecDeque<ReplicaAction>,
+}
+
+impl Partition {
+    /// A partition that nothing is known of.
+    pub fn new(me: MemberId, settings: JobsSettings, seed: u64) -> Self {
+        let replica = Replica::new(me, settings.replica.clone(), seed);
+        Self::with_replica(me, settings, replica)
+    }
+
+    /// A partition with what the disk holds of it.
+    pub fn recover(me: MemberId, records: &[LogRecord], settings: JobsSettings, seed: u64) -> Self {
+        let replica = Replica::recover(me, records, settings.replica.clone(), seed);
+        Self::with_replica(me, settings, replica)
+    }
+
+    fn with_replica(me: MemberId, settings: JobsSettings, replica: Replica) -> Self {
+        Self {
+            me,
+            settings,
+            replica,
+            store: Store::default(),
+            applied: 0,
+            broken: false,
+            is_head: false,
+            is_tail: false,
+            reads: Reads::default(),
+            renewals: Renewals::default(),
+            creations: Creations::default(),
+            holds: Holds::default(),
+            next_read: 0,
+            next_forget: Duration::ZERO,
+            actions: VecDeque::new(),
+        }
+    }
+
+    /// The process has started; given once, first.
+    pub fn start(&mut self, context: &mut Context<'_>) {
+        self.replicate(context, ReplicaEvent::Started);
+    }
+
+    /// A chain has been decided.
+    pub fn install(&mut self, context: &mut Context<'_>, record: &PartitionRecord) {
+        if record.epoch <= self.replica.epoch() {
+            return;
+        }
+        let view = View { epoch: record.epoch, chain: record.chain.iter().copied().map(MemberId).collect() };
+        if self.is_certainly_full(record, &view) {
+            for epoch in self.replica.epoch() + 1..record.epoch {
+                let view = View { epoch, chain: vec![self.me] };
+                self.replicate(context, ReplicaEvent::Install { view });
+            }
+        }
+        self.replicate(context, ReplicaEvent::Install { view });
+    }
+
+    /// Whether this replica holds all that was committed before a chain, though it never heard of some chains before it.
+    ///
+    /// The map of partitions keeps a member as full only from one chain to the next, and no chain commits without all its
+    /// members. So nothing was committed in the missed chains that this member would not hold. The missed views are then
+    /// gone through one after the other; none of them is ever in force here.
+    fn is_certainly_full(&self, record: &PartitionRecord, next: &View) -> bool {
+        let (own, missed) = (self.replica.epoch(), record.epoch - self.replica.epoch() - 1);
+        let counted = match self.replica.view() {
+            None => self.replica.last() == 0,
+            Some(view) => self.replica.is_full() && keeps_order(view, next),
+        };
+        missed > 0
+            && missed <= MOST_SKIPPED_VIEWS
+            && counted
+            && record.full.contains(&self.me.0)
+            && own < record.epoch
+    }
+
+    /// A message from another replica.
+    pub fn receive(&mut self, context: &mut Context<'_>, from: MemberId, message: ReplicaMessage) {
+        self.replicate(context, ReplicaEvent::Message { from, message });
+    }
+
+    /// All records up to those of this token are synced.
+    pub fn durable(&mut self, context: &mut Context<'_>, token: u64) {
+        self.replicate(context, ReplicaEvent::Durable { token });
+    }
+
+    /// The time of [`Partition::next_timer`] has come.
+    pub fn tick(&mut self, context: &mut Context<'_>) {
+        if self.replica.next_timer().is_some_and(|timer| timer <= context.now.steady) {
+            self.replicate(context, ReplicaEvent::Tick);
+        }
+        self.answer_reads(context);
+        if self.is_head {
+            self.look_after_holds(context);
+            self.look_for_forgotten(context);
+        }
+    }
+
+    /// When [`Partition::tick`] is wanted next.
+    pub fn next_timer(&self) -> Option<Duration> {
+        let holds = self.holds.next_timer(self.timeouts()).filter(|_| self.is_head);
+        let forget = (self.is_head && self.store.bytes() > 0).then_some(self.next_forget);
+        [self.replica.next_timer(), self.reads.next_timer(), holds, forget].into_iter().flatten().min()
+    }
+
+    /// The state.
+    pub fn store(&self) -> &Store {
+        &self.store
+    }
+
+    /// The newest view known.
+    pub fn view(&self) -> Option<&View> {
+        self.replica.view()
+    }
+
+    /// The epoch in which this replica counts, if it does.
+    pub fn full_epoch(&self) -> Option<u64> {
+        (self.replica.is_full() && !self.broken).then(|| self.replica.epoch())
+    }
+
+    /// Bytes of batch jobs, those on their way too.
+    pub fn bytes(&self) -> u64 {
+        self.store.bytes() + self.creations.bytes()
+    }
+
+    /// Everything that must stay on the disk; none while it can't be told, ask again later.
+    pub fn checkpoint(&self) -> Result<Option<Vec<LogRecord>>, JobsError> {
+        Ok(self.replica.checkpoint(self.store.encode()?))
+    }
+
+    fn timeouts(&self) -> Timeouts {
+        Timeouts { driver: self.settings.driver_timeout, tell_again: self.settings.drive_again }
+    }
+
+    /// Gives the replica an event, and carries out all that follows.
+    fn replicate(&mut self, context: &mut Context<'_>, event: ReplicaEvent) {
+        if self.broken {
+            return;
+        }
+        self.feed(context.now, event);
+        while let Some(action) = self.actions.pop_front() {
+            self.act(context, action);
+            if self.broken {
+                self.actions.clear();
+            }
+        }
+        self.follow_role(context);
+        self.answer_reads(context);
+    }
+
+    fn feed(&mut self, now: Moment, event: ReplicaEvent) {
+        let mut actions = Vec::new();
+        self.replica.handle(now.steady, event, &mut actions);
+        self.actions.extend(actions);
+    }
+
+    fn act(&mut self, context: &mut Context<'_>, action: ReplicaAction) {
+        match action {
+            ReplicaAction::Send { to, message } => {
+                context.out.push(PartitionAction::SendMember { to, message })
+            }
+            ReplicaAction::Persist { token, records } => {
+                context.out.push(PartitionAction::Persist { token, records })
+            }
+            ReplicaAction::Apply { seq, command, reply } => self.apply(context, seq, &command, reply),
+            ReplicaAction::TakeSnapshot => self.take_snapshot(context),
+            ReplicaAction::InstallSnapshot { seq, bytes } => self.install_snapshot(seq, &bytes),
+            ReplicaAction::ReadReady { token, .. } => self.read_ready(context, token),
+            ReplicaAction::ReadFailed { token } => self.read_failed(context, token),
+            ReplicaAction::NotHead { command, .. } | ReplicaAction::Busy { command } => {
+                self.not_taken(context, &command)
+            }
+            ReplicaAction::Installed { .. }
+            | ReplicaAction::BecameFull { .. }
+            | ReplicaAction::Sealed { .. }
+            | ReplicaAction::LearnerProgress { .. }
+            | ReplicaAction::Barrier { .. }
+            | ReplicaAction::Behind { .. } => {}
+        }
+    }
+
+    fn apply(&mut self, context: &mut Context<'_>, seq: u64, command: &[u8], reply: bool) {
+        self.applied = seq;
+        let proposal = match Proposal::decode(command) {
+            Ok(proposal) => proposal,
+            Err(error) => return self.fail(&error),
+        };
+        let id = proposal.command.job().clone();
+        let created = matches!(proposal.command, Command::Create { .. });
+        let outcome = self.store.apply(proposal.command);
+        if let Some(asker) = proposal.asker.filter(|_| reply) {
+            context.out.push(answer(asker, outcome.answer(asker.edge)));
+        }
+        if created {
+            let askers = self.creations.remove(&id);
+            context.out.extend(askers.into_iter().map(|asker| answer(asker, outcome.answer(asker.edge))));
+        }
+        if self.is_head {
+            self.follow_driver(context, &id, &outcome);
+        }
+    }
+
+    /// What the head does once a command is committed.
+    fn follow_driver(&mut self, context: &mut Context<'_>, id: &str, outcome: &Outcome) {
+        match (self.store.job(id), outcome) {
+            (Some(_), Outcome::Ended { stopped: Some((edge, term)) }) => {
+                self.holds.drop(id);
+                if let Some(to) = context.edges.address(*edge) {
+                    let message = JobsMessage::Stop { job: id.to_owned(), term: *term };
+                    context.out.push(PartitionAction::SendEdge { to, message });
+                }
+            }
+            (Some(job), _) => {
+                if self.holds.follow(context.now.steady, id, job) {
+                    self.tell_driver(context, id);
+                }
+            }
+            (None, _) => self.holds.drop(id),
+        }
+    }
+
+    fn take_snapshot(&mut self, context: &mut Context<'_>) {
+        match self.store.encode() {
+            Ok(bytes) => self.feed(context.now, ReplicaEvent::SnapshotReady { seq: self.applied, bytes }),
+            Err(error) => self.fail(&error),
+        }
+    }
+
+    fn install_snapshot(&mut self, seq: u64, bytes: &[u8]) {
+        self.applied = seq;
+        if bytes.is_empty() {
+            self.store = Store::default();
+            return;
+        }
+        match Store::decode(bytes) {
+            Ok(store) => self.store = store,
+            Err(error) => self.fail(&error),
+        }
+    }
+
+    /// What every replica holds alike can't be read here: going on could only make this copy differ from the others.
+    fn fail(&mut self, error: &JobsError) {
+        log::error!("a partition stops here: {error}");
+        self.broken = true;
+    }
+
+    /// Takes up or gives up what only a head or only a tail keeps.
+    fn follow_role(&mut self, context: &mut Context<'_>) {
+        let serving = self.replica.is_serving() && !self.broken;
+        let view = self.replica.view();
+        let is_head = serving && view.is_some_and(|view| view.head() == Some(self.me));
+        let is_tail = serving && view.is_some_and(|view| view.tail() == Some(self.me));
+        if is_head && !self.is_head {
+            self.holds.restart(context.now.steady, &self.store);
+            self.next_forget = context.now.steady + self.settings.forget_every;
+        }
+        if !is_head && self.is_head {
+            self.holds.clear();
+            self.creations.clear();
+            let askers = self.renewals.fail_all();
+            context.out.extend(askers.into_iter().map(|asker| answer(asker, JobsAnswer::NotNow)));
+        }
+        if !is_tail && self.is_tail {
+            let askers = self.reads.fail_all();
+            context.out.extend(askers.into_iter().map(|asker| answer(asker, JobsAnswer::NotNow)));
+        }
+        self.is_head = is_head;
+        self.is_tail = is_tail;
+    }
+
+    fn look_after_holds(&mut self, context: &mut Context<'_>) {
+        for action in self.holds.due(context.now.steady, self.timeouts(), context.edges) {
+            match action {
+                HoldAction::Replace { job, term, edge } => {
+                    let command = Command::Drive { job, term, edge };
+                    self.propose(context, Proposal { asker: None, command });
+                }
+                HoldAction::Tell { job } => self.tell_driver(context, &job),
+            }
+        }
+    }
+
+    fn look_for_forgotten(&mut self, context: &mut Context<'_>) {
+        if context.now.steady < self.next_forget {
+            return;
+        }
+        self.next_forget = context.now.steady + self.settings.forget_every;
+        let retention_ms = u64::try_from(self.settings.retention.as_millis()).unwrap_or(u64::MAX);
+        let over = self.store.jobs().filter(|(_, job)| {
+            job.is_ended() && job.record().accepted_unix_ms.saturating_add(retention_ms) < context.now.unix_ms
+        });
+        let over: Vec<_> = over.map(|(id, _)| id.clone()).collect();
+        for job in over {
+            self.propose(context, Proposal { asker: None, command: Command::Forget { job } });
+        }
+    }
+
+    fn tell_driver(&mut self, context: &mut Context<'_>, id: &str) {
+        let Some(job) = self.store.job(id) else { return };
+        self.holds.told(context.now.steady, id);
+        if let Some(to) = context.edges.address(job.driver()) {
+            let record = std::sync::Arc::new(job.record().clone());
+            let message = JobsMessage::Drive { job: record, term: job.term(), listed: job.listed_items() };
+            context.out.push(PartitionAction::SendEdge { to, message });
+        }
+    }
+
+    /// Proposes a command at the head.
+    fn propose(&mut self, context: &mut Context<'_>, proposal: Proposal) {
+        match proposal.encode() {
+            Ok(command) => self.replicate(context, ReplicaEvent::Submit { command }),
+            Err(error) => log::error!("a command was not proposed: {error}"),
+        }
+    }
+
+    /// A command was refused by the replica here.
+    fn not_taken(&mut self, context: &mut Context<'_>, command: &[u8]) {
+        let Ok(proposal) = Proposal::decode(command) else { return };
+        let mut askers: Vec<_> = proposal.asker.into_iter().collect();
+        match &proposal.command {
+            Command::Create { job, .. } => askers.extend(self.creations.remove(&job.id)),
+            Command::Drive { job, .. } => self.holds.not_replaced(job),
+            _ => {}
+        }
+        context.out.extend(askers.into_iter().map(|asker| answer(asker, JobsAnswer::NotNow)));
+    }
+
+    fn answer_reads(&mut self, context: &mut Context<'_>) {
+        if self.reads.len() > 0 {
+            let answers = self.reads.answers(context.now.steady, &self.store);
+            context.out.extend(answers.into_iter().map(|(asker, body)| answer(asker, body)));
+        }
+    }
+}
+
+/// Whether the members that stay follow each other as before.
+fn keeps_order(before: &View, after: &View) -> bool {
+    let stay: Vec<_> = before.chain.iter().filter(|member| after.contains(**member)).collect();
+    let stayed: Vec<_> = after.chain.iter().filter(|member| before.contains(**member)).collect();
+    stay == stayed
+}
--- /dev/null
+++ b/system/jobs/src/partition/output.rs
@@ -0,0 +1,61 @@
+//! What a partition asks of its surroundings, and the time that it is told.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gingerledge_chain::{LogRecord, MemberId, ReplicaMessage};
+use gingerledge_wire::{JobsAnswer, JobsMessage};
+
+use super::holds::Edges;
+use crate::store::Asker;
+
+/// The present moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Moment {
+    /// Since the start of the process.
+    pub steady: Duration,
+    /// The time of day, in milliseconds since 1970.
+    pub unix_ms: u64,
+}
+
+/// What a partition is told with every event, and where it says what is to be done.
+pub struct Context<'a> {
+    /// The present moment.
+    pub now: Moment,
+    /// The edges that are there.
+    pub edges: &'a Edges,
+    /// What is to be done.
+    pub out: &'a mut Vec<PartitionAction>,
+}
+
+/// Something to be done for a partition, in order.
+#[derive(Clone, Debug)]
+pub enum PartitionAction {
+    /// Send to a replica.
+    SendMember {
+        /// The receiver.
+        to: MemberId,
+        /// The message.
+        message: ReplicaMessage,
+    },
+    /// Send to an edge.
+    SendEdge {
+        /// The receiver.
+        to: SocketAddr,
+        /// The message.
+        message: JobsMessage,
+    },
+    /// Make records durable, then say so with the token.
+    Persist {
+        /// The replica's token.
+        token: u64,
+        /// The records.
+        records: Vec<LogRecord>,
+    },
+}
+
+/// An answer to an edge.
+pub(crate) fn answer(asker: Asker, body: JobsAnswer) -> PartitionAction {
+    let message = JobsMessage::Answer { request: asker.request, body };
+    PartitionAction::SendEdge { to: asker.reply_to, message }
+}
--- /dev/null
+++ b/system/jobs/src/store/command.rs
@@ -0,0 +1,135 @@
+//! The commands of one partition, in the form in which its chain carries them, and what becomes of them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use gingerledge_wire::{DriverTerm, JobId, JobRecord, JobsAnswer, ResultRecord};
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+
+use crate::codec;
+use crate::error::{CommandSnafu, JobsError};
+
+/// A change of a partition's state, applied at every replica in the chain's order.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// Keep a batch job; the edge drives it with the first term.
+    Create {
+        /// The batch job.
+        job: Arc<JobRecord>,
+        /// The edge's incarnation.
+        edge: u64,
+    },
+    /// Keep results.
+    Append {
+        /// The batch job.
+        job: JobId,
+        /// The driver's term.
+        term: DriverTerm,
+        /// The results, in order.
+        results: Vec<ResultRecord>,
+    },
+    /// End a batch job.
+    End {
+        /// The batch job.
+        job: JobId,
+    },
+    /// Give a batch job another driver; taken only on top of the term before.
+    Drive {
+        /// The batch job.
+        job: JobId,
+        /// The new term.
+        term: DriverTerm,
+        /// The new driver's incarnation.
+        edge: u64,
+    },
+    /// Drop an ended batch job whose retention is over.
+    Forget {
+        /// The batch job.
+        job: JobId,
+    },
+}
+
+/// Who waits for the outcome of a command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Asker {
+    /// The edge's number for its question.
+    pub request: u64,
+    /// Where the answer goes.
+    pub reply_to: SocketAddr,
+    /// The edge's incarnation.
+    pub edge: u64,
+}
+
+/// A command as it goes through the chain, with whoever is answered by the tail.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Proposal {
+    /// Who asked; none for commands of the head itself.
+    pub asker: Option<Asker>,
+    /// The command.
+    pub command: Command,
+}
+
+impl Proposal {
+    /// The bytes that the chain carries.
+    pub fn encode(&self) -> Result<Vec<u8>, JobsError> {
+        codec::encode(self).context(CommandSnafu)
+    }
+
+    /// Reads the bytes that the chain carries.
+    pub fn decode(bytes: &[u8]) -> Result<Self, JobsError> {
+        codec::decode(bytes).context(CommandSnafu)
+    }
+}
+
+/// What became of a command: the same at every replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The batch job is kept, now or before.
+    Created {
+        /// Its driver and term; none once it has ended or all its results are there.
+        driver: Option<(u64, DriverTerm)>,
+    },
+    /// The results are kept, now or before.
+    Appended,
+    /// The term is not the current one.
+    Fenced,
+    /// The batch job is ended, now or before.
+    Ended {
+        /// The driver that it had until now; none if it was ended before.
+        stopped: Option<(u64, DriverTerm)>,
+    },
+    /// The new driver holds it.
+    Driven,
+    /// It is dropped.
+    Forgotten,
+    /// Nothing changed, because there is no such batch job or the command does not apply any more.
+    Unknown,
+}
+
+impl Outcome {
+    /// What an edge is told.
+    pub fn answer(&self, edge: u64) -> JobsAnswer {
+        match self {
+            Self::Created { driver } => JobsAnswer::Created {
+                drive: driver.filter(|(holder, _)| *holder == edge).map(|(_, term)| term),
+            },
+            Self::Appended => JobsAnswer::Appended,
+            Self::Fenced => JobsAnswer::Fenced,
+            Self::Ended { .. } => JobsAnswer::Ended,
+            Self::Driven | Self::Forgotten | Self::Unknown => JobsAnswer::Unknown,
+        }
+    }
+}
+
+impl Command {
+    /// The batch job that it is about.
+    pub fn job(&self) -> &JobId {
+        match self {
+            Self::Create { job, .. } => &job.id,
+            Self::Append { job, .. } | Self::End { job } | Self::Drive { job, .. } | Self::Forget { job } => {
+                job
+            }
+        }
+    }
+}
--- /dev/null
+++ b/system/jobs/src/store/job.rs
@@ -0,0 +1,168 @@
+//! One batch job: its items, its results by position, its driver.
+
+use gingerledge_wire::{DriverTerm, ItemRecord, JobRecord, ResultRecord};
+use serde::{Deserialize, Serialize};
+
+/// What an item or a result takes in memory besides its strings and bodies.
+const OVERHEAD_BYTES: u64 = 160;
+
+/// A batch job as a replica keeps it. What a listed item needed for its run is dropped, and with the end all of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    record: JobRecord,
+    /// By item: whether it has a position.
+    listed: Vec<bool>,
+    /// By position.
+    results: Vec<ResultRecord>,
+    driver: u64,
+    term: DriverTerm,
+    ended: bool,
+    bytes: u64,
+}
+
+impl Job {
+    /// A new batch job with its first driver.
+    pub fn new(record: JobRecord, driver: u64) -> Self {
+        let listed = vec![false; record.items.len()];
+        let bytes = record_bytes(&record);
+        Self { record, listed, results: Vec::new(), driver, term: 1, ended: false, bytes }
+    }
+
+    /// The batch job; items that are listed have neither body nor headers nor reward call any more.
+    pub fn record(&self) -> &JobRecord {
+        &self.record
+    }
+
+    /// Results by position.
+    pub fn results(&self) -> &[ResultRecord] {
+        &self.results
+    }
+
+    /// The driver's incarnation.
+    pub fn driver(&self) -> u64 {
+        self.driver
+    }
+
+    /// The driver's term.
+    pub fn term(&self) -> DriverTerm {
+        self.term
+    }
+
+    /// Whether it is ended.
+    pub fn is_ended(&self) -> bool {
+        self.ended
+    }
+
+    /// Whether somebody has to drive it: it is open, and an item is not listed yet.
+    pub fn needs_driver(&self) -> bool {
+        !self.ended && self.results.len() < self.record.items.len()
+    }
+
+    /// Bytes that it takes in memory.
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// Items that have a position.
+    pub fn listed_items(&self) -> Vec<u32> {
+        let listed = self.listed.iter().enumerate().filter(|(_, listed)| **listed);
+        listed.filter_map(|(item, _)| u32::try_from(item).ok()).collect()
+    }
+
+    /// Whether an item has a position; also true of an item that isn't there.
+    pub fn is_listed(&self, item: u32) -> bool {
+        self.listed.get(item as usize).copied().unwrap_or(true)
+    }
+
+    /// The body of an item that isn't listed yet, while the batch job is open.
+    pub fn body(&self, id: &str) -> Option<&[u8]> {
+        let index = self.record.items.iter().position(|item| item.id == id)?;
+        let open = !self.ended && !self.listed.get(index).copied().unwrap_or(true);
+        self.record.items.get(index).filter(|_| open).map(|item| item.body.as_slice())
+    }
+
+    /// Results from a position on with their items' ids: as many as fit, but at least one if there is one.
+    pub fn page(&self, start_after: u64, max_bytes: u64) -> Vec<(String, ResultRecord)> {
+        let start = usize::try_from(start_after).unwrap_or(usize::MAX);
+        let mut left = max_bytes;
+        let mut page = Vec::new();
+        for result in self.results.iter().skip(start) {
+            let bytes = result_bytes(result);
+            if bytes > left && !page.is_empty() {
+                break;
+            }
+            left = left.saturating_sub(bytes);
+            let id =
+                self.record.items.get(result.item as usize).map(|item| item.id.clone()).unwrap_or_default();
+            page.push((id, result.clone()));
+        }
+        page
+    }
+
+    /// Gives a result the next position, unless its item has one or does not exist.
+    pub(super) fn list(&mut self, result: ResultRecord) {
+        let index = result.item as usize;
+        let (Some(listed), Some(item)) = (self.listed.get_mut(index), self.record.items.get_mut(index))
+        else {
+            return;
+        };
+        if std::mem::replace(listed, true) {
+            return;
+        }
+        self.bytes = self.bytes.saturating_sub(release(item)) + result_bytes(&result);
+        self.results.push(result);
+    }
+
+    /// Ends it; says whether it was open.
+    pub(super) fn end(&mut self) -> bool {
+        let released: u64 = self.record.items.iter_mut().map(release).sum();
+        self.bytes = self.bytes.saturating_sub(released);
+        !std::mem::replace(&mut self.ended, true)
+    }
+
+    /// Gives it another driver.
+    pub(super) fn drive(&mut self, driver: u64, term: DriverTerm) {
+        self.driver = driver;
+        self.term = term;
+    }
+}
+
+/// Bytes that a new batch job takes in memory.
+pub fn record_bytes(record: &JobRecord) -> u64 {
+    let items: u64 = record.items.iter().map(item_bytes).sum();
+    OVERHEAD_BYTES
+        + length(&[record.id.len(), record.host.len(), record.path.len(), record.model.len()])
+        + items
+}
+
+fn item_bytes(item: &ItemRecord) -> u64 {
+    OVERHEAD_BYTES + length(&[item.id.len(), item.path.len(), item.group.len()]) + run_bytes(item)
+}
+
+/// Bytes that only a run of the item needs.
+fn run_bytes(item: &ItemRecord) -> u64 {
+    let headers: usize = item.headers.iter().map(|(name, value)| name.len() + value.len()).sum();
+    let scoring = item
+        .scoring
+        .as_ref()
+        .map_or(0, |scoring| scoring.id.len() + scoring.host.len() + scoring.path.len() + scoring.body.len());
+    length(&[item.body.len(), headers, scoring])
+}
+
+/// Drops what only a run needs; returns its bytes.
+fn release(item: &mut ItemRecord) -> u64 {
+    let bytes = run_bytes(item);
+    item.body = Vec::new();
+    item.headers = Vec::new();
+    item.scoring = None;
+    bytes
+}
+
+/// Bytes that a result takes, in memory and about as many in a page.
+pub fn result_bytes(result: &ResultRecord) -> u64 {
+    OVERHEAD_BYTES + length(&[result.text.len(), result.score.len(), result.versions.len() * 8])
+}
+
+fn length(parts: &[usize]) -> u64 {
+    parts.iter().sum::<usize>() as u64
+}
--- /dev/null
+++ b/system/jobs/tests/store.rs
@@ -0,0 +1,195 @@
+//! The state of one partition: positions, terms, ends, and what is kept and dropped.
+
+use std::sync::Arc;
+
+use gingerledge_jobs::store::{Command, Outcome, Store};
+use gingerledge_wire::{ItemRecord, JobRecord, ResultRecord, ScoringRecord};
+use yare::parameterized;
+
+const EDGE: u64 = 7;
+
+fn item(id: &str) -> ItemRecord {
+    ItemRecord {
+        id: id.to_owned(),
+        path: "/p/".to_owned(),
+        headers: vec![("Model".to_owned(), "m".to_owned())],
+        body: format!("body of {id}").into_bytes(),
+        tokens: 10,
+        group: "g".to_owned(),
+        scoring: Some(ScoringRecord {
+            id: format!("score of {id}"),
+            host: "h".to_owned(),
+            path: "/s".to_owned(),
+            body: b"score".to_vec(),
+        }),
+    }
+}
+
+fn job(id: &str) -> Arc<JobRecord> {
+    Arc::new(JobRecord {
+        id: id.to_owned(),
+        host: "h".to_owned(),
+        path: "/p/x".to_owned(),
+        step: 0,
+        model: "m".to_owned(),
+        min_version: 1,
+        desired: 1,
+        accepted_unix_ms: 1_000,
+        items: vec![item("a"), item("b"), item("c")],
+    })
+}
+
+fn result(item: u32, text: &str) -> ResultRecord {
+    ResultRecord {
+        item,
+        completed: true,
+        text: text.as_bytes().to_vec(),
+        versions: vec![1],
+        score: "stamp".to_owned(),
+    }
+}
+
+fn create(store: &mut Store) -> Outcome {
+    store.apply(Command::Create { job: job("j"), edge: EDGE })
+}
+
+fn append(store: &mut Store, term: u64, results: &[(u32, &str)]) -> Outcome {
+    let results = results.iter().map(|(item, text)| result(*item, text)).collect();
+    store.apply(Command::Append { job: "j".to_owned(), term, results })
+}
+
+fn end(store: &mut Store) -> Outcome {
+    store.apply(Command::End { job: "j".to_owned() })
+}
+
+fn drive(store: &mut Store, term: u64, edge: u64) -> Outcome {
+    store.apply(Command::Drive { job: "j".to_owned(), term, edge })
+}
+
+fn listed(store: &Store) -> Vec<(String, String)> {
+    let page = store.job("j").map(|job| job.page(0, u64::MAX)).unwrap_or_default();
+    page.into_iter().map(|(id, result)| (id, String::from_utf8(result.text).unwrap())).collect()
+}
+
+fn pairs(expected: &[(&str, &str)]) -> Vec<(String, String)> {
+    expected.iter().map(|(id, text)| ((*id).to_owned(), (*text).to_owned())).collect()
+}
+
+#[parameterized(
+    in_order_of_arrival = { &[&[(2, "c")], &[(0, "a")]], &[("c", "c"), ("a", "a")] },
+    one_position_for_each_item = { &[&[(0, "first")], &[(0, "second")]], &[("a", "first")] },
+    one_position_within_one_batch = { &[&[(1, "first"), (1, "second")]], &[("b", "first")] },
+    no_such_item = { &[&[(3, "d"), (0, "a")]], &[("a", "a")] },
+)]
+fn positions(batches: &[&[(u32, &str)]], expected: &[(&str, &str)]) {
+    let mut store = Store::default();
+    create(&mut store);
+    for batch in batches {
+        assert_eq!(append(&mut store, 1, batch), Outcome::Appended);
+    }
+    assert_eq!(listed(&store), pairs(expected));
+}
+
+#[test]
+fn a_job_is_taken_once() {
+    let mut store = Store::default();
+    let driver = Some((EDGE, 1));
+    assert_eq!(create(&mut store), Outcome::Created { driver });
+    append(&mut store, 1, &[(0, "a")]);
+    let again = store.apply(Command::Create { job: job("j"), edge: 99 });
+    assert_eq!(again, Outcome::Created { driver });
+    assert_eq!(listed(&store), pairs(&[("a", "a")]));
+}
+
+#[parameterized(older = { 1 }, newer = { 3 })]
+fn another_term_is_fenced(term: u64) {
+    let mut store = Store::default();
+    create(&mut store);
+    assert_eq!(drive(&mut store, 2, 8), Outcome::Driven);
+    assert_eq!(append(&mut store, term, &[(0, "a")]), Outcome::Fenced);
+    assert_eq!(append(&mut store, 2, &[(0, "b")]), Outcome::Appended);
+    assert_eq!(listed(&store), pairs(&[("a", "b")]));
+}
+
+#[parameterized(same_term = { 1 }, skipped_term = { 3 })]
+fn a_driver_follows_only_on_the_term_before(term: u64) {
+    let mut store = Store::default();
+    create(&mut store);
+    assert_eq!(drive(&mut store, term, 8), Outcome::Fenced);
+    assert_eq!(store.job("j").map(|job| (job.driver(), job.term())), Some((EDGE, 1)));
+}
+
+#[test]
+fn nothing_is_listed_after_the_end() {
+    let mut store = Store::default();
+    create(&mut store);
+    append(&mut store, 1, &[(0, "a")]);
+    assert_eq!(end(&mut store), Outcome::Ended { stopped: Some((EDGE, 1)) });
+    assert_eq!(append(&mut store, 1, &[(1, "b")]), Outcome::Ended { stopped: None });
+    assert_eq!(end(&mut store), Outcome::Ended { stopped: None });
+    assert_eq!(listed(&store), pairs(&[("a", "a")]));
+    assert!(!store.job("j").is_some_and(|job| job.needs_driver()));
+}
+
+#[test]
+fn a_body_goes_with_its_position_and_with_the_end() {
+    let mut store = Store::default();
+    create(&mut store);
+    let body = |store: &Store, id: &str| store.job("j").and_then(|job| job.body(id).map(<[u8]>::to_vec));
+    assert_eq!(body(&store, "a"), Some(b"body of a".to_vec()));
+    append(&mut store, 1, &[(0, "a")]);
+    assert_eq!(body(&store, "a"), None);
+    assert_eq!(body(&store, "b"), Some(b"body of b".to_vec()));
+    assert_eq!(body(&store, "nothing"), None);
+    end(&mut store);
+    assert_eq!(body(&store, "b"), None);
+}
+
+#[test]
+fn only_an_ended_job_is_forgotten() {
+    let mut store = Store::default();
+    create(&mut store);
+    let forget = Command::Forget { job: "j".to_owned() };
+    assert_eq!(store.apply(forget.clone()), Outcome::Unknown);
+    end(&mut store);
+    assert_eq!(store.apply(forget), Outcome::Forgotten);
+    assert_eq!((store.bytes(), store.job("j")), (0, None));
+}
+
+#[parameterized(
+    all = { 0, u64::MAX, 3 },
+    from_a_position = { 1, u64::MAX, 2 },
+    behind_the_last = { 3, u64::MAX, 0 },
+    far_behind = { u64::MAX, u64::MAX, 0 },
+    at_least_one = { 0, 1, 1 },
+)]
+fn pages(start_after: u64, max_bytes: u64, expected: usize) {
+    let mut store = Store::default();
+    create(&mut store);
+    append(&mut store, 1, &[(0, "a"), (1, "b"), (2, "c")]);
+    let page = store.job("j").map(|job| job.page(start_after, max_bytes)).unwrap_or_default();
+    assert_eq!(page.len(), expected);
+}
+
+#[test]
+fn the_state_comes_back_from_its_bytes() {
+    let mut store = Store::default();
+    create(&mut store);
+    append(&mut store, 1, &[(1, "b")]);
+    drive(&mut store, 2, 8);
+    let bytes = store.encode().unwrap();
+    assert_eq!(Store::decode(&bytes).unwrap(), store);
+    assert!(Store::decode(&bytes[..bytes.len() - 1]).is_err());
+    assert!(Store::decode(&[bytes, vec![0]].concat()).is_err());
+}
+
+#[test]
+fn bytes_fall_as_bodies_go() {
+    let mut store = Store::default();
+    create(&mut store);
+    let before = store.bytes();
+    end(&mut store);
+    let without_bodies = store.bytes();
+    assert!(without_bodies < before);
+    assert_eq!(store.bytes(), Store::decode(&store.encode().unwrap()).unwrap().bytes());
+}
