--- /dev/null
+++ b/system/control/src/coordinator/mod.rs
@@ -0,0 +1,29 @@
+//! The work of the one control node that holds the lease: planners that compare what is wanted with what is, sans I/O.
+//!
+//! [`backends`] says which backends can be used, [`partitions`] which chains of the partitions of batch jobs should change,
+//! [`weights`] which stores should load which version, and [`loads`] how far that is. Each is a function of what is known now;
+//! whoever calls them carries the result out, and calls them again.
+
+pub mod backends;
+pub mod loads;
+pub mod partitions;
+pub mod weights;
+
+/// The score of a candidate for a subject; the highest wins, and a candidate that goes changes nothing for the others.
+pub fn rendezvous(subject: u64, candidate: u64) -> u64 {
+    mix(subject.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ mix(candidate))
+}
+
+/// The finalizer of SplitMix64.
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+/// A number for a name, to be used as a subject or a candidate.
+pub fn hash_name(name: &str) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    name.bytes().fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME))
+}
--- /dev/null
+++ b/system/control/src/coordinator/partitions.rs
@@ -0,0 +1,190 @@
+//! Which chains of the partitions of batch jobs should change, given which backends can be used.
+//!
+//! Every chain keeps `fault_tolerance + 1` members that can be used, zones apart where that is possible, and never loses its last
+//! full member: a member that can't be used leaves, a replacement joins at the tail, and a member that is to be emptied stays as a
+//! source until enough others are full.
+
+use std::collections::BTreeMap;
+
+use gingerledge_wire::{PartitionRecord, PARTITIONS};
+
+use super::rendezvous;
+
+/// What is known of one backend.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Backend {
+    /// The identity of its disk.
+    pub member: u64,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it can be used.
+    pub condition: Condition,
+}
+
+/// Whether a backend can be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    /// It lives, and its disk answers.
+    Usable,
+    /// It lives, but is to be emptied.
+    Retiring,
+    /// It may live: too little time has passed to say.
+    Unknown,
+    /// It is silent, its disk is gone, or its disk does not answer.
+    Lost,
+}
+
+/// One chain that should change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The partition.
+    pub partition: u16,
+    /// Its new chain.
+    pub record: PartitionRecord,
+}
+
+/// The backends, and how many members a chain needs.
+#[derive(Clone, Debug, Default)]
+pub struct Backends {
+    members: BTreeMap<u64, Backend>,
+    chain_length: usize,
+}
+
+impl Backends {
+    /// Backends of which one copy of each partition must outlive the loss of `fault_tolerance`.
+    pub fn new(backends: impl IntoIterator<Item = Backend>, fault_tolerance: usize) -> Self {
+        let members = backends.into_iter().map(|backend| (backend.member, backend)).collect();
+        Self { members, chain_length: fault_tolerance + 1 }
+    }
+
+    fn condition(&self, member: u64) -> Condition {
+        self.members.get(&member).map_or(Condition::Lost, |backend| backend.condition)
+    }
+
+    fn zone(&self, member: u64) -> &str {
+        self.members.get(&member).map_or("", |backend| backend.zone.as_str())
+    }
+
+    /// How many backends can be given partitions.
+    pub fn usable(&self) -> usize {
+        self.members.values().filter(|backend| backend.condition == Condition::Usable).count()
+    }
+
+    /// Whether enough backends would be left without this one.
+    pub fn can_spare(&self, member: u64) -> bool {
+        let left = self
+            .members
+            .values()
+            .filter(|backend| backend.member != member)
+            .filter(|backend| matches!(backend.condition, Condition::Usable | Condition::Unknown));
+        left.count() >= self.chain_length
+    }
+
+    /// The chains that should change. `current` gives the chain of a partition, if it has one.
+    pub fn plan<'a>(&self, current: impl Fn(u16) -> Option<&'a PartitionRecord>) -> Vec<Change> {
+        let mut load = Load::default();
+        for record in (0..PARTITIONS).filter_map(&current) {
+            load.add_all(&record.chain);
+        }
+        let mut changes = Vec::new();
+        for partition in 0..PARTITIONS {
+            let next = match current(partition) {
+                Some(record) => self.repair(partition, record, &mut load),
+                None => self.found(partition, &mut load),
+            };
+            changes.extend(next.map(|record| Change { partition, record }));
+        }
+        changes
+    }
+
+    /// The first chain of a partition: all its members are full, since there is nothing yet.
+    fn found(&self, partition: u16, load: &mut Load) -> Option<PartitionRecord> {
+        let chain = self.extend(partition, &[], self.chain_length, load);
+        if chain.len() < self.chain_length {
+            return None;
+        }
+        Some(PartitionRecord { epoch: 1, full: chain.clone(), chain })
+    }
+
+    fn repair(&self, partition: u16, record: &PartitionRecord, load: &mut Load) -> Option<PartitionRecord> {
+        let kept: Vec<u64> = record
+            .chain
+            .iter()
+            .copied()
+            .filter(|&member| self.condition(member) != Condition::Lost)
+            .collect();
+        let is_full = |member: &u64| record.full.contains(member);
+        let (full, filling): (Vec<u64>, Vec<u64>) = kept.into_iter().partition(is_full);
+        if full.is_empty() {
+            return None;
+        }
+        let staying = |member: &u64| self.condition(*member) != Condition::Retiring;
+        let mut keep: Vec<u64> = full.iter().chain(&filling).copied().filter(staying).collect();
+        let replaced = self.extend(partition, &keep, self.chain_length, load);
+        let full_staying = full.iter().copied().filter(staying).count();
+        if full_staying < self.chain_length {
+            // Those that leave on purpose serve until enough of the others have everything.
+            let leaving = full.iter().copied().filter(|member| !staying(member));
+            keep = full.iter().copied().filter(staying).chain(leaving).collect();
+            keep.extend(replaced.iter().copied().filter(|member| !full.contains(member)));
+        } else {
+            keep = replaced;
+            keep.truncate(self.chain_length);
+        }
+        keep.truncate(self.longest());
+        if keep.len() < self.chain_length || keep == record.chain {
+            return None;
+        }
+        let full = keep.iter().copied().filter(is_full).collect();
+        Some(PartitionRecord { epoch: record.epoch + 1, chain: keep, full })
+    }
+
+    /// Members that leave on purpose come on top of the usual length.
+    fn longest(&self) -> usize {
+        2 * self.chain_length
+    }
+
+    /// The chain with members added until it has `length`: other zones first, then those with the least to keep, then by
+    /// rendezvous.
+    fn extend(&self, partition: u16, chain: &[u64], length: usize, load: &mut Load) -> Vec<u64> {
+        let mut chain = chain.to_vec();
+        while chain.len() < length {
+            let zones: Vec<&str> = chain.iter().map(|&member| self.zone(member)).collect();
+            let rank = |backend: &&Backend| {
+                let same_zone = zones.contains(&backend.zone.as_str());
+                let score = rendezvous(u64::from(partition), backend.member);
+                (same_zone, load.of(backend.member), std::cmp::Reverse(score))
+            };
+            let candidates = self
+                .members
+                .values()
+                .filter(|backend| backend.condition == Condition::Usable && !chain.contains(&backend.member));
+            let Some(best) = candidates.min_by_key(rank).map(|backend| backend.member) else { break };
+            load.add(best);
+            chain.push(best);
+        }
+        chain
+    }
+}
+
+/// How many chains each member is in.
+#[derive(Debug, Default)]
+struct Load {
+    chains: BTreeMap<u64, usize>,
+}
+
+impl Load {
+    fn of(&self, member: u64) -> usize {
+        self.chains.get(&member).copied().unwrap_or(0)
+    }
+
+    fn add(&mut self, member: u64) {
+        *self.chains.entry(member).or_default() += 1;
+    }
+
+    fn add_all(&mut self, members: &[u64]) {
+        for &member in members {
+            self.add(member);
+        }
+    }
+}
--- /dev/null
+++ b/system/control/src/http/mod.rs
@@ -0,0 +1,101 @@
+//! The HTTP side, for stores, trainers and the operator: reads calls, asks the node, and answers. A proper call is never answered
+//! with a 4xx because of trouble of our own; an outcome that is not known is a 503.
+
+mod body;
+mod configuration;
+mod instances;
+mod retire;
+mod server;
+mod versions;
+
+use gingerledge_wire::{Command, Outcome};
+use salvo::http::StatusCode;
+use salvo::writing::Text;
+use salvo::{Response, Router};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::node::Request;
+
+pub use server::{serve, ServerSettings};
+
+/// Where handlers ask the node.
+#[derive(Clone, Debug)]
+pub struct NodeHandle {
+    requests: mpsc::Sender<Request>,
+}
+
+impl NodeHandle {
+    /// A handle that puts its questions into this queue.
+    pub fn new(requests: mpsc::Sender<Request>) -> Self {
+        Self { requests }
+    }
+
+    /// Asks the node; none if it has no room, ends, or can't say.
+    async fn ask<T>(&self, request: impl FnOnce(oneshot::Sender<T>) -> Request) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.requests.try_send(request(reply)).ok()?;
+        answer.await.ok()
+    }
+
+    /// Passes a command through the chain; none if its outcome is not known.
+    async fn submit(&self, command: Command) -> Option<Outcome> {
+        self.ask(|reply| Request::Submit { command, reply }).await.flatten()
+    }
+}
+
+/// All routes.
+pub fn router(node: &NodeHandle) -> Router {
+    let node = node.clone();
+    Router::new()
+        .push(Router::with_path("configuration/replace").post(configuration::Replace::new(node.clone())))
+        .push(Router::with_path("configuration/read").get(configuration::Read { node: node.clone() }))
+        .push(Router::with_path("version-put").post(versions::Put { node: node.clone() }))
+        .push(Router::with_path("retire/{name}/begin").post(retire::Begin { node: node.clone() }))
+        .push(Router::with_path("retire/{name}/read").get(retire::Read { node: node.clone() }))
+        .push(Router::with_path("instances/{id}/heartbeat").post(instances::Beat { node: node.clone() }))
+        .push(
+            Router::with_path("instances/{id}/deregister").post(instances::Deregister { node: node.clone() }),
+        )
+        .push(Router::with_path("status").get(Status { node }))
+}
+
+struct Status {
+    node: NodeHandle,
+}
+
+#[salvo::handler]
+impl Status {
+    async fn handle(&self, response: &mut Response) {
+        match self.node.ask(|reply| Request::Status { reply }).await {
+            Some(json) => response.render(Text::Json(json)),
+            None => unavailable(response),
+        }
+    }
+}
+
+/// The outcome is not known, or the node can't say now: nothing is promised.
+fn unavailable(response: &mut Response) {
+    response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+    response.render(Text::Plain("not known now; the call may be repeated\n"));
+}
+
+/// The call itself is wrong.
+fn refuse(response: &mut Response, status: StatusCode, reason: String) {
+    response.status_code(status);
+    response.render(Text::Plain(reason + "\n"));
+}
+
+/// Answers with the outcome of a command.
+fn answer(response: &mut Response, outcome: Option<Outcome>) {
+    match outcome {
+        Some(Outcome::Taken | Outcome::Fence(_)) => {
+            response.status_code(StatusCode::OK);
+        }
+        Some(Outcome::Conflict { current }) => {
+            let reason = format!("version {current} is current");
+            refuse(response, StatusCode::PRECONDITION_FAILED, reason);
+        }
+        Some(Outcome::Invalid { reason }) => refuse(response, StatusCode::BAD_REQUEST, reason),
+        None => unavailable(response),
+    }
+}
--- /dev/null
+++ b/system/control/src/http/retire.rs
@@ -0,0 +1,61 @@
+//! Backends that the operator wants emptied.
+
+use gingerledge_wire::RetireState;
+use salvo::http::StatusCode;
+use salvo::writing::Text;
+use salvo::{Request, Response};
+use serde_json::json;
+
+use super::{body, refuse, unavailable, NodeHandle};
+use crate::node::{self, BeginRetire};
+
+/// `POST /retire/NODE/begin`
+pub(super) struct Begin {
+    pub(super) node: NodeHandle,
+}
+
+#[salvo::handler]
+impl Begin {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        // The deadline changes nothing: a backend is emptied as fast as may be.
+        if body::read(request, response, body::SMALL_BODY_BYTES).await.is_none() {
+            return;
+        }
+        let name = request.param::<String>("name").unwrap_or_default();
+        match self.node.ask(|reply| node::Request::BeginRetire { name, reply }).await {
+            Some(BeginRetire::Taken) => {
+                response.status_code(StatusCode::OK);
+            }
+            Some(BeginRetire::Unknown) => {
+                refuse(response, StatusCode::NOT_FOUND, "no backend has this name".to_owned());
+            }
+            Some(BeginRetire::TooFew) => {
+                refuse(response, StatusCode::CONFLICT, "too few backends would be left".to_owned());
+            }
+            Some(BeginRetire::NotNow) | None => unavailable(response),
+        }
+    }
+}
+
+/// `GET /retire/NODE/read`
+pub(super) struct Read {
+    pub(super) node: NodeHandle,
+}
+
+#[salvo::handler]
+impl Read {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let name = request.param::<String>("name").unwrap_or_default();
+        match self.node.ask(|reply| node::Request::ReadRetire { name, reply }).await.flatten() {
+            Some(Some(state)) => {
+                let word = match state {
+                    RetireState::Active => "active",
+                    RetireState::Completed => "completed",
+                };
+                response.render(Text::Json(json!({ "state": word }).to_string()));
+            }
+            Some(None) => refuse(response, StatusCode::NOT_FOUND, "nobody asked to empty it".to_owned()),
+            None => unavailable(response),
+        }
+    }
+}
--- /dev/null
+++ b/system/control/src/http/versions.rs
@@ -0,0 +1,31 @@
+//! Versions of weights that trainers name.
+
+use gingerledge_wire::Command;
+use salvo::http::StatusCode;
+use salvo::{Request, Response};
+use serde::Deserialize;
+
+use super::{answer, body, refuse, NodeHandle};
+
+/// The body of `POST /version-put`.
+#[derive(Debug, Deserialize)]
+struct NamedVersion {
+    model: String,
+    version: u64,
+}
+
+/// `POST /version-put`
+pub(super) struct Put {
+    pub(super) node: NodeHandle,
+}
+
+#[salvo::handler]
+impl Put {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let Some(NamedVersion { model, version }) = body::read_json(request, response).await else { return };
+        if model.is_empty() {
+            return refuse(response, StatusCode::BAD_REQUEST, "model: is empty".to_owned());
+        }
+        answer(response, self.node.submit(Command::NameVersion { model, version }).await);
+    }
+}
--- /dev/null
+++ b/system/control/src/node/chain.rs
@@ -0,0 +1,143 @@
+//! The control chain's driver: gives it its events, and carries out what it wants.
+
+use std::time::Duration;
+
+use gingerledge_chain::{ChainAction, ChainEvent, ChainMessage, MemberId};
+use gingerledge_storage::WriterEvent;
+use gingerledge_wire::{Command, Envelope, Tick};
+
+use super::disk::{DiskNews, DiskRecord};
+use super::submit::{decode_submission, Submission};
+use super::Node;
+use crate::state::ControlState;
+
+/// Time between attempts to write everything anew on a disk that refuses.
+const DISK_RETRY: Duration = Duration::from_millis(500);
+
+impl Node {
+    pub(super) fn chain_event(&mut self, event: ChainEvent) {
+        let now = self.now();
+        self.chain.handle(now, event, &mut self.chain_actions);
+    }
+
+    pub(super) fn take_chain_message(&mut self, from: u64, message: ChainMessage) {
+        self.book.heard(self.now(), from);
+        self.chain_event(ChainEvent::Message { from: MemberId(from), message });
+    }
+
+    /// Carries actions out until there are none; what they lead to may bring more.
+    pub(super) fn carry_out_chain_actions(&mut self) {
+        while !self.chain_actions.is_empty() {
+            for action in std::mem::take(&mut self.chain_actions) {
+                self.carry_out(action);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: ChainAction) {
+        match action {
+            ChainAction::Send { to, message } => self.send_to_member(to, message),
+            ChainAction::Persist { token, records } => {
+                let records: Vec<DiskRecord> = records.into_iter().map(DiskRecord::Chain).collect();
+                self.disk.append(&records, Some(token));
+            }
+            ChainAction::Apply { seq, command, reply } => self.apply(seq, &command, reply),
+            ChainAction::TakeSnapshot => {
+                let (seq, bytes) = (self.chain.applied(), self.state.snapshot());
+                self.chain_event(ChainEvent::SnapshotReady { seq, bytes });
+            }
+            ChainAction::InstallSnapshot { bytes, .. } => self.install(&bytes),
+            ChainAction::ReadReady { token, .. } => self.finish_read(token, true),
+            ChainAction::ReadFailed { token } => self.finish_read(token, false),
+            ChainAction::NotHead { command, .. } | ChainAction::Busy { command } => self.not_taken(&command),
+            ChainAction::ViewInstalled { members } => {
+                log::info!("view {}: chain {:?}", members.epoch, names(&members.chain));
+                let now = self.now();
+                self.submissions.view_changed(now);
+                self.view_installed(&members);
+            }
+            ChainAction::Sealed { epoch } => self.lease_sealed(epoch),
+            ChainAction::BecameFull { epoch } => log::info!("holds all that is committed, view {epoch}"),
+            ChainAction::Tick { epoch, number, committed_seq } => {
+                self.confirmed_tick(Tick { epoch, number }, committed_seq);
+            }
+        }
+    }
+
+    fn send_to_member(&mut self, to: MemberId, message: ChainMessage) {
+        match self.book.address(to.0) {
+            Some(address) => self.send(address, Envelope::Chain { from: self.me.member, message }),
+            None => log::debug!("member {:x} has no known address", to.0),
+        }
+    }
+
+    fn apply(&mut self, sequence: u64, bytes: &[u8], reply: bool) {
+        let Some(Submission { request, reply_to, command }) = decode_submission(bytes) else {
+            log::error!("entry {sequence} of the chain is unreadable");
+            return;
+        };
+        let outcome = self.state.apply(sequence, &command);
+        if !matches!(command, Command::Nothing) {
+            let entries = self.state.changed_entries(&command);
+            self.learn(entries);
+        }
+        if reply_to == self.me.address {
+            self.finish_submission(request, Some(outcome));
+        } else if reply {
+            self.reply_outcome(reply_to, request, outcome);
+        }
+    }
+
+    fn install(&mut self, bytes: &[u8]) {
+        match ControlState::restore(bytes) {
+            Ok(state) => self.state = state,
+            Err(error) => log::error!("{error}"),
+        }
+        let entries = self.state.registry_entries();
+        self.learn(entries);
+    }
+
+    /// A tick says that what was committed up to a number is what counts now; it goes down the tree once that is applied here.
+    fn confirmed_tick(&mut self, tick: Tick, committed: u64) {
+        if self.chain.applied() >= committed {
+            self.relay_event(gingerledge_relay::Event::Tick(tick));
+        }
+    }
+
+    pub(super) fn take_disk_event(&mut self, event: WriterEvent) {
+        for news in self.disk.handle(event) {
+            match news {
+                DiskNews::Durable(token) => self.chain_event(ChainEvent::Durable { token }),
+                DiskNews::WantsSnapshot => self.write_snapshot(),
+            }
+        }
+    }
+
+    pub(super) fn repair_disk(&mut self, now: Duration) {
+        if self.disk.is_broken() && now >= self.disk_retry {
+            self.disk_retry = now + DISK_RETRY;
+            self.write_snapshot();
+        }
+    }
+
+    fn write_snapshot(&mut self) {
+        // The state must be that of the chain's last applied entry.
+        self.carry_out_chain_actions();
+        let Some(chain) = self.chain.checkpoint(self.state.snapshot()) else { return };
+        let mut records = self.own_records();
+        records.extend(chain.into_iter().map(DiskRecord::Chain));
+        self.disk.snapshot(&records);
+    }
+
+    /// What the node itself keeps on the disk.
+    pub(super) fn own_records(&self) -> Vec<DiskRecord> {
+        vec![
+            DiskRecord::Identity { member: self.me.member, founders: self.founders.clone() },
+            DiskRecord::Book(self.book.records()),
+        ]
+    }
+}
+
+fn names(members: &[MemberId]) -> Vec<String> {
+    members.iter().map(|member| format!("{:x}", member.0)).collect()
+}
--- /dev/null
+++ b/system/control/src/node/coordinate.rs
@@ -0,0 +1,178 @@
+//! The coordinator's loops: while this node holds the lease it takes a fencing token, and then keeps comparing what is wanted with
+//! what is. Its planners are in [`crate::coordinator`].
+
+mod partitions;
+mod weights;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use gingerledge_wire::{BackendReport, Command, NodeRecord, Outcome};
+use tokio::sync::mpsc::UnboundedSender;
+
+use super::orders::{OrderGate, OrderNews};
+use super::submit::Waiter;
+use super::Node;
+use crate::coordinator::backends::{BackendReports, BackendSettings};
+use crate::coordinator::loads::{LoadSettings, Loads};
+use crate::coordinator::weights::Homes;
+
+use weights::EngineSpecs;
+
+/// An order may be on its way for this long, so that the turns of two holders keep so much more apart.
+const ORDER_TRAVEL: Duration = Duration::from_millis(1_500);
+
+/// How far this node is in becoming the coordinator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Leadership {
+    /// Another node holds the lease, or none.
+    None,
+    /// It asks the chain for a fencing token.
+    TakingFence {
+        /// Since when it has held the lease.
+        held_since: Duration,
+    },
+    /// It has the token, once its own state shows it.
+    Fenced {
+        /// The token.
+        token: u64,
+        /// Since when it has held the lease.
+        held_since: Duration,
+    },
+    /// It does the work.
+    Active {
+        /// The fencing token.
+        token: u64,
+        /// Since when.
+        since: Duration,
+        /// Orders to stores may be sent from then on.
+        orders_from: Duration,
+    },
+}
+
+/// What the coordinator knows and does.
+#[derive(Debug)]
+pub(super) struct Coordination {
+    pub leadership: Leadership,
+    backends: BackendReports,
+    partitions_under_way: BTreeSet<u16>,
+    completion_under_way: bool,
+    specs: EngineSpecs,
+    homes: Homes,
+    loads: Loads,
+    weights_dirty: bool,
+    gate: OrderGate,
+    news: UnboundedSender<OrderNews>,
+}
+
+impl Coordination {
+    pub(super) fn new(gate: OrderGate, news: UnboundedSender<OrderNews>) -> Self {
+        Self {
+            leadership: Leadership::None,
+            backends: BackendReports::new(BackendSettings::default()),
+            partitions_under_way: BTreeSet::new(),
+            completion_under_way: false,
+            specs: EngineSpecs::default(),
+            homes: Homes::default(),
+            loads: Loads::new(LoadSettings::default()),
+            weights_dirty: true,
+            gate,
+            news,
+        }
+    }
+
+    pub(super) fn backend_reported(&mut self, now: Duration, node: &NodeRecord, report: BackendReport) {
+        self.backends.reported(now, node, report);
+    }
+
+    pub(super) fn resumed(&mut self, now: Duration) {
+        self.backends.resumed(now);
+    }
+
+    /// Something that the weights depend on has changed.
+    pub(super) fn weights_changed(&mut self) {
+        self.weights_dirty = true;
+    }
+
+    fn end(&mut self) {
+        self.leadership = Leadership::None;
+        self.gate.close();
+        self.loads.clear();
+        self.homes = Homes::default();
+    }
+}
+
+impl Node {
+    /// The lease is held until then. The work begins with the next look.
+    pub(super) fn lease_held(&mut self, until: Duration) {
+        if let Leadership::Active { orders_from, .. } = self.coordination.leadership {
+            if self.now() >= orders_from {
+                self.coordination.gate.open_until(until);
+            }
+        }
+    }
+
+    pub(super) fn lease_lost(&mut self) {
+        self.coordination.end();
+    }
+
+    /// One look at everything.
+    pub(super) fn coordinate(&mut self, now: Duration) {
+        let Some(until) = self.lease.held_until(now) else {
+            if self.coordination.leadership != Leadership::None {
+                self.coordination.end();
+            }
+            return;
+        };
+        match self.coordination.leadership {
+            Leadership::None => self.take_fence(now),
+            Leadership::TakingFence { .. } => {}
+            Leadership::Fenced { token, held_since } => self.begin_coordinating(now, token, held_since),
+            Leadership::Active { token, since, orders_from } => {
+                if self.state.fence_token() > token {
+                    log::info!("another coordinator has taken a newer fencing token");
+                    self.coordination.end();
+                    return;
+                }
+                self.keep_partitions(now, token, since);
+                self.keep_retiring();
+                if now >= orders_from {
+                    self.coordination.gate.open_until(until);
+                    self.keep_weights(now, token);
+                }
+            }
+        }
+    }
+
+    fn take_fence(&mut self, now: Duration) {
+        self.coordination.leadership = Leadership::TakingFence { held_since: now };
+        let command = Command::TakeFence { incarnation: self.me.incarnation, address: self.me.address };
+        self.submit_own(command, Waiter::Fence);
+    }
+
+    pub(super) fn fence_taken(&mut self, outcome: Option<Outcome>) {
+        let Leadership::TakingFence { held_since } = self.coordination.leadership else { return };
+        self.coordination.leadership = match outcome {
+            Some(Outcome::Fence(token)) => Leadership::Fenced { token, held_since },
+            _ => Leadership::None,
+        };
+    }
+
+    fn begin_coordinating(&mut self, now: Duration, token: u64, held_since: Duration) {
+        let Some(fence) = self.state.fence() else { return };
+        if fence.token > token {
+            self.coordination.end();
+            return;
+        }
+        if fence.token < token {
+            return;
+        }
+        // Orders of a former holder on another machine may have been sent until its lease ended.
+        let apart = Duration::from_millis(self.settings.bounds.lease_ms) + ORDER_TRAVEL;
+        let orders_from = if fence.sole { now } else { held_since + apart };
+        log::info!("coordinates under fencing token {token}");
+        self.coordination.leadership = Leadership::Active { token, since: now, orders_from };
+        self.coordination.weights_dirty = true;
+        self.coordination.partitions_under_way.clear();
+    }
+}
--- /dev/null
+++ b/system/control/src/node/coordinate/partitions.rs
@@ -0,0 +1,72 @@
+//! Keeps the chains of the partitions of batch jobs, and empties backends.
+
+use std::time::Duration;
+
+use gingerledge_wire::{Command, Outcome, RetireState};
+
+use super::super::submit::Waiter;
+use super::super::Node;
+use crate::coordinator::partitions::{Backends, Change};
+
+impl Node {
+    pub(super) fn keep_partitions(&mut self, now: Duration, fence: u64, since: Duration) {
+        self.note_full_members();
+        for Change { partition, record } in self.partition_changes(now, since) {
+            if self.coordination.partitions_under_way.insert(partition) {
+                let command = Command::SetPartition { partition, record, fence };
+                self.submit_own(command, Waiter::Partition(partition));
+            }
+        }
+    }
+
+    fn partition_changes(&self, now: Duration, since: Duration) -> Vec<Change> {
+        let partitions = self.state.partitions();
+        let reports = &self.coordination.backends;
+        let chains = partitions.all().map(|(_, record)| record);
+        let is_retiring = |member| self.state.retiring().contains_member(member);
+        let conditions = reports.conditions(now, since, chains, is_retiring);
+        let backends = Backends::new(conditions, self.settings.fault_tolerance.machines);
+        let gathered = reports.gathered(now);
+        let mut changes = backends.plan(|partition| partitions.get(partition));
+        changes.retain(|change| gathered || change.record.epoch > 1);
+        changes
+    }
+
+    fn note_full_members(&mut self) {
+        let partitions = self.state.partitions();
+        for full in self.coordination.backends.newly_full(|partition| partitions.get(partition)) {
+            if self.coordination.partitions_under_way.insert(full.partition) {
+                let (partition, epoch, member) = (full.partition, full.epoch, full.member);
+                let command = Command::PartitionFull { partition, epoch, member };
+                self.submit_own(command, Waiter::Partition(partition));
+            }
+        }
+    }
+
+    pub(in crate::node) fn partition_submitted(&mut self, partition: u16, outcome: Option<&Outcome>) {
+        self.coordination.partitions_under_way.remove(&partition);
+        match outcome {
+            Some(Outcome::Taken) => {}
+            other => log::info!("the change of partition {partition} was not taken: {other:?}"),
+        }
+    }
+
+    /// A backend in no chain any more is empty: each chain has its full members elsewhere.
+    pub(super) fn keep_retiring(&mut self) {
+        if self.coordination.completion_under_way {
+            return;
+        }
+        let empty = self.state.retiring().all().find(|(_, retiring)| {
+            retiring.state == RetireState::Active && !self.state.partitions().is_used(retiring.member)
+        });
+        let Some((name, member)) = empty.map(|(name, retiring)| (name.to_owned(), retiring.member)) else {
+            return;
+        };
+        self.coordination.completion_under_way = true;
+        self.submit_own(Command::CompleteRetire { name, member }, Waiter::Completion);
+    }
+
+    pub(in crate::node) fn completion_submitted(&mut self) {
+        self.coordination.completion_under_way = false;
+    }
+}
--- /dev/null
+++ b/system/control/src/node/coordinate/weights.rs
@@ -0,0 +1,151 @@
+//! Brings the named versions of weights to the stores.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gingerledge_protocol::{read_configuration, Configuration, Order, StoreState};
+use gingerledge_wire::{Entry, Key, StoreRecord, Value};
+
+use super::super::orders::{LoadTask, OrderNews};
+use super::super::Node;
+use crate::coordinator::loads::LoadEnd;
+use crate::coordinator::weights::{EngineService, EngineStore, Load};
+
+/// What the configuration says of a service whose stores hold models.
+#[derive(Clone, Debug)]
+struct EngineSpec {
+    models: Vec<String>,
+    single_version: bool,
+}
+
+/// All of them, as of one change of the configuration.
+#[derive(Clone, Debug, Default)]
+pub(super) struct EngineSpecs {
+    sequence: u64,
+    services: BTreeMap<String, EngineSpec>,
+}
+
+impl EngineSpecs {
+    fn read(sequence: u64, configuration: &Configuration) -> Self {
+        let engines = configuration.services.iter().filter_map(|service| {
+            let models: Vec<String> =
+                service.engine.as_ref()?.models.iter().map(|model| model.name.clone()).collect();
+            if models.is_empty() {
+                return None;
+            }
+            let single_version = configuration.routes.iter().any(|route| {
+                route.single_version && route.services().iter().any(|(name, _)| *name == service.name)
+            });
+            Some((service.name.clone(), EngineSpec { models, single_version }))
+        });
+        Self { sequence, services: engines.collect() }
+    }
+}
+
+impl Node {
+    pub(super) fn keep_weights(&mut self, now: Duration, token: u64) {
+        let retry_due = self.coordination.loads.next_retry().is_some_and(|at| at <= now);
+        if !self.coordination.weights_dirty && !retry_due {
+            return;
+        }
+        self.coordination.weights_dirty = false;
+        self.read_specs();
+        let services = self.engine_services();
+        let due = self.coordination.homes.plan(&services);
+        for (name, service) in &services {
+            let here: Vec<Load> = due
+                .iter()
+                .filter(|load| service.stores.iter().any(|store| store.id == load.id))
+                .cloned()
+                .collect();
+            for load in self.coordination.loads.start(now, name, &here) {
+                self.order(&load, token);
+            }
+        }
+    }
+
+    fn read_specs(&mut self) {
+        let configuration = self.state.configuration();
+        if configuration.sequence() == self.coordination.specs.sequence {
+            return;
+        }
+        let Some(json) = configuration.json() else { return };
+        if let Ok(read) = read_configuration(json) {
+            self.coordination.specs = EngineSpecs::read(configuration.sequence(), &read);
+        }
+    }
+
+    /// What is known of the services whose stores hold models.
+    fn engine_services(&self) -> BTreeMap<String, EngineService> {
+        let versions = self.state.versions();
+        let specs = &self.coordination.specs.services;
+        let mut services: BTreeMap<String, EngineService> = specs
+            .iter()
+            .map(|(name, spec)| {
+                let named = |model: &String| (model.clone(), versions.get(model).copied().unwrap_or(1));
+                let models = spec.models.iter().map(named).collect();
+                let service =
+                    EngineService { models, single_version: spec.single_version, stores: Vec::new() };
+                (name.clone(), service)
+            })
+            .collect();
+        let registry = self.relay.registry();
+        for (id, store) in registry.stores() {
+            let Some(service) = services.get_mut(&store.service) else { continue };
+            if store.state == StoreState::Ready {
+                let versions = service
+                    .models
+                    .keys()
+                    .map(|model| (model.clone(), registry.loaded_version(id, store, model)));
+                let store =
+                    EngineStore { id: id.to_owned(), zone: store.zone.clone(), versions: versions.collect() };
+                service.stores.push(store);
+            }
+        }
+        services
+    }
+
+    fn order(&self, load: &Load, token: u64) {
+        let Some(address) = self.store_address(&load.id) else {
+            let (id, model, version) = (load.id.clone(), load.model.clone(), load.version);
+            // The node owns the receiver too.
+            let _ = self.coordination.news.send(OrderNews { id, model, version, end: LoadEnd::Failed });
+            return;
+        };
+        log::info!("orders version {} of {} at store {}", load.version, load.model, load.id);
+        let order = Order {
+            operation: "version".to_owned(),
+            model: load.model.clone(),
+            version: load.version,
+            method: load.method.word().to_owned(),
+            holder: self.me.name.clone(),
+            fencing_token: token,
+            if_revision: None,
+        };
+        let (gate, news) = (self.coordination.gate.clone(), self.coordination.news.clone());
+        tokio::spawn(LoadTask { id: load.id.clone(), address, order, gate, news }.run());
+    }
+
+    fn store_address(&self, id: &str) -> Option<SocketAddr> {
+        match self.relay.registry().entry(&Key::Store(id.to_owned())) {
+            Some(Entry { value: Value::Store(StoreRecord { address, .. }), .. }) => Some(*address),
+            _ => None,
+        }
+    }
+
+    pub(in crate::node) fn take_order_news(&mut self, news: OrderNews) {
+        let now = self.now();
+        let OrderNews { id, model, version, end } = news;
+        self.coordination.loads.ended(now, &id, end);
+        self.coordination.weights_changed();
+        match end {
+            LoadEnd::Done => {
+                let key = Key::Weights(id, model);
+                self.learn_and_share(Entry { key, version, value: Value::Version(version) });
+            }
+            LoadEnd::Fenced => self.coordination.end(),
+            LoadEnd::Busy | LoadEnd::Failed => {}
+        }
+    }
+}
--- /dev/null
+++ b/system/control/src/node/lease.rs
@@ -0,0 +1,97 @@
+//! The coordinator's lease: its driver, and who may hold it. The voters of the control chain grant it, and the members of the chain
+//! may hold it.
+
+use std::time::Duration;
+
+use gingerledge_chain::Members;
+use gingerledge_lease::{Action, Event, Lease, Settings, Voter};
+use gingerledge_wire::{Envelope, LeaseMessage};
+
+use super::Node;
+
+/// A grant lasts for this part of the time that holders must not take turns in.
+const TERM_DIVISOR: u32 = 2;
+
+/// The lease, and who wants to know about it.
+#[derive(Debug)]
+pub(super) struct LeaseDriver {
+    lease: Lease,
+    actions: Vec<Action>,
+}
+
+impl LeaseDriver {
+    /// The driver of a process that has just started; `founding` says that no process of the system has run before.
+    pub(super) fn start(member: u64, lease_time: Duration, founding: bool, seed: u64) -> Self {
+        let settings = Settings::new(lease_time / TERM_DIVISOR);
+        let mut driver = Self { lease: Lease::new(Voter(member), settings, seed), actions: Vec::new() };
+        driver.lease.handle(Duration::ZERO, Event::Started { founding }, &mut driver.actions);
+        driver
+    }
+
+    pub(super) fn next_timer(&self) -> Option<Duration> {
+        self.lease.next_timer()
+    }
+
+    /// Until when the lease is held, if it is.
+    pub(super) fn held_until(&self, now: Duration) -> Option<Duration> {
+        self.lease.held_until(now)
+    }
+}
+
+impl Node {
+    fn lease_event(&mut self, event: Event) {
+        let now = self.now();
+        self.lease.lease.handle(now, event, &mut self.lease.actions);
+        self.carry_out_lease_actions();
+    }
+
+    fn carry_out_lease_actions(&mut self) {
+        for action in std::mem::take(&mut self.lease.actions) {
+            match action {
+                Action::Send { to, message } => {
+                    if let Some(address) = self.book.address(to.0) {
+                        self.send(address, Envelope::Lease { from: self.me.member, message });
+                    }
+                }
+                Action::Acquired { round, until } => {
+                    log::info!("holds the coordinator's lease, round {round}");
+                    self.lease_held(until);
+                }
+                Action::Renewed { until, .. } => self.lease_held(until),
+                Action::Lost { round } => {
+                    log::info!("lost the coordinator's lease, round {round}");
+                    self.lease_lost();
+                }
+            }
+        }
+    }
+
+    pub(super) fn take_lease_message(&mut self, from: u64, message: LeaseMessage) {
+        self.lease_event(Event::Message { from: Voter(from), message });
+    }
+
+    pub(super) fn run_lease_timer(&mut self, now: Duration) {
+        if self.lease.next_timer().is_some_and(|due| due <= now) {
+            self.lease_event(Event::Tick);
+        }
+    }
+
+    /// This node has sealed a view, so it grants nothing in it any more.
+    pub(super) fn lease_sealed(&mut self, epoch: u64) {
+        self.lease_event(Event::Sealed { epoch });
+    }
+
+    pub(super) fn release_lease(&mut self) {
+        self.lease_event(Event::Candidates { order: Vec::new() });
+    }
+
+    /// The voters of a new view grant, and its chain's members may hold.
+    pub(super) fn lease_voters(&mut self, members: &Members) {
+        let voters = members.voters.iter().map(|member| Voter(member.0)).collect();
+        self.lease_event(Event::Voters { epoch: members.epoch, voters });
+        if !self.stopping {
+            let order = members.chain.iter().map(|member| Voter(member.0)).collect();
+            self.lease_event(Event::Candidates { order });
+        }
+    }
+}
--- /dev/null
+++ b/system/control/src/node/mod.rs
@@ -0,0 +1,227 @@
+//! One control node: the driver that gives events to the machines (chain, relay, lease, sessions, coordinator) and carries their
+//! actions out. It owns the internal network, the disk and the timers, and runs as one task; whatever else the process does asks it
+//! through a bounded queue of [`Request`]s.
+
+mod book;
+mod chain;
+mod coordinate;
+mod disk;
+mod introductions;
+mod lease;
+mod messages;
+mod orders;
+mod request;
+mod requests;
+mod sharing;
+mod start;
+mod status;
+mod submissions;
+mod submit;
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gingerledge_chain::{ChainAction, ControlChain};
+use gingerledge_protocol::Settings;
+use gingerledge_relay::Relay;
+use gingerledge_storage::WriterEvent;
+use gingerledge_transport::{Inbox, Network};
+use gingerledge_wire::{ControlMessage, Envelope, Key, NodeRecord};
+use tokio::sync::mpsc::{Receiver, UnboundedReceiver};
+use tokio::sync::oneshot::Sender;
+use tokio::time::Instant;
+
+use crate::sessions::{Sessions, Sharing};
+use crate::state::ControlState;
+
+pub use book::{AddressBook, Introduced, MAX_MEMBERS};
+pub use request::{BeginRetire, Confirmed, Request};
+pub use start::{start, Handles, StartError};
+pub use submissions::{KnownOutcome, SubmissionSettings, Submissions};
+
+use coordinate::Coordination;
+use disk::DiskDriver;
+use lease::LeaseDriver;
+use submit::Waiter;
+
+/// Time between looks at what has no timer of its own.
+const HOUSEKEEPING: Duration = Duration::from_millis(100);
+/// Most events that are taken from one source before the machines' actions are carried out.
+const EVENTS_AT_ONCE: usize = 64;
+/// A pause of the whole process longer than this is told to the sessions.
+const PROCESS_PAUSE: Duration = Duration::from_millis(700);
+/// How long a change is held back until the other control nodes have it.
+const SHARE_PATIENCE: Duration = Duration::from_millis(400);
+
+/// A heartbeat or deregistration that is answered once all control nodes know.
+#[derive(Debug)]
+struct WaitingAnswer {
+    key: Key,
+    deadline: Duration,
+    reply: Sender<()>,
+}
+
+/// One control node.
+pub struct Node {
+    settings: Arc<Settings>,
+    me: NodeRecord,
+    started: Instant,
+    network: Network<Envelope>,
+    chain: ControlChain,
+    chain_actions: Vec<ChainAction>,
+    state: ControlState,
+    founders: Vec<u64>,
+    disk: DiskDriver,
+    disk_retry: Duration,
+    relay: Relay,
+    sessions: Sessions,
+    sharing: Sharing,
+    own_sequence: u64,
+    book: AddressBook,
+    next_introduction: Duration,
+    reachable: BTreeMap<SocketAddr, Duration>,
+    submissions: Submissions<Waiter>,
+    reads: HashMap<u64, requests::Read>,
+    next_read: u64,
+    answers: Vec<WaitingAnswer>,
+    lease: LeaseDriver,
+    coordination: Coordination,
+    last_housekeeping: Duration,
+    stopping: bool,
+}
+
+/// Where a node's events come from.
+pub struct Sources {
+    inbox: Inbox<Envelope>,
+    requests: Receiver<Request>,
+    disk: UnboundedReceiver<WriterEvent>,
+    orders: UnboundedReceiver<orders::OrderNews>,
+}
+
+impl Node {
+    /// Runs until `stop` resolves, and then until what is under way is answered.
+    pub async fn run(mut self, mut sources: Sources, stop: impl std::future::Future<Output = ()>) {
+        tokio::pin!(stop);
+        let mut stopped_at = None;
+        loop {
+            self.settle();
+            if stopped_at.is_some_and(|at| self.may_end(at)) {
+                break;
+            }
+            let timer = tokio::time::sleep_until(self.started + self.next_timer());
+            tokio::select! {
+                event = sources.inbox.next() => match event {
+                    Some(event) => self.take_messages(event, &mut sources.inbox),
+                    None => break,
+                },
+                request = sources.requests.recv() => match request {
+                    Some(request) => self.take_requests(request, &mut sources.requests),
+                    None => break,
+                },
+                Some(event) = sources.disk.recv() => self.take_disk_event(event),
+                Some(news) = sources.orders.recv() => self.take_order_news(news),
+                () = &mut stop, if stopped_at.is_none() => {
+                    stopped_at = Some(self.now());
+                    self.begin_stop();
+                }
+                () = timer => {}
+            }
+        }
+        self.say_farewell();
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn take_requests(&mut self, first: Request, requests: &mut Receiver<Request>) {
+        self.take_request(first);
+        for _ in 1..EVENTS_AT_ONCE {
+            match requests.try_recv() {
+                Ok(request) => self.take_request(request),
+                Err(_) => break,
+            }
+        }
+    }
+
+    /// Runs whatever is due, until the machines have nothing more to do now.
+    fn settle(&mut self) {
+        let now = self.now();
+        self.run_timers(now);
+        self.carry_out_chain_actions();
+        self.send_submissions(now);
+        self.carry_out_chain_actions();
+        self.send_shares(now);
+        self.answer_shared(now);
+    }
+
+    fn run_timers(&mut self, now: Duration) {
+        if self.chain.next_timer().is_some_and(|due| due <= now) {
+            self.chain_event(gingerledge_chain::ChainEvent::Tick);
+        }
+        if self.relay.next_timer().is_some_and(|due| due <= now) {
+            self.relay_event(gingerledge_relay::Event::Timer);
+        }
+        self.run_lease_timer(now);
+        if now >= self.last_housekeeping + HOUSEKEEPING {
+            self.keep_house(now);
+        }
+    }
+
+    fn keep_house(&mut self, now: Duration) {
+        if now.saturating_sub(self.last_housekeeping) > PROCESS_PAUSE {
+            log::warn!("this process did not run for {:?}", now - self.last_housekeeping);
+            self.sessions.resumed(now);
+            self.coordination.resumed(now);
+        }
+        self.last_housekeeping = now;
+        self.repair_disk(now);
+        self.introduce(now);
+        self.expire_peers(now);
+        self.expire_sessions(now);
+        self.expire_submissions(now);
+        self.coordinate(now);
+    }
+
+    fn next_timer(&self) -> Duration {
+        let timers = [
+            self.chain.next_timer(),
+            self.relay.next_timer(),
+            self.lease.next_timer(),
+            self.submissions.next_timer(),
+            self.sharing.next_timer(),
+            self.answers.iter().map(|answer| answer.deadline).min(),
+        ];
+        let housekeeping = self.last_housekeeping + HOUSEKEEPING;
+        timers.into_iter().flatten().fold(housekeeping, Duration::min)
+    }
+
+    fn send(&self, to: SocketAddr, message: Envelope) {
+        if to != self.me.address {
+            // A message that is dropped is one that is lost: whoever sends it sends it again.
+            let _ = self.network.send(to, &message);
+        }
+    }
+
+    fn begin_stop(&mut self) {
+        self.stopping = true;
+        self.release_lease();
+    }
+
+    /// Nothing is under way that somebody waits for.
+    fn may_end(&self, stopped_at: Duration) -> bool {
+        const LONGEST: Duration = Duration::from_millis(1_500);
+        let idle = self.submissions.is_empty() && self.reads.is_empty() && self.answers.is_empty();
+        idle || self.now() >= stopped_at + LONGEST
+    }
+
+    fn say_farewell(&mut self) {
+        let farewell = ControlMessage::Farewell { incarnation: self.me.incarnation };
+        for record in self.book.records() {
+            self.send(record.address, Envelope::Control(farewell.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/system/control/src/node/orders.rs
@@ -0,0 +1,158 @@
+//! Orders to stores to load a version, and the reports that confirm them. One task and one connection for each load. An order is sent
+//! only while the lease holds, which is looked at again when the connection is up.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gingerledge_protocol::{Order, Report};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::{sleep, timeout, Instant};
+
+use crate::coordinator::loads::LoadEnd;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// A load takes about this long; a report says so a little later.
+const FIRST_REPORT: Duration = Duration::from_millis(330);
+const LEAST_REPORT_PAUSE: Duration = Duration::from_millis(150);
+const MOST_REPORT_PAUSE: Duration = Duration::from_millis(1_000);
+/// Requests that run first may take long; after this the order is sent again.
+const LONGEST_LOAD: Duration = Duration::from_secs(12);
+const MOST_REPORT_BYTES: usize = 256 * 1024;
+
+/// Until when orders may be sent, shared with the tasks that send them.
+#[derive(Clone, Debug)]
+pub(super) struct OrderGate {
+    started: Instant,
+    open_until_ms: Arc<AtomicU64>,
+}
+
+impl OrderGate {
+    pub(super) fn new(started: Instant) -> Self {
+        Self { started, open_until_ms: Arc::new(AtomicU64::new(0)) }
+    }
+
+    pub(super) fn open_until(&self, until: Duration) {
+        self.open_until_ms.store(u64::try_from(until.as_millis()).unwrap_or(u64::MAX), Ordering::Relaxed);
+    }
+
+    pub(super) fn close(&self) {
+        self.open_until_ms.store(0, Ordering::Relaxed);
+    }
+
+    fn is_open(&self) -> bool {
+        self.started.elapsed().as_millis() < u128::from(self.open_until_ms.load(Ordering::Relaxed))
+    }
+}
+
+/// What became of a load.
+#[derive(Clone, Debug)]
+pub(super) struct OrderNews {
+    pub id: String,
+    pub model: String,
+    pub version: u64,
+    pub end: LoadEnd,
+}
+
+/// One load to be carried out.
+#[derive(Debug)]
+pub(super) struct LoadTask {
+    pub id: String,
+    pub address: SocketAddr,
+    pub order: Order,
+    pub gate: OrderGate,
+    pub news: UnboundedSender<OrderNews>,
+}
+
+impl LoadTask {
+    pub(super) async fn run(self) {
+        let end = self.load().await.unwrap_or(LoadEnd::Failed);
+        let Order { model, version, .. } = self.order;
+        // Nobody listens any more while the process ends.
+        let _ = self.news.send(OrderNews { id: self.id, model, version, end });
+    }
+
+    async fn load(&self) -> Option<LoadEnd> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (mut sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+        let connection = tokio::spawn(connection);
+        let end = self.order_and_watch(&mut sender).await;
+        connection.abort();
+        end
+    }
+
+    async fn order_and_watch(&self, sender: &mut SendRequest<Full<Bytes>>) -> Option<LoadEnd> {
+        if !self.gate.is_open() {
+            return None;
+        }
+        let body = serde_json::to_vec(&self.order).ok()?;
+        let (status, _) = self.call(sender, "POST", "/order", body).await?;
+        match status {
+            StatusCode::ACCEPTED => self.watch(sender).await,
+            StatusCode::OK => Some(LoadEnd::Done),
+            StatusCode::CONFLICT => Some(LoadEnd::Busy),
+            StatusCode::PRECONDITION_FAILED => Some(LoadEnd::Fenced),
+            other => {
+                log::info!("store {} refused an order: {other}", self.id);
+                Some(LoadEnd::Failed)
+            }
+        }
+    }
+
+    /// Asks for reports until one shows the version.
+    async fn watch(&self, sender: &mut SendRequest<Full<Bytes>>) -> Option<LoadEnd> {
+        let begun = Instant::now();
+        let mut pause = FIRST_REPORT;
+        while begun.elapsed() < LONGEST_LOAD && self.gate.is_open() {
+            sleep(pause).await;
+            pause = if pause == FIRST_REPORT {
+                LEAST_REPORT_PAUSE
+            } else {
+                (pause * 3 / 2).min(MOST_REPORT_PAUSE)
+            };
+            let (status, body) = self.call(sender, "GET", "/report", Vec::new()).await?;
+            if status != StatusCode::OK {
+                return None;
+            }
+            let report: Report = serde_json::from_slice(&body).ok()?;
+            let loaded = report.models.iter().find(|loaded| loaded.name == self.order.model);
+            if loaded.is_some_and(|loaded| loaded.version >= self.order.version) {
+                return Some(LoadEnd::Done);
+            }
+        }
+        None
+    }
+
+    async fn call(
+        &self,
+        sender: &mut SendRequest<Full<Bytes>>,
+        method: &str,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Option<(StatusCode, Bytes)> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("Host", self.address.to_string())
+            .header("Expected-Instance", &self.id)
+            .header("Content-Type", "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .ok()?;
+        let exchange = async {
+            let response = sender.send_request(request).await.ok()?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), MOST_REPORT_BYTES).collect().await.ok()?;
+            Some((status, body.to_bytes()))
+        };
+        timeout(ANSWER_TIMEOUT, exchange).await.ok()?
+    }
+}
--- /dev/null
+++ b/system/control/src/node/requests.rs
@@ -0,0 +1,136 @@
+//! Questions of the HTTP side.
+
+use gingerledge_chain::ChainEvent;
+use gingerledge_protocol::{Heartbeat, StoreState};
+use gingerledge_wire::{Command, Key, NodeRecord, Role, StoreRecord, Value};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot::Sender;
+
+use super::request::{BeginRetire, Confirmed, Request};
+use super::Node;
+
+/// Before this, the sessions may lack backends that live.
+const SESSIONS_SETTLED: Duration = Duration::from_secs(5);
+/// Most reads that wait for the chain.
+const MAX_READS: usize = 256;
+/// Most answers that wait until a change is shared.
+const MAX_ANSWERS: usize = 8_192;
+
+/// A read that waits until the chain has confirmed it.
+#[derive(Debug)]
+pub(super) enum Read {
+    Configuration(Sender<Confirmed<Option<Arc<Vec<u8>>>>>),
+    Retire(String, Sender<Confirmed<Option<gingerledge_wire::RetireState>>>),
+}
+
+impl Node {
+    pub(super) fn take_request(&mut self, request: Request) {
+        match request {
+            Request::Submit { command, reply } => self.submit_call(command, reply),
+            Request::ReadConfiguration { reply } => self.begin_read(Read::Configuration(reply)),
+            Request::ReadRetire { name, reply } => self.begin_read(Read::Retire(name, reply)),
+            Request::BeginRetire { name, reply } => self.begin_retire(name, reply),
+            Request::Heartbeat { id, heartbeat, reply } => self.take_heartbeat(id, heartbeat, reply),
+            Request::Deregister { id, reply } => {
+                let key = Key::Store(id);
+                self.end_session(key.clone());
+                self.answer_later(key, reply);
+            }
+            Request::Status { reply } => {
+                let _ = reply.send(self.status());
+            }
+        }
+    }
+
+    fn begin_read(&mut self, read: Read) {
+        if self.reads.len() >= MAX_READS {
+            // Dropping it answers that the read can't be confirmed.
+            return;
+        }
+        self.next_read += 1;
+        self.reads.insert(self.next_read, read);
+        self.chain_event(ChainEvent::Read { token: self.next_read });
+    }
+
+    pub(super) fn finish_read(&mut self, token: u64, confirmed: bool) {
+        let Some(read) = self.reads.remove(&token) else { return };
+        match read {
+            Read::Configuration(reply) => {
+                let json = self.state.configuration().json().cloned();
+                let _ = reply.send(confirmed.then_some(json));
+            }
+            Read::Retire(name, reply) => {
+                let state = self.state.retiring().get(&name).map(|retiring| retiring.state);
+                let _ = reply.send(confirmed.then_some(state));
+            }
+        }
+    }
+
+    fn take_heartbeat(&mut self, id: String, heartbeat: Heartbeat, reply: Sender<()>) {
+        let draining = heartbeat.state == StoreState::Draining;
+        let sequence = heartbeat.sequence;
+        let key = Key::Store(id);
+        let Some(record) = store_record(heartbeat) else {
+            let _ = reply.send(());
+            return;
+        };
+        self.hear(key.clone(), sequence, Value::Store(record));
+        if draining {
+            self.answer_later(key, reply);
+        } else {
+            let _ = reply.send(());
+        }
+    }
+
+    fn answer_later(&mut self, key: Key, reply: Sender<()>) {
+        if self.answers.len() < MAX_ANSWERS {
+            self.answer_when_shared(key, reply);
+        }
+    }
+
+    fn begin_retire(&mut self, name: String, reply: Sender<BeginRetire>) {
+        if let Some(retiring) = self.state.retiring().get(&name) {
+            let command = Command::BeginRetire { name, member: retiring.member };
+            self.submit_retire(command, reply);
+            return;
+        }
+        let Some(backend) = self.backend_named(&name) else {
+            let settled = self.now() >= SESSIONS_SETTLED;
+            let _ = reply.send(if settled { BeginRetire::Unknown } else { BeginRetire::NotNow });
+            return;
+        };
+        if self.backends_left_without(backend.member) < self.settings.fault_tolerance.machines + 1 {
+            let settled = self.now() >= SESSIONS_SETTLED;
+            let _ = reply.send(if settled { BeginRetire::TooFew } else { BeginRetire::NotNow });
+            return;
+        }
+        self.submit_retire(Command::BeginRetire { name, member: backend.member }, reply);
+    }
+
+    fn backend_named(&self, name: &str) -> Option<NodeRecord> {
+        let mut nodes = self.relay.registry().nodes();
+        nodes.find(|node| node.role == Role::Backend && node.name == name).cloned()
+    }
+
+    fn backends_left_without(&self, member: u64) -> usize {
+        let retiring = self.state.retiring();
+        let others = self.relay.registry().nodes().filter(|node| {
+            node.role == Role::Backend && node.member != member && !retiring.contains_member(node.member)
+        });
+        others.map(|node| node.member).collect::<std::collections::BTreeSet<u64>>().len()
+    }
+}
+
+/// What all nodes are told of a store; none if it can't be reached anyway.
+fn store_record(heartbeat: Heartbeat) -> Option<StoreRecord> {
+    Some(StoreRecord {
+        service: heartbeat.service,
+        address: heartbeat.address.parse().ok()?,
+        zone: heartbeat.zone,
+        software: heartbeat.version,
+        slots: heartbeat.slots,
+        state: heartbeat.state,
+        models: heartbeat.models,
+    })
+}
--- /dev/null
+++ b/system/control/src/node/sharing.rs
@@ -0,0 +1,125 @@
+//! Heartbeats of stores and nodes, and the sharing of what they change among control nodes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gingerledge_wire::{BackendReport, ControlMessage, Entry, Envelope, Key, NodeRecord, Role, Value};
+use tokio::sync::oneshot::Sender;
+
+use super::{Node, WaitingAnswer, SHARE_PATIENCE};
+use crate::sessions::{is_session, Heard};
+
+impl Node {
+    /// A store or node has said something itself.
+    pub(super) fn hear(&mut self, key: Key, sequence: u64, value: Value) {
+        let now = self.now();
+        let known = self.relay.registry().entry(&key);
+        if let Heard::Changed(entry) = self.sessions.heard(now, key, sequence, value, known) {
+            self.learn_and_share(entry);
+        }
+    }
+
+    pub(super) fn end_session(&mut self, key: Key) {
+        let entry = self.sessions.ended(key);
+        self.learn_and_share(entry);
+    }
+
+    pub(super) fn learn_and_share(&mut self, entry: Entry) {
+        self.sharing.changed(&entry.key);
+        self.learn(vec![entry]);
+    }
+
+    pub(super) fn take_node_heartbeat(
+        &mut self,
+        from: SocketAddr,
+        node: NodeRecord,
+        sequence: u64,
+        report: Option<BackendReport>,
+    ) {
+        if node.role == Role::Control || node.address != from {
+            return;
+        }
+        let now = self.now();
+        if let Some(report) = report {
+            self.coordination.backend_reported(now, &node, report);
+        }
+        let key = Key::Node(node.incarnation);
+        let is_new = self.relay.registry().entry(&key).is_none();
+        self.hear(key, sequence, Value::Node(node.clone()));
+        if is_new {
+            self.end_former_lives(&node);
+        }
+        let control = self.control_addresses();
+        self.send(from, Envelope::Control(ControlMessage::HeartbeatTaken { sequence, control }));
+    }
+
+    /// One process runs at an address: those before it are gone.
+    fn end_former_lives(&mut self, node: &NodeRecord) {
+        let former: Vec<u64> = self
+            .relay
+            .registry()
+            .nodes()
+            .filter(|other| other.address == node.address && other.incarnation != node.incarnation)
+            .map(|other| other.incarnation)
+            .collect();
+        for incarnation in former {
+            self.end_session(Key::Node(incarnation));
+        }
+    }
+
+    pub(super) fn take_farewell(&mut self, incarnation: u64) {
+        self.end_session(Key::Node(incarnation));
+    }
+
+    pub(super) fn take_share(&mut self, from: SocketAddr, number: u64, entries: Vec<Entry>) {
+        let now = self.now();
+        let mut news = Vec::new();
+        for entry in entries {
+            let known = self.relay.registry().entry(&entry.key);
+            if known.is_some_and(|known| known.rank() >= entry.rank()) {
+                continue;
+            }
+            if is_session(&entry.key) {
+                self.sessions.shared(now, from, &entry);
+            }
+            news.push(entry);
+        }
+        self.learn(news);
+        self.send(from, Envelope::Control(ControlMessage::Shared { number }));
+    }
+
+    pub(super) fn send_shares(&mut self, now: Duration) {
+        for share in self.sharing.poll(now, self.relay.registry()) {
+            let message = ControlMessage::Share { number: share.number, entries: share.entries };
+            self.send(share.to, Envelope::Control(message));
+        }
+    }
+
+    pub(super) fn expire_sessions(&mut self, now: Duration) {
+        self.announce_self();
+        for entry in self.sessions.expire(now) {
+            log::info!("silent for too long: {:?}", entry.key);
+            self.learn_and_share(entry);
+        }
+    }
+
+    /// Answers once all control nodes that can be reached have the newest entry, or after a while.
+    pub(super) fn answer_when_shared(&mut self, key: Key, reply: Sender<()>) {
+        let deadline = self.now() + SHARE_PATIENCE;
+        self.answers.push(WaitingAnswer { key, deadline, reply });
+    }
+
+    pub(super) fn answer_shared(&mut self, now: Duration) {
+        let mut at = 0;
+        while at < self.answers.len() {
+            let answer = &self.answers[at];
+            if answer.deadline <= now || self.sharing.is_clean(&answer.key) {
+                let answer = self.answers.swap_remove(at);
+                // The store may have given up.
+                let _ = answer.reply.send(());
+            } else {
+                at += 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/system/control/src/node/start.rs
@@ -0,0 +1,229 @@
+//! How a control node starts: opens its disk, finds out who it is, and either founds the system, joins it, or goes on where its disk
+//! left off.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gingerledge_chain::{ChainEvent, ControlChain, MemberId, Settings as ChainSettings};
+use gingerledge_protocol::Settings;
+use gingerledge_relay::{Relay, RelaySettings};
+use gingerledge_storage::{FileDisk, Ring, StorageError};
+use gingerledge_transport::{Network, NetworkSettings, TransportError};
+use gingerledge_wire::{NodeRecord, Role};
+use snafu::{OptionExt, ResultExt, Snafu};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::book::AddressBook;
+use super::coordinate::Coordination;
+use super::disk::{self, DiskDriver, DiskRecord, Kept};
+use super::lease::LeaseDriver;
+use super::orders::OrderGate;
+use super::request::Request;
+use super::submissions::{SubmissionSettings, Submissions};
+use super::{Node, Sources};
+use crate::coordinator::hash_name;
+use crate::sessions::{SessionSettings, Sessions, Sharing, SharingSettings};
+use crate::state::ControlState;
+
+/// Most questions of the HTTP side that wait.
+const REQUEST_QUEUE: usize = 1_024;
+/// Time between the heartbeats of the system's own nodes.
+const NODE_INTERVAL: Duration = Duration::from_millis(500);
+/// A source is gone after so many silent intervals.
+const SILENT_INTERVALS: u32 = 3;
+/// Descriptors that are left to HTTP connections and files.
+const DESCRIPTORS_KEPT: u64 = 600;
+const MOST_CONNECTIONS: usize = 2_048;
+const LEAST_CONNECTIONS: usize = 64;
+
+/// Why a control node does not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// It has no folder for its disk.
+    #[snafu(display("settings: dataDir: a control node needs a disk"))]
+    NoDisk,
+    /// The disk can't be used.
+    #[snafu(display("disk: {source}"))]
+    Disk {
+        /// What the storage said.
+        source: StorageError,
+    },
+    /// The internal network can't be used.
+    #[snafu(display("internal network: {source}"))]
+    Network {
+        /// What the transport said.
+        source: TransportError,
+    },
+}
+
+/// What starting gives: the node, where its events come from, and where it is asked.
+pub struct Handles {
+    /// The node.
+    pub node: Node,
+    /// Where its events come from.
+    pub sources: Sources,
+    /// Where it is asked.
+    pub requests: mpsc::Sender<Request>,
+}
+
+/// Who a node is, by its disk.
+struct Identity {
+    member: u64,
+    founders: Vec<u64>,
+    /// This is the first life of the node, and of the whole system.
+    founding: bool,
+}
+
+/// Opens everything that a control node needs.
+pub async fn start(settings: Arc<Settings>) -> Result<Handles, StartError> {
+    let folder = settings.data_dir.clone().context(NoDiskSnafu)?;
+    let (mut ring, mut kept) = open_disk(&folder, &settings)?;
+    let identity = identify(&settings, &kept);
+    if kept.identity.is_none() {
+        let record = DiskRecord::Identity { member: identity.member, founders: identity.founders.clone() };
+        ring.append(&[disk::encode(&record)]).context(DiskSnafu)?;
+    }
+    let (network, inbox) = Network::bind(network_settings(&settings)).await.context(NetworkSnafu)?;
+    let started = Instant::now();
+    let (disk_events, disk_source) = mpsc::unbounded_channel();
+    let (order_news, order_source) = mpsc::unbounded_channel();
+    let (requests, request_source) = mpsc::channel(REQUEST_QUEUE);
+    let disk = DiskDriver::start(ring, disk_events).context(DiskSnafu)?;
+    let me = NodeRecord {
+        role: Role::Control,
+        name: settings.node_name.clone(),
+        incarnation: fastrand::u64(1..),
+        member: identity.member,
+        address: settings.internal_address(),
+        zone: settings.zone.clone(),
+    };
+    let lease_time = Duration::from_millis(settings.bounds.lease_ms);
+    let lease = LeaseDriver::start(identity.member, lease_time, identity.founding, fastrand::u64(..));
+    let chain = make_chain(&settings, &identity, &mut kept);
+    let gate = OrderGate::new(started);
+    let mut node = Node {
+        book: AddressBook::new(identity.member, founder_records(&settings, &identity, kept.book)),
+        chain,
+        chain_actions: Vec::new(),
+        state: ControlState::default(),
+        founders: identity.founders,
+        disk,
+        disk_retry: Duration::ZERO,
+        relay: Relay::new(
+            RelaySettings::for_role(Role::Control, &settings.zone),
+            me.address,
+            true,
+            fastrand::u64(..),
+        ),
+        sessions: Sessions::new(session_settings(&settings), me.address),
+        sharing: Sharing::new(SharingSettings::default()),
+        own_sequence: 0,
+        next_introduction: Duration::ZERO,
+        reachable: BTreeMap::new(),
+        submissions: Submissions::new(SubmissionSettings::default(), fastrand::u64(..) >> 1),
+        reads: HashMap::new(),
+        next_read: 0,
+        answers: Vec::new(),
+        lease,
+        coordination: Coordination::new(gate, order_news),
+        last_housekeeping: Duration::ZERO,
+        stopping: false,
+        network,
+        started,
+        me,
+        settings,
+    };
+    node.begin();
+    let sources = Sources { inbox, requests: request_source, disk: disk_source, orders: order_source };
+    Ok(Handles { node, sources, requests })
+}
+
+impl Node {
+    fn begin(&mut self) {
+        log::info!("control node {:x} at {}", self.me.member, self.me.address);
+        self.relay_event(gingerledge_relay::Event::Started);
+        self.chain_event(ChainEvent::Started);
+        if let Some(members) = self.chain.members().cloned() {
+            self.view_installed(&members);
+        }
+        self.carry_out_chain_actions();
+    }
+}
+
+fn open_disk(folder: &Path, settings: &Settings) -> Result<(Ring<FileDisk>, Kept), StartError> {
+    disk::open(folder, settings.limits.disk_mb).context(DiskSnafu)
+}
+
+/// A disk that was used before says who it is. An empty one founds the system if the whole system starts and this node is among its
+/// seeds; any other is new.
+fn identify(settings: &Settings, kept: &Kept) -> Identity {
+    if let Some((member, founders)) = kept.identity.clone() {
+        return Identity { member, founders, founding: false };
+    }
+    let own = settings.listen.control_plane;
+    if settings.bootstrap && own.is_some_and(|own| settings.seeds.contains(&own)) {
+        let mut founders: Vec<u64> = settings.seeds.iter().map(|seed| founder_identity(*seed)).collect();
+        founders.sort_unstable();
+        founders.dedup();
+        let member = own.map_or(0, founder_identity);
+        return Identity { member, founders, founding: true };
+    }
+    Identity { member: fastrand::u64(1..), founders: Vec::new(), founding: false }
+}
+
+/// Founders derive their identities from their seed addresses, so that each knows all.
+fn founder_identity(seed: SocketAddr) -> u64 {
+    hash_name(&seed.to_string())
+}
+
+/// A founder knows the others by their seed addresses before it has heard of them.
+fn founder_records(settings: &Settings, identity: &Identity, kept: Vec<NodeRecord>) -> Vec<NodeRecord> {
+    let mut records = kept;
+    if identity.founding {
+        let seeds = settings.seeds.iter().zip(settings.internal_seeds());
+        records.extend(seeds.map(|(seed, address)| NodeRecord {
+            role: Role::Control,
+            name: String::new(),
+            incarnation: 0,
+            member: founder_identity(*seed),
+            address,
+            zone: String::new(),
+        }));
+    }
+    records
+}
+
+fn make_chain(settings: &Settings, identity: &Identity, kept: &mut Kept) -> ControlChain {
+    let me = MemberId(identity.member);
+    let chain_settings = ChainSettings::new(settings.fault_tolerance.machines);
+    let seed = fastrand::u64(..);
+    let records = std::mem::take(&mut kept.chain);
+    if records.is_empty() && !identity.founders.is_empty() {
+        let founders = identity.founders.iter().copied().map(MemberId).collect();
+        return ControlChain::found(me, founders, chain_settings, seed);
+    }
+    ControlChain::recover(me, records, chain_settings, seed)
+}
+
+fn session_settings(settings: &Settings) -> SessionSettings {
+    SessionSettings {
+        store_interval: Duration::from_millis(settings.heartbeat_ms),
+        node_interval: NODE_INTERVAL,
+        silent_intervals: SILENT_INTERVALS,
+    }
+}
+
+fn network_settings(settings: &Settings) -> NetworkSettings {
+    let connections = usize::try_from(settings.limits.file_descriptors.saturating_sub(DESCRIPTORS_KEPT) / 4)
+        .unwrap_or(MOST_CONNECTIONS)
+        .clamp(LEAST_CONNECTIONS, MOST_CONNECTIONS);
+    NetworkSettings {
+        max_inbound: connections,
+        max_outbound: connections,
+        ..NetworkSettings::new(settings.internal_address())
+    }
+}
--- /dev/null
+++ b/system/control/src/state/mod.rs
@@ -0,0 +1,193 @@
+//! The durable state of the control plane: a deterministic machine that every control node feeds the same commands in the same
+//! order. It holds the operator's configuration, the named versions of weights, the coordinator's fencing token, the chains of
+//! the partitions of batch jobs, and the backends that are being emptied.
+//!
+//! It promises: a command that was taken is answered [`Outcome::Taken`] whenever it comes again; of two configurations on one
+//! base one is taken at most; versions, epochs and fencing tokens only rise. It does no I/O and knows no time.
+
+mod configuration;
+mod partitions;
+mod retiring;
+
+use std::collections::BTreeMap;
+
+use gingerledge_wire::{Command, Coordinator, Entry, Key, Outcome, PartitionRecord, Value};
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+
+pub use configuration::{ConfigurationState, TAKEN_HISTORY};
+pub use partitions::PartitionState;
+pub use retiring::{Retiring, RetiringState, MAX_RETIRING};
+
+/// Most models that versions are kept for.
+pub const MAX_MODELS: usize = 4_096;
+
+/// Why a snapshot can't be read.
+#[derive(Debug, Snafu)]
+pub enum SnapshotError {
+    /// Its bytes are no state.
+    #[snafu(display("the snapshot of the control state is unreadable: {source}"))]
+    Unreadable {
+        /// What the decoder met.
+        source: bincode::error::DecodeError,
+    },
+}
+
+/// The holder of the newest fencing token.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fence {
+    /// The token.
+    pub token: u64,
+    /// Who took it.
+    pub holder: Coordinator,
+    /// Whether all tokens before it were taken at the same address, or there was none.
+    pub sole: bool,
+}
+
+/// The durable state of the control plane.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ControlState {
+    configuration: ConfigurationState,
+    versions: BTreeMap<String, u64>,
+    fence: Option<Fence>,
+    partitions: PartitionState,
+    retiring: RetiringState,
+}
+
+impl ControlState {
+    /// Applies the command that the chain numbered `sequence`; numbers rise.
+    pub fn apply(&mut self, sequence: u64, command: &Command) -> Outcome {
+        match command {
+            Command::Nothing => Outcome::Taken,
+            Command::ReplaceConfiguration { base, version, json } => {
+                self.configuration.replace(sequence, *base, *version, json)
+            }
+            Command::NameVersion { model, version } => self.name_version(model, *version),
+            Command::TakeFence { incarnation, address } => {
+                self.take_fence(Coordinator { incarnation: *incarnation, address: *address })
+            }
+            Command::SetPartition { partition, record, fence } => {
+                let newest = self.fence_token();
+                self.partitions.set(*partition, record, *fence, newest)
+            }
+            Command::PartitionFull { partition, epoch, member } => {
+                self.partitions.mark_full(*partition, *epoch, *member)
+            }
+            Command::BeginRetire { name, member } => self.retiring.begin(name, *member),
+            Command::CompleteRetire { name, member } => {
+                let kept = self.partitions.is_used(*member);
+                self.retiring.complete(name, *member, kept)
+            }
+        }
+    }
+
+    fn name_version(&mut self, model: &str, version: u64) -> Outcome {
+        let known = self.versions.get(model).copied();
+        if known.is_none() && self.versions.len() >= MAX_MODELS {
+            return Outcome::Invalid { reason: "too many models have named versions".to_owned() };
+        }
+        if version > known.unwrap_or(1) {
+            self.versions.insert(model.to_owned(), version);
+        }
+        Outcome::Taken
+    }
+
+    fn take_fence(&mut self, holder: Coordinator) -> Outcome {
+        let token = self.fence_token() + 1;
+        let same = |fence: &Fence| fence.sole && fence.holder.address == holder.address;
+        let sole = self.fence.as_ref().is_none_or(same);
+        self.fence = Some(Fence { token, holder, sole });
+        Outcome::Fence(token)
+    }
+
+    /// The newest fencing token; 0 before the first.
+    pub fn fence_token(&self) -> u64 {
+        self.fence.as_ref().map_or(0, |fence| fence.token)
+    }
+
+    /// The newest fencing token and who took it.
+    pub fn fence(&self) -> Option<&Fence> {
+        self.fence.as_ref()
+    }
+
+    /// The operator's configuration.
+    pub fn configuration(&self) -> &ConfigurationState {
+        &self.configuration
+    }
+
+    /// The newest named version of each model.
+    pub fn versions(&self) -> &BTreeMap<String, u64> {
+        &self.versions
+    }
+
+    /// The chains of the partitions.
+    pub fn partitions(&self) -> &PartitionState {
+        &self.partitions
+    }
+
+    /// The backends that are being emptied, or are empty.
+    pub fn retiring(&self) -> &RetiringState {
+        &self.retiring
+    }
+
+    /// Everything that all nodes are to know, as entries of the registry.
+    pub fn registry_entries(&self) -> Vec<Entry> {
+        let mut entries = Vec::new();
+        entries.extend(self.configuration.entry());
+        entries.extend(self.versions.iter().map(|(model, version)| version_entry(model, *version)));
+        entries.extend(self.partitions.all().map(|(partition, record)| partition_entry(partition, record)));
+        entries.extend(self.fence.as_ref().map(coordinator_entry));
+        entries
+    }
+
+    /// What a command that was just applied may have changed, as entries of the registry.
+    pub fn changed_entries(&self, command: &Command) -> Vec<Entry> {
+        let entry = match command {
+            Command::ReplaceConfiguration { .. } => self.configuration.entry(),
+            Command::NameVersion { model, .. } => {
+                self.versions.get(model).map(|version| version_entry(model, *version))
+            }
+            Command::TakeFence { .. } => self.fence.as_ref().map(coordinator_entry),
+            Command::SetPartition { partition, .. } | Command::PartitionFull { partition, .. } => {
+                self.partitions.get(*partition).map(|record| partition_entry(*partition, record))
+            }
+            Command::Nothing | Command::BeginRetire { .. } | Command::CompleteRetire { .. } => None,
+        };
+        entry.into_iter().collect()
+    }
+
+    /// The whole state, encoded.
+    pub fn snapshot(&self) -> Vec<u8> {
+        bincode::serde::encode_to_vec(self, bincode::config::standard()).unwrap_or_default()
+    }
+
+    /// Reads a state that [`ControlState::snapshot`] encoded.
+    pub fn restore(bytes: &[u8]) -> Result<Self, SnapshotError> {
+        if bytes.is_empty() {
+            return Ok(Self::default());
+        }
+        let (state, _) =
+            bincode::serde::decode_from_slice(bytes, bincode::config::standard()).context(UnreadableSnafu)?;
+        Ok(state)
+    }
+}
+
+fn version_entry(model: &str, version: u64) -> Entry {
+    Entry { key: Key::NamedVersion(model.to_owned()), version, value: Value::Version(version) }
+}
+
+/// How many members of a chain can become full within one epoch, at most; the entry's version counts them.
+const FULL_MEMBERS_PER_EPOCH: u64 = 256;
+
+fn partition_entry(partition: u16, record: &PartitionRecord) -> Entry {
+    let full = (record.full.len() as u64).min(FULL_MEMBERS_PER_EPOCH - 1);
+    Entry {
+        key: Key::Partition(partition),
+        version: record.epoch * FULL_MEMBERS_PER_EPOCH + full,
+        value: Value::Partition(record.clone()),
+    }
+}
+
+fn coordinator_entry(fence: &Fence) -> Entry {
+    Entry { key: Key::Coordinator, version: fence.token, value: Value::Coordinator(fence.holder.clone()) }
+}
--- /dev/null
+++ b/system/control/src/state/partitions.rs
@@ -0,0 +1,89 @@
+//! The chains of the partitions of batch jobs.
+
+use std::collections::BTreeMap;
+
+use gingerledge_wire::{Outcome, PartitionRecord, PARTITIONS};
+use serde::{Deserialize, Serialize};
+
+/// Longest chain of a partition.
+const MAX_CHAIN: usize = 16;
+
+/// The chain of each partition.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartitionState {
+    records: BTreeMap<u16, PartitionRecord>,
+}
+
+impl PartitionState {
+    /// The chain of a partition.
+    pub fn get(&self, partition: u16) -> Option<&PartitionRecord> {
+        self.records.get(&partition)
+    }
+
+    /// All partitions that have a chain.
+    pub fn all(&self) -> impl Iterator<Item = (u16, &PartitionRecord)> {
+        self.records.iter().map(|(partition, record)| (*partition, record))
+    }
+
+    /// Whether a member is in any chain.
+    pub fn is_used(&self, member: u64) -> bool {
+        self.records.values().any(|record| record.chain.contains(&member))
+    }
+
+    pub(super) fn set(&mut self, partition: u16, next: &PartitionRecord, fence: u64, newest: u64) -> Outcome {
+        let current = self.records.get(&partition);
+        if current.is_some_and(|current| current.epoch == next.epoch && current.chain == next.chain) {
+            return Outcome::Taken;
+        }
+        if fence != newest {
+            return Outcome::Conflict { current: newest };
+        }
+        let epoch = current.map_or(0, |record| record.epoch);
+        if next.epoch != epoch + 1 {
+            return Outcome::Conflict { current: epoch };
+        }
+        if let Some(reason) = flaw(partition, current, next) {
+            return Outcome::Invalid { reason: reason.to_owned() };
+        }
+        self.records.insert(partition, next.clone());
+        Outcome::Taken
+    }
+
+    pub(super) fn mark_full(&mut self, partition: u16, epoch: u64, member: u64) -> Outcome {
+        let Some(record) = self.records.get_mut(&partition) else {
+            return Outcome::Invalid { reason: "the partition has no chain".to_owned() };
+        };
+        if record.epoch != epoch {
+            return Outcome::Conflict { current: record.epoch };
+        }
+        if !record.chain.contains(&member) {
+            return Outcome::Invalid { reason: "not a member of the partition's chain".to_owned() };
+        }
+        if !record.full.contains(&member) {
+            record.full.push(member);
+        }
+        Outcome::Taken
+    }
+}
+
+/// What is wrong with a new chain: it would lose data, or is none.
+fn flaw(partition: u16, current: Option<&PartitionRecord>, next: &PartitionRecord) -> Option<&'static str> {
+    if partition >= PARTITIONS {
+        return Some("no such partition");
+    }
+    let unique = next.chain.iter().enumerate().all(|(at, member)| !next.chain[..at].contains(member));
+    if next.chain.is_empty() || next.chain.len() > MAX_CHAIN || !unique {
+        return Some("the chain is empty, too long, or names a member twice");
+    }
+    if !next.full.iter().all(|member| next.chain.contains(member)) {
+        return Some("a full member is not in the chain");
+    }
+    let current = current?;
+    if !next.full.iter().all(|member| current.full.contains(member)) {
+        return Some("a member is called full that was not");
+    }
+    if next.full.is_empty() {
+        return Some("the chain keeps no full member");
+    }
+    None
+}
--- /dev/null
+++ b/system/control/src/state/retiring.rs
@@ -0,0 +1,65 @@
+//! Backends that the operator wants emptied.
+
+use std::collections::BTreeMap;
+
+use gingerledge_wire::{Outcome, RetireState};
+use serde::{Deserialize, Serialize};
+
+/// Most backends whose emptying is remembered.
+pub const MAX_RETIRING: usize = 4_096;
+
+/// One backend that is being emptied, or is empty.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Retiring {
+    /// The identity of its disk when the emptying was asked for.
+    pub member: u64,
+    /// How far it is.
+    pub state: RetireState,
+}
+
+/// All of them, by the machine's name.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RetiringState {
+    machines: BTreeMap<String, Retiring>,
+}
+
+impl RetiringState {
+    /// How far the emptying of a machine is; none if it was never asked for.
+    pub fn get(&self, name: &str) -> Option<&Retiring> {
+        self.machines.get(name)
+    }
+
+    /// All machines.
+    pub fn all(&self) -> impl Iterator<Item = (&str, &Retiring)> {
+        self.machines.iter().map(|(name, retiring)| (name.as_str(), retiring))
+    }
+
+    /// Whether a member must not be given partitions.
+    pub fn contains_member(&self, member: u64) -> bool {
+        self.machines.values().any(|retiring| retiring.member == member)
+    }
+
+    pub(super) fn begin(&mut self, name: &str, member: u64) -> Outcome {
+        if self.machines.get(name).is_some_and(|retiring| retiring.member == member) {
+            return Outcome::Taken;
+        }
+        if self.machines.len() >= MAX_RETIRING && !self.machines.contains_key(name) {
+            return Outcome::Invalid { reason: "too many machines are being emptied".to_owned() };
+        }
+        self.machines.insert(name.to_owned(), Retiring { member, state: RetireState::Active });
+        Outcome::Taken
+    }
+
+    pub(super) fn complete(&mut self, name: &str, member: u64, used: bool) -> Outcome {
+        match self.machines.get_mut(name) {
+            Some(retiring) if retiring.member == member && !used => {
+                retiring.state = RetireState::Completed;
+                Outcome::Taken
+            }
+            Some(retiring) if retiring.member == member => {
+                Outcome::Invalid { reason: "the machine still keeps partitions".to_owned() }
+            }
+            _ => Outcome::Invalid { reason: "the machine is not being emptied".to_owned() },
+        }
+    }
+}
