--- /dev/null
+++ b/system/data/tests/edge_common/mod.rs
@@ -0,0 +1,129 @@
+//! An edge on loopback with stand-in stores that follow a script, a client that sees raw bytes, and a transcript of all of it.
+#![allow(dead_code)]
+
+mod client;
+mod store;
+pub mod transcript;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gingerledge_data::front::{self, Bounds, Front};
+use gingerledge_data::Shared;
+use gingerledge_protocol::{Settings, StoreState};
+use gingerledge_relay::Event;
+use gingerledge_transport::{Network, NetworkSettings};
+use gingerledge_wire::{Entry, Key, StoreRecord, Tick, Value};
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+
+pub use client::{request, Client};
+pub use store::{answer, event, events, Store, Turn};
+
+/// A bound that only a fault reaches.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+/// The zone of the edge.
+pub const ZONE: &str = "home";
+
+/// A configuration with one route of each kind, and its version.
+pub fn configuration(version: u64) -> String {
+    let route = |name: &str, kind: &str, more: &str| {
+        format!(
+            r#"{{"name":"{name}","host":"example.test","pathPrefix":"/{name}/","routeKind":"{kind}","timeoutMs":8000,
+            "targetLatencyMs":400,"service":"s","maxAttempts":3{more}}}"#
+        )
+    };
+    let routes = [
+        route("idem", "idempotent", ""),
+        route("once", "non_idempotent", ""),
+        route("stream", "streaming", ""),
+        route("resume", "streaming", r#","resumable":true"#),
+        route("jobs", "deployment", ""),
+    ];
+    format!(
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"s","healthPath":"/healthz","connectionLimit":8}}],
+        "limits":{{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
+        routes.join(",")
+    )
+}
+
+/// An edge whose front listens.
+pub struct Edge {
+    pub shared: Rc<Shared>,
+    pub front: Rc<Front>,
+    pub address: SocketAddr,
+}
+
+impl Edge {
+    /// An edge that knows nothing yet.
+    pub async fn start() -> Edge {
+        Self::start_with(Bounds { connections: 64, requests: 64, body_bytes: 4_000_000 }).await
+    }
+
+    pub async fn start_with(bounds: Bounds) -> Edge {
+        let settings = Settings::parse(SETTINGS.as_bytes()).expect("settings");
+        let listen = NetworkSettings::new("127.0.0.1:0".parse().expect("address"));
+        let (network, _inbox) = Network::bind(listen).await.expect("network");
+        let shared = Rc::new(Shared::new(settings, network, 7));
+        let front = Front::new(bounds);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("listener");
+        let address = listener.local_addr().expect("address");
+        tokio::task::spawn_local(front::serve(Rc::clone(&shared), Rc::clone(&front), listener));
+        Edge { shared, front, address }
+    }
+
+    /// An edge that is in touch and knows the configuration and these stores.
+    pub async fn with(stores: &[&Store]) -> Edge {
+        let edge = Self::start().await;
+        edge.learn_configuration(1, &configuration(1));
+        for store in stores {
+            edge.learn_store(store, 1, StoreState::Ready);
+        }
+        edge.tick();
+        edge
+    }
+
+    /// The control chain confirms that this is all.
+    pub fn tick(&self) {
+        self.shared.relay(Event::Tick(Tick { epoch: 1, number: 1 }));
+    }
+
+    pub fn learn_configuration(&self, sequence: u64, json: &str) {
+        let value = Value::Configuration(Arc::new(json.as_bytes().to_vec()));
+        self.shared.merge([Entry { key: Key::Configuration, version: sequence, value }]);
+    }
+
+    pub fn learn_store(&self, store: &Store, sequence: u64, state: StoreState) {
+        let record = StoreRecord {
+            service: "s".to_owned(),
+            address: store.address,
+            zone: store.zone.clone(),
+            software: "v1".to_owned(),
+            slots: 4,
+            state,
+            models: Vec::new(),
+        };
+        let key = Key::Store(store.id.clone());
+        self.shared.merge([Entry { key, version: sequence, value: Value::Store(record) }]);
+    }
+}
+
+/// Runs a test on one thread.
+pub async fn local<T>(test: impl std::future::Future<Output = T>) -> T {
+    let tasks = LocalSet::new();
+    tokio::time::timeout(PATIENCE, tasks.run_until(test)).await.expect("the test hangs")
+}
+
+/// Waits for a condition that other tasks bring about.
+pub async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let began = std::time::Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < PATIENCE, "{what}: not within {PATIENCE:?}");
+        tokio::task::yield_now().await;
+    }
+}
+
+const SETTINGS: &str = r#"{"nodeName":"edge-1","role":"edge","machineClass":"edge","ip":"127.0.0.1","zone":"home",
+    "internalPorts":[7380,7395],"seeds":["127.0.0.1:8144"]}"#;
--- /dev/null
+++ b/system/data/tests/edge_routing.rs
@@ -0,0 +1,302 @@
+//! Decisions about requests, as pure functions.
+
+use std::time::Duration;
+
+use gingerledge_data::forward::events::EventBuffer;
+use gingerledge_data::front::{bounds, Phase, Times};
+use gingerledge_data::headers;
+use gingerledge_data::node::{ready, Step, Stopping};
+use gingerledge_data::routing::{
+    choose, failure, give_up_at, head_time, next_step, pick_service, retry_after, Candidate, Next,
+    RouteTable, Sent,
+};
+use gingerledge_data::stores::judge::{judge, Meaning};
+use gingerledge_protocol::{read_configuration, ProcessLimits, Verdict};
+use hyper::http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use yare::parameterized;
+
+fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+fn store(out: usize, slots: usize) -> Candidate {
+    Candidate { out, slots, ..Candidate::default() }
+}
+
+#[parameterized(
+    least_filled = { &[store(2, 4), store(1, 4), store(3, 4)], Some(1) },
+    filling_counts_not_requests = { &[store(2, 4), store(3, 12)], Some(1) },
+    own_zone_breaks_ties = { &[store(1, 4), Candidate { own_zone: true, ..store(1, 4) }], Some(1) },
+    own_zone_does_not_beat_room = { &[store(0, 4), Candidate { own_zone: true, ..store(1, 4) }], Some(0) },
+    others_requests_count = { &[Candidate { others: 4, ..store(0, 4) }, store(2, 4)], Some(1) },
+    failed_one_is_avoided = { &[Candidate { avoided: true, ..store(0, 4) }, store(9, 4)], Some(1) },
+    failed_one_is_better_than_none = { &[Candidate { avoided: true, ..store(0, 4) }], Some(0) },
+    never_the_same_twice = { &[Candidate { tried: true, ..store(0, 4) }, store(9, 4)], Some(1) },
+    none_left = { &[Candidate { tried: true, ..store(0, 4) }], None },
+    none_at_all = { &[], None },
+)]
+fn store_choice(candidates: &[Candidate], expected: Option<usize>) {
+    for draw in 0..20 {
+        assert_eq!(choose(candidates.iter().copied(), draw), expected);
+    }
+}
+
+#[test]
+fn equal_stores_are_taken_about_equally_often() {
+    let mut taken = [0; 4];
+    let mut rng = fastrand::Rng::with_seed(11);
+    for _ in 0..4_000 {
+        if let Some(place) = choose([store(1, 4); 4].into_iter(), rng.u64(..)) {
+            taken[place] += 1;
+        }
+    }
+    assert!(taken.iter().all(|count| (850..1_150).contains(count)), "{taken:?}");
+}
+
+#[parameterized(
+    first = { &[90.0, 10.0], 0.0, Some(0) },
+    just_below = { &[90.0, 10.0], 0.899, Some(0) },
+    second = { &[90.0, 10.0], 0.901, Some(1) },
+    without_weight = { &[0.0, 5.0], 0.0, Some(1) },
+    last_has_no_weight = { &[5.0, 0.0], 0.999_999, Some(0) },
+    nothing = { &[], 0.5, None },
+)]
+fn service_choice(weights: &[f64], draw: f64, expected: Option<usize>) {
+    assert_eq!(pick_service(weights, draw), expected);
+}
+
+#[parameterized(
+    longest_prefix = { "a.test", "/x/y/z", Some("deep") },
+    short_prefix = { "a.test", "/x/q", Some("wide") },
+    prefix_itself = { "a.test", "/x/y/", Some("deep") },
+    not_quite = { "a.test", "/x", None },
+    other_host = { "b.test", "/x/y/z", Some("other") },
+    host_in_capitals = { "A.Test", "/x/q", Some("wide") },
+    host_with_port = { "a.test:8080", "/x/q", Some("wide") },
+    no_host = { "", "/x/q", None },
+)]
+fn route_look_up(host: &str, path: &str, expected: Option<&str>) {
+    let route = |name: &str, host: &str, prefix: &str| {
+        format!(
+            r#"{{"name":"{name}","host":"{host}","pathPrefix":"{prefix}","routeKind":"idempotent","timeoutMs":5,
+            "service":"s","maxAttempts":1}}"#
+        )
+    };
+    let routes =
+        [route("wide", "a.test", "/x/"), route("deep", "a.test", "/x/y/"), route("other", "b.test", "/")];
+    let json = format!(r#"{{"version":1,"routes":[{}],"services":[{{"name":"s"}}]}}"#, routes.join(","));
+    let table = RouteTable::of(&read_configuration(json.as_bytes()).expect("configuration"));
+    assert_eq!(table.find(host, path).map(|entry| entry.route.name.as_str()), expected);
+}
+
+const NEVER: Verdict = Verdict::NeverRan;
+const MAYBE: Verdict = Verdict::MayHaveRun;
+
+#[parameterized(
+    first = { 0, 0, NEVER, false, 100, Next::AnotherStore },
+    refused_once_only = { 1, 0, NEVER, false, 100, Next::AnotherStore },
+    may_have_run_once_only = { 1, 0, MAYBE, false, 100, Next::GiveUp },
+    may_have_run_repeatable = { 1, 0, MAYBE, true, 100, Next::AnotherStore },
+    own_error_repeatable = { 1, 0, Verdict::Ran, true, 100, Next::AnotherStore },
+    attempts_used_up = { 3, 0, NEVER, true, 100, Next::GiveUp },
+    unreachable_stores_are_no_attempts = { 2, 3, NEVER, true, 100, Next::AnotherStore },
+    too_many_unreachable = { 0, 4, NEVER, true, 100, Next::GiveUp },
+    no_time = { 0, 0, NEVER, true, 4, Next::GiveUp },
+)]
+fn what_follows(
+    offered: usize,
+    unsent: usize,
+    verdict: Verdict,
+    idempotent: bool,
+    left: u64,
+    expected: Next,
+) {
+    let sent = Sent { offered, unsent, verdict };
+    assert_eq!(next_step(&sent, 3, idempotent, ms(left)), expected);
+}
+
+#[parameterized(
+    never_ran = { NEVER, 900, 503, Some(100) },
+    never_ran_little_time = { NEVER, 90, 503, Some(30) },
+    never_ran_no_time = { NEVER, 0, 503, Some(0) },
+    may_have_run = { MAYBE, 900, 502, None },
+    may_have_run_no_time = { MAYBE, 0, 504, None },
+)]
+fn answer_to_what_is_given_up(verdict: Verdict, left: u64, status: u16, pause: Option<u64>) {
+    let failure = failure(verdict, ms(left), ms(400));
+    assert_eq!((failure.status.as_u16(), failure.retry_after), (status, pause.map(ms)));
+}
+
+#[parameterized(
+    deadline_first = { Some(800), Some(2_000), 1_800 },
+    timeout_first = { Some(8_000), Some(2_000), 3_000 },
+    timeout_only = { None, Some(2_000), 3_000 },
+    neither = { None, None, 31_000 },
+)]
+fn time_to_give_up(deadline: Option<u64>, timeout: Option<u64>, expected: u64) {
+    assert_eq!(give_up_at(ms(1_000), deadline.map(ms), timeout.map(ms)), ms(expected));
+}
+
+#[parameterized(
+    nowhere_else = { 900, Some(10), false, 900 },
+    a_third = { 900, Some(10), true, 300 },
+    slow_stores = { 900, Some(150), true, 450 },
+    never_beyond = { 900, Some(2_000), true, 900 },
+    unknown = { 900, None, true, 300 },
+)]
+fn time_for_a_head(left: u64, usual: Option<u64>, elsewhere: bool, expected: u64) {
+    assert_eq!(head_time(ms(left), usual.map(ms), elsewhere), ms(expected));
+}
+
+#[parameterized(
+    quarter_of_objective = { 5_000, 800, 200 },
+    bounded_above = { 5_000, 8_000, 500 },
+    bounded_below = { 5_000, 40, 50 },
+    third_of_time = { 300, 8_000, 100 },
+)]
+fn pause_of_a_refused_client(left: u64, objective: u64, expected: u64) {
+    assert_eq!(retry_after(ms(left), ms(objective)), ms(expected));
+}
+
+fn head(fields: &[(&str, &str)]) -> HeaderMap {
+    let named = |name: &str| HeaderName::try_from(name).expect("name");
+    fields.iter().map(|(name, value)| (named(name), HeaderValue::from_str(value).expect("value"))).collect()
+}
+
+const ID: (&str, &str) = ("attempt-id", "a1");
+const STAMP: (&str, &str) = ("server-signature", "s");
+const LENGTH: (&str, &str) = ("content-length", "3");
+const NOT_RUN: (&str, &str) = ("not-executed", "true");
+
+#[parameterized(
+    success = { 200, &[ID, STAMP, LENGTH], "own" },
+    chunked_success = { 200, &[ID, STAMP, ("transfer-encoding", "chunked")], "own" },
+    success_without_stamp = { 200, &[ID, LENGTH], "garbled" },
+    success_whose_end_cannot_be_told = { 200, &[ID, STAMP], "garbled" },
+    encoded_success = { 200, &[ID, STAMP, LENGTH, ("content-encoding", "gzip")], "garbled" },
+    no_content = { 204, &[ID, STAMP], "own" },
+    without_id = { 200, &[STAMP, LENGTH], "garbled" },
+    other_id = { 200, &[("attempt-id", "a2"), STAMP, LENGTH], "garbled" },
+    own_error = { 500, &[ID, STAMP, LENGTH], "own" },
+    full = { 503, &[ID, NOT_RUN], "refused" },
+    too_many = { 429, &[ID, NOT_RUN], "refused" },
+    other_store = { 421, &[ID], "refused" },
+    unavailable_that_promises_nothing = { 503, &[ID, STAMP, LENGTH], "garbled" },
+    timeout_that_promises_nothing = { 408, &[ID, STAMP, LENGTH], "garbled" },
+    success_that_says_it_did_not_run = { 200, &[ID, STAMP, LENGTH, NOT_RUN], "garbled" },
+    refusal_of_another_request = { 503, &[("attempt-id", "a2"), NOT_RUN], "garbled" },
+)]
+fn meaning_of_a_head(status: u16, fields: &[(&str, &str)], expected: &str) {
+    let status = StatusCode::from_u16(status).expect("status");
+    let meaning = judge(&Method::POST, Some(b"a1"), status, &head(fields));
+    let word = match meaning {
+        Meaning::Own => "own",
+        Meaning::Refused(_) => "refused",
+        Meaning::Garbled => "garbled",
+    };
+    assert_eq!(word, expected);
+}
+
+#[test]
+fn a_refusal_tells_load_and_pause() {
+    let fields = [ID, NOT_RUN, ("server-load", "3,2,8"), ("retry-after", "0.25")];
+    let meaning = judge(&Method::POST, Some(b"a1"), StatusCode::SERVICE_UNAVAILABLE, &head(&fields));
+    let Meaning::Refused(refusal) = meaning else { panic!("{meaning:?}") };
+    let load = refusal.load.expect("load");
+    assert_eq!((load.running, load.waiting, load.slots), (3, 2, 8));
+    assert_eq!(refusal.retry_after, Some(ms(250)));
+}
+
+#[test]
+fn what_a_connection_names_goes_no_further_but_what_a_request_means_does() {
+    let mut fields =
+        head(&[("connection", "close, x-hop, attempt-id"), ("x-hop", "1"), ID, ("keep-alive", "timeout=5")]);
+    headers::strip_hop_by_hop(&mut fields);
+    assert_eq!(fields, head(&[ID]));
+}
+
+#[parameterized(
+    whole_seconds = { "timeout=5, max=100", Some(5_000) },
+    in_the_middle = { "max=100, timeout=2", Some(2_000) },
+    none = { "max=100", None },
+    bad = { "timeout=soon", None },
+)]
+fn keep_alive_time(value: &str, expected: Option<u64>) {
+    assert_eq!(headers::keep_alive(&head(&[("keep-alive", value)])), expected.map(ms));
+}
+
+#[test]
+fn events_pass_once_and_whole_however_they_are_cut() {
+    let stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\n";
+    for size in 1..=stream.len() {
+        let mut buffer = EventBuffer::default();
+        let mut passed = Vec::new();
+        for piece in stream.as_bytes().chunks(size) {
+            let whole = buffer.push(piece).expect("short events");
+            assert!(whole.is_empty() || whole.ends_with(b"\n"));
+            passed.extend_from_slice(&whole);
+        }
+        assert_eq!(String::from_utf8_lossy(&passed), stream);
+        assert_eq!((buffer.last_id(), buffer.is_partial()), (Some(3), false));
+    }
+}
+
+#[test]
+fn a_cut_event_is_dropped_and_events_passed_before_are_left_out() {
+    let mut buffer = EventBuffer::default();
+    assert_eq!(&buffer.push(b"id: 1\ndata: a\n\nid: 2\nda").expect("short")[..], b"id: 1\ndata: a\n\n");
+    assert!(buffer.is_partial());
+    buffer.drop_partial();
+    let again = buffer.push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n").expect("short");
+    assert_eq!(&again[..], b"id: 2\ndata: b\n\n");
+}
+
+#[test]
+fn an_event_without_end_is_not_kept_for_ever() {
+    let mut buffer = EventBuffer::default();
+    let endless = vec![b'x'; 1024 * 1024];
+    assert!((0..8).any(|_| buffer.push(&endless).is_err()));
+}
+
+#[parameterized(
+    all_is_well = { true, Some(5_000), false, true },
+    nothing_known = { false, Some(5_000), false, false },
+    never_fresh = { true, None, false, false },
+    cut_off_a_while_ago = { true, Some(2_500), false, true },
+    cut_off_for_long = { true, Some(1_500), false, false },
+    about_to_end = { true, Some(5_000), true, false },
+)]
+fn readiness(known: bool, fresh_at: Option<u64>, stopping: bool, expected: bool) {
+    assert_eq!(ready(known, fresh_at.map(ms), ms(5_000), stopping), expected);
+}
+
+#[parameterized(
+    not_noticed_yet = { 1_000, 0, 0, Step::Serve },
+    clients_rest = { 3_000, 0, 2, Step::CloseResting },
+    requests_under_way = { 3_000, 1, 1, Step::CloseResting },
+    all_done = { 3_000, 0, 0, Step::End },
+    grace_almost_over = { 7_500, 3, 3, Step::End },
+)]
+fn steps_of_a_stop(after: u64, requests: usize, connections: usize, expected: Step) {
+    let stopping = Stopping::new(ms(100), ms(8_000));
+    assert_eq!(stopping.step(ms(100 + after), requests, connections), expected);
+}
+
+#[parameterized(
+    resting = { Phase::Idle(ms(0)), 15_000, false },
+    rested_too_long = { Phase::Idle(ms(0)), 15_001, true },
+    head_comes = { Phase::Head(ms(0)), 3_000, false },
+    head_is_late = { Phase::Head(ms(0)), 3_001, true },
+    busy = { Phase::Busy, 99_999, false },
+)]
+fn connections_that_take_too_long(phase: Phase, now: u64, expected: bool) {
+    assert_eq!(phase.overdue(ms(now), Times { idle: ms(15_000), head: ms(3_000) }), expected);
+}
+
+#[test]
+fn a_small_machine_gets_small_bounds() {
+    let limits = ProcessLimits { file_descriptors: 1_200, memory_mb: 160, ..ProcessLimits::default() };
+    let bounds = bounds(&limits);
+    assert_eq!(bounds.connections, 500);
+    assert!(bounds.requests * 64 * 1024 + bounds.body_bytes < 80 * 1024 * 1024, "{bounds:?}");
+}
