--- a/system/relay/src/candidates.rs
+++ b/system/relay/src/candidates.rs
@@ -55,16 +55,18 @@
         self.queue.pop_front()
     }
 
-    /// Puts those at the front whom another has named.
-    pub fn named(&mut self, others: Vec<SocketAddr>, rng: &mut Rng) {
+    /// Puts those at the front whom another has named; says whether any is new.
+    pub fn named(&mut self, others: Vec<SocketAddr>, rng: &mut Rng) -> bool {
         let mut others: Vec<SocketAddr> = others.into_iter().take(MAX_NAMED).collect();
         rng.shuffle(&mut others);
+        let before = self.named_in_round;
         for other in others {
             if self.named_in_round < MAX_NAMED_PER_ROUND && !self.queue.contains(&other) {
                 self.named_in_round += 1;
                 self.queue.push_front(other);
             }
         }
+        self.named_in_round > before
     }
 
     /// An address didn't answer.
--- a/system/relay/src/relay.rs
+++ b/system/relay/src/relay.rs
@@ -143,7 +143,7 @@
                 }
             }
             RelayMessage::Declined { subscription, others } => {
-                self.upstream.declined(from, subscription, others)
+                self.upstream.declined(from, subscription, others, now);
             }
             RelayMessage::Update { subscription, sequence, entries, tick, tick_age_ms } => {
                 let tick_age = Duration::from_millis(u64::from(tick_age_ms));
@@ -156,7 +156,7 @@
                 }
             }
             RelayMessage::Leave { subscription } => {
-                self.upstream.left(from, subscription);
+                self.upstream.left(from, subscription, now);
                 self.children.leave(from, subscription);
             }
         }
--- a/system/relay/src/search.rs
+++ b/system/relay/src/search.rs
@@ -1,8 +1,10 @@
-//! The search for a parent, one attempt after the other.
+//! The search for a parent, one attempt after the other. One that isn't answered soon doesn't hold up the next, and may still be
+//! answered while that is under way.
 //!
 //! A search runs while a node has no parent, or one through which no ticks come. The old parent is kept until another accepts,
 //! since ticks may stand still for all: then the tree stays as it is.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,12 +13,14 @@
 use crate::settings::RelaySettings;
 
 /// The longest wait for an answer is so many times the shortest.
-const ANSWER_TIMEOUT_GROWTH: u32 = 3;
+const PATIENCE_GROWTH: u32 = 3;
+/// Attempts that may wait for an answer at a time.
+const MAX_OPEN: usize = 3;
 
 /// A search that goes on.
 #[derive(Debug)]
 pub(crate) struct Search {
-    attempt: Option<Attempt>,
+    open: VecDeque<Attempt>,
     round: u32,
     in_round: bool,
     pause: Duration,
@@ -33,28 +37,23 @@
     /// How much room the node told that it has.
     pub room: u16,
     /// Until when an answer counts.
-    pub until: Duration,
+    until: Duration,
 }
 
 impl Search {
     /// Begins with the first round at once.
     pub fn new(now: Duration, settings: &RelaySettings) -> Self {
-        Self { attempt: None, round: 0, in_round: false, pause: settings.retry_least, next_at: now }
+        Self { open: VecDeque::new(), round: 0, in_round: false, pause: settings.retry_least, next_at: now }
     }
 
-    /// The attempt that waits for an answer.
-    pub fn attempt(&self) -> Option<&Attempt> {
-        self.attempt.as_ref()
+    /// Whether a node is asked.
+    pub fn asks(&self, address: &SocketAddr) -> bool {
+        self.open.iter().any(|attempt| attempt.to == *address)
     }
 
-    /// Whether a message answers the attempt.
-    pub fn asks(&self, from: SocketAddr, subscription: u64) -> bool {
-        self.attempt.is_some_and(|attempt| attempt.to == from && attempt.subscription == subscription)
-    }
-
-    /// Whether no attempt waits and the pause is over.
-    pub fn is_idle(&self, now: Duration) -> bool {
-        self.attempt.is_none() && self.next_at <= now
+    /// Whether it is time to ask the next.
+    pub fn is_due(&self, now: Duration) -> bool {
+        self.next_at <= now
     }
 
     /// Whether earlier rounds were in vain.
@@ -76,8 +75,22 @@
         false
     }
 
-    /// The next round begins now.
+    /// An attempt came to nothing: the next may be asked, unless the round is over.
+    pub fn go_on(&mut self, now: Duration) {
+        if self.in_round {
+            self.next_at = now;
+        }
+    }
+
+    /// There are new nodes to ask, in what counts as the same round.
+    pub fn resume(&mut self, now: Duration) {
+        self.in_round = true;
+        self.next_at = now;
+    }
+
+    /// A new round may begin now.
     pub fn hurry(&mut self, now: Duration) {
+        self.in_round = false;
         self.next_at = now;
     }
 
@@ -90,19 +103,40 @@
         settings: &RelaySettings,
         rng: &mut Rng,
     ) -> Attempt {
-        let patience = settings.answer_timeout * self.round.clamp(1, ANSWER_TIMEOUT_GROWTH);
-        let attempt = Attempt { to, subscription: rng.u64(1..), room, until: now + patience };
-        self.attempt = Some(attempt);
+        let patience = self.round.clamp(1, PATIENCE_GROWTH);
+        let until = now + settings.answer_timeout * patience;
+        let attempt = Attempt { to, subscription: rng.u64(1..), room, until };
+        if self.open.len() >= MAX_OPEN {
+            self.open.pop_front();
+        }
+        self.open.push_back(attempt);
+        self.next_at = now + settings.hedge_after * patience;
         attempt
     }
 
-    /// The attempt has come to nothing.
-    pub fn give_up(&mut self) -> Option<Attempt> {
-        self.attempt.take()
+    /// Takes out the attempt that a message answers.
+    pub fn answered(&mut self, from: SocketAddr, subscription: u64) -> Option<Attempt> {
+        let at = self.open.iter().position(|open| open.to == from && open.subscription == subscription)?;
+        self.open.remove(at)
+    }
+
+    /// Drops the attempts at a node that can't be reached; says whether there were any.
+    pub fn lost(&mut self, peer: SocketAddr) -> bool {
+        let before = self.open.len();
+        self.open.retain(|attempt| attempt.to != peer);
+        self.open.len() < before
+    }
+
+    /// Drops the attempts that weren't answered in time, and gives them.
+    pub fn expire(&mut self, now: Duration) -> Vec<Attempt> {
+        let late = self.open.iter().copied().filter(|attempt| attempt.until <= now).collect();
+        self.open.retain(|attempt| attempt.until > now);
+        late
     }
 
     /// When there is something to do.
     pub fn next_timer(&self) -> Duration {
-        self.attempt.map_or(self.next_at, |attempt| attempt.until)
+        let answers = self.open.iter().map(|attempt| attempt.until);
+        answers.fold(self.next_at, Duration::min)
     }
 }
--- a/system/relay/src/settings.rs
+++ b/system/relay/src/settings.rs
@@ -30,6 +30,8 @@
     pub room_interval: Duration,
     /// How long a node waits for the answer to a subscription.
     pub answer_timeout: Duration,
+    /// How long a node waits before it asks another as well.
+    pub hedge_after: Duration,
     /// The shortest pause between rounds of attempts.
     pub retry_least: Duration,
     /// The longest pause between rounds of attempts.
@@ -66,13 +68,14 @@
             zone: String::new(),
             max_children: 0,
             freshness: Duration::from_millis(800),
-            parent_silence: Duration::from_millis(800),
+            parent_silence: Duration::from_millis(600),
             child_silence: Duration::from_secs(3),
             update_interval: Duration::from_millis(20),
-            keepalive: Duration::from_millis(400),
+            keepalive: Duration::from_millis(300),
             received_interval: Duration::from_secs(1),
             room_interval: Duration::from_millis(100),
-            answer_timeout: Duration::from_millis(250),
+            answer_timeout: Duration::from_millis(300),
+            hedge_after: Duration::from_millis(100),
             retry_least: Duration::from_millis(50),
             retry_most: Duration::from_millis(500),
             failure_memory: Duration::from_secs(5),
--- a/system/relay/src/upstream.rs
+++ b/system/relay/src/upstream.rs
@@ -49,8 +49,7 @@
 
     /// Whether a node is the parent, or may become it soon.
     pub fn looks_to(&self, address: SocketAddr) -> bool {
-        let asked = self.search.as_ref().and_then(Search::attempt);
-        self.parent() == Some(address) || asked.is_some_and(|attempt| attempt.to == address)
+        self.parent() == Some(address) || self.search.as_ref().is_some_and(|search| search.asks(&address))
     }
 
     /// The link that a message belongs to. The first message of a subscription that was asked for makes it the link.
@@ -61,27 +60,31 @@
         now: Duration,
         actions: &mut Vec<Action>,
     ) -> Option<&mut Link> {
-        if self.search.as_ref().is_some_and(|search| search.asks(from, subscription)) {
-            self.accept(now, actions);
+        if let Some(attempt) = self.search.as_mut().and_then(|search| search.answered(from, subscription)) {
+            self.accept(attempt, now, actions);
         }
         self.link.as_mut().filter(|link| link.is(from, subscription))
     }
 
     /// The one asked doesn't take this node, but names others.
-    pub fn declined(&mut self, from: SocketAddr, subscription: u64, others: Vec<SocketAddr>) {
-        let Some(search) = self.search.as_mut().filter(|search| search.asks(from, subscription)) else {
+    pub fn declined(&mut self, from: SocketAddr, subscription: u64, others: Vec<SocketAddr>, now: Duration) {
+        let Some(search) = &mut self.search else { return };
+        if search.answered(from, subscription).is_none() {
             return;
-        };
-        search.give_up();
-        self.candidates.named(others, &mut self.rng);
+        }
+        if self.candidates.named(others, &mut self.rng) {
+            search.resume(now);
+        } else {
+            search.go_on(now);
+        }
     }
 
     /// The other side ends a subscription.
-    pub fn left(&mut self, from: SocketAddr, subscription: u64) {
+    pub fn left(&mut self, from: SocketAddr, subscription: u64, now: Duration) {
         if self.link.as_ref().is_some_and(|link| link.is(from, subscription)) {
             self.link = None;
         }
-        self.declined(from, subscription, Vec::new());
+        self.declined(from, subscription, Vec::new(), now);
     }
 
     /// Leaves the parent, for instance because an update is missing.
@@ -98,9 +101,9 @@
             self.candidates.note_failure(peer, now);
         }
         let Some(search) = &mut self.search else { return };
-        if search.attempt().is_some_and(|attempt| attempt.to == peer) {
-            search.give_up();
+        if search.lost(peer) {
             self.candidates.note_failure(peer, now);
+            search.go_on(now);
         }
     }
 
@@ -120,10 +123,8 @@
             self.leave_parent(actions);
         }
         let Some(search) = &mut self.search else { return };
-        if search.attempt().is_some_and(|attempt| attempt.until <= now) {
-            if let Some(attempt) = search.give_up() {
-                self.candidates.note_failure(attempt.to, now);
-            }
+        for late in search.expire(now) {
+            self.candidates.note_failure(late.to, now);
         }
     }
 
@@ -146,12 +147,12 @@
             self.candidates.clear();
             Search::new(now, settings)
         });
-        if !search.is_idle(now) {
+        if !search.is_due(now) {
             return None;
         }
         let to = loop {
             match self.candidates.next() {
-                Some(to) if Some(to) == parent || skip(&to) => {}
+                Some(to) if Some(to) == parent || search.asks(&to) || skip(&to) => {}
                 Some(to) => break to,
                 None if search.begin_round(now, settings, rng) => {
                     self.candidates.refill(asking.directory, search.is_repeated(), now, rng);
@@ -186,8 +187,8 @@
         self.link.as_ref().is_none_or(|link| link.stalled_at(fresh_until, &self.settings) <= now)
     }
 
-    fn accept(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        let Some(attempt) = self.search.take().and_then(|mut search| search.give_up()) else { return };
+    fn accept(&mut self, attempt: Attempt, now: Duration, actions: &mut Vec<Action>) {
+        self.search = None;
         self.leave_parent(actions);
         self.link = Some(Link::new(attempt.to, attempt.subscription, attempt.room, now));
     }
