--- /dev/null
+++ b/system/data/tests/rollout_placement.rs
@@ -0,0 +1,211 @@
+//! Where the generations of a group go.
+
+mod rollout_plan_common;
+
+use gingerledge_data::rollout::plan::{Ended, JobPlan, Step, StoreView};
+use rollout_plan_common::*;
+use yare::parameterized;
+
+/// The requests out at each store after placing one group of so many items.
+fn after_placing(items: usize, mut stores: Vec<StoreView>) -> Vec<u32> {
+    let mut plan = JobPlan::new(job(1, items, 1, 1), &[], 1);
+    plan.place(ms(0), &mut stores, rules(false));
+    stores.iter().map(|store| store.out).collect()
+}
+
+#[parameterized(
+    spread_evenly = { &[0, 0, 0, 0], 4, &[1, 1, 1, 1] },
+    lowest_first = { &[3, 0, 2], 4, &[3, 3, 3] },
+    counted_before_the_next = { &[5, 4, 0], 6, &[5, 5, 5] },
+    all_at_one = { &[9, 0, 9], 8, &[9, 8, 9] },
+    busy_stores_are_left_alone = { &[14, 14, 0, 0], 2, &[14, 14, 1, 1] },
+)]
+fn a_group_fills_the_stores_with_the_fewest_out(out: &[u32], items: usize, expected: &[u32]) {
+    let stores = out.iter().enumerate().map(|(place, &out)| store(&format!("s{place}"), 1, out)).collect();
+    assert_eq!(after_placing(items, stores), expected);
+}
+
+#[test]
+fn only_stores_of_a_fitting_version_are_eligible() {
+    let mut stores = vec![store("old", 4, 0), store("fits", 5, 3), store("newer", 6, 3)];
+    let mut plan = JobPlan::new(job(1, 4, 1, 5), &[], 1);
+    plan.place(ms(0), &mut stores, rules(false));
+    assert_eq!(stores.iter().map(|store| store.out).collect::<Vec<_>>(), [0, 5, 5]);
+}
+
+#[test]
+fn a_failing_store_comes_last() {
+    let failing = StoreView { avoided: true, ..store("failing", 1, 0) };
+    assert_eq!(after_placing(2, vec![failing.clone(), store("busy", 1, 9)]), [0, 11]);
+    assert_eq!(after_placing(2, vec![failing]), [2], "alone it is better than none");
+}
+
+#[parameterized(
+    slow = { 300, &[1, 3] },
+    hardly_slower = { 150, &[2, 2] },
+)]
+fn the_count_of_a_slow_store_weighs_more(pace_percent: u32, expected: &[u32]) {
+    let slow = StoreView { pace_percent, ..store("slow", 1, 0) };
+    assert_eq!(after_placing(4, vec![slow, store("usual", 1, 0)]), expected);
+}
+
+#[test]
+fn ties_go_to_a_store_that_read_the_prompt_and_then_to_the_own_zone() {
+    for seed in 0..20 {
+        let near = StoreView { own_zone: true, ..store("near", 1, 0) };
+        let mut stores = vec![store("a", 1, 0), near, store("b", 1, 0)];
+        let mut plan = JobPlan::new(job(1, 1, 1, 1), &[], seed);
+        let first = plan.place(ms(0), &mut stores, rules(false));
+        assert_eq!(placed(&first, &stores), [(0, "near".to_owned())], "seed {seed}");
+        // The generation is cut. Another store is in the edge's zone now, but this one has read the prompt.
+        let step = plan.generation_ended(ms(1), 0, text(1, 1), Ended::Cut, rules(false));
+        assert_eq!(step, Step::Wait);
+        for store in &mut stores {
+            (store.out, store.own_zone) = (0, &*store.id == "a");
+        }
+        let second = plan.place(ms(1), &mut stores, rules(false));
+        assert_eq!(placed(&second, &stores), [(0, "near".to_owned())], "seed {seed}");
+    }
+}
+
+#[test]
+fn remaining_ties_are_broken_by_chance() {
+    let mut met = std::collections::BTreeSet::new();
+    for seed in 0..64 {
+        let mut stores: Vec<_> = (0..4).map(|place| store(&format!("s{place}"), 1, 0)).collect();
+        let mut plan = JobPlan::new(job(1, 1, 1, 1), &[], seed);
+        met.extend(plan.place(ms(0), &mut stores, rules(false)).iter().map(|placement| placement.store));
+    }
+    assert_eq!(met.len(), 4);
+}
+
+#[test]
+fn a_group_begins_only_where_there_is_room_for_all_of_it() {
+    let mut plan = JobPlan::new(job(3, 4, 3, 1), &[], 1);
+    let mut stores = vec![store("a", 1, 11), store("b", 1, 11)];
+    let placements = plan.place(ms(0), &mut stores, rules(false));
+    let items: Vec<u32> = placements.iter().map(|placement| placement.item).collect();
+    assert_eq!(items, [0, 1, 2, 3], "6 places are free: enough for the first group of 4, not for the second");
+    assert!(plan.wants_places(ms(0)));
+    stores[0].out = 8;
+    assert_eq!(plan.place(ms(1), &mut stores, rules(false)).len(), 4);
+}
+
+#[test]
+fn a_small_group_does_not_overtake_a_large_one() {
+    let mut uneven = (*job(1, 6, 2, 1)).clone();
+    uneven.items[5].group = "small".to_owned();
+    let mut plan = JobPlan::new(uneven.into(), &[], 1);
+    let mut stores = vec![store("a", 1, 11)];
+    assert!(plan.place(ms(0), &mut stores, rules(false)).is_empty(), "3 places are free, and 5 wanted first");
+    stores[0].out = 8;
+    assert_eq!(plan.place(ms(1), &mut stores, rules(false)).len(), 6);
+}
+
+#[test]
+fn a_group_larger_than_all_room_is_not_starved() {
+    let mut plan = JobPlan::new(job(1, 40, 1, 1), &[], 1);
+    let mut stores = vec![store("a", 1, 0), store("b", 1, 0)];
+    assert_eq!(plan.place(ms(0), &mut stores, rules(false)).len(), 28);
+    assert_eq!(stores.iter().map(|store| store.out).collect::<Vec<_>>(), [14, 14]);
+    stores[1].out = 10;
+    assert_eq!(
+        plan.place(ms(1), &mut stores, rules(false)).len(),
+        4,
+        "what is left of it goes as there is room"
+    );
+}
+
+#[test]
+fn no_more_groups_begin_than_the_trainer_waits_for() {
+    let mut plan = JobPlan::new(job(5, 2, 3, 1), &[], 1);
+    let mut stores = vec![store("a", 1, 0)];
+    let placements = plan.place(ms(0), &mut stores, rules(false));
+    assert_eq!(placements.iter().map(|placement| placement.item).collect::<Vec<_>>(), [0, 1, 2, 3, 4, 5]);
+    assert!(!plan.wants_places(ms(0)), "nothing is looked at again for the groups that nobody waits for");
+}
+
+#[test]
+fn what_has_begun_goes_before_new_groups() {
+    let mut plan = JobPlan::new(job(2, 2, 2, 1), &[], 1);
+    let mut stores = vec![StoreView { limit: 2, ..store("a", 1, 0) }];
+    assert_eq!(placed(&plan.place(ms(0), &mut stores, rules(false)), &stores).len(), 2);
+    plan.generation_ended(ms(1), 1, text(3, 1), Ended::Cut, rules(false));
+    stores[0].out = 1;
+    let again = plan.place(ms(1), &mut stores, rules(false));
+    assert_eq!(again.iter().map(|placement| placement.item).collect::<Vec<_>>(), [1]);
+    assert_eq!(again[0].text.last_id(), Some(3));
+}
+
+#[test]
+fn a_batch_job_taken_over_goes_on_with_what_has_no_result() {
+    let mut plan = JobPlan::new(job(2, 2, 1, 1), &[0, 9], 1);
+    let mut stores = vec![store("a", 1, 0)];
+    let placements = plan.place(ms(0), &mut stores, rules(false));
+    assert_eq!(placements.iter().map(|placement| placement.item).collect::<Vec<_>>(), [1]);
+}
+
+#[test]
+fn text_of_one_version_goes_on_at_a_store_of_that_version_only() {
+    let mut plan = JobPlan::new(job(1, 1, 1, 4), &[], 1);
+    let mut stores = vec![store("newer", 6, 0), StoreView { limit: 14, ..store("same", 5, 13) }];
+    plan.keep_text(0, text(7, 5), rules(true));
+    let placements = plan.place(ms(0), &mut stores, rules(true));
+    assert_eq!(placed(&placements, &stores), [(0, "same".to_owned())]);
+    assert_eq!((placements[0].only_version, placements[0].text.last_id()), (Some(5), Some(7)));
+}
+
+#[test]
+fn text_waits_for_its_version_while_a_store_has_it() {
+    let mut plan = JobPlan::new(job(1, 1, 1, 4), &[], 1);
+    plan.keep_text(0, text(7, 5), rules(true));
+    let mut stores = vec![store("newer", 6, 0), StoreView { limit: 2, ..store("same", 5, 2) }];
+    assert!(plan.place(ms(0), &mut stores, rules(true)).is_empty());
+    // No store has it any more: the text starts over.
+    stores[1].version = 6;
+    let placements = plan.place(ms(1), &mut stores, rules(true));
+    assert_eq!((placements[0].only_version, placements[0].text.last_id()), (None, None));
+}
+
+#[test]
+fn text_of_several_versions_goes_on_anywhere_where_the_route_allows_it() {
+    let mut plan = JobPlan::new(job(1, 1, 1, 4), &[], 1);
+    let mut mixed = text(2, 5);
+    add(&mut mixed, 3, 6);
+    plan.keep_text(0, mixed, rules(false));
+    let mut stores = vec![store("old", 3, 0), store("newer", 7, 5)];
+    let placements = plan.place(ms(0), &mut stores, rules(false));
+    assert_eq!(placed(&placements, &stores), [(0, "newer".to_owned())]);
+    assert_eq!((placements[0].only_version, placements[0].text.last_id()), (None, Some(3)));
+}
+
+#[parameterized(
+    too_old = { 3, 3, false },
+    two_versions_where_one_is_allowed = { 5, 6, true },
+)]
+fn kept_text_whose_versions_do_not_fit_is_not_used(first: u64, second: u64, single: bool) {
+    let mut plan = JobPlan::new(job(1, 1, 1, 4), &[], 1);
+    let mut kept = text(2, first);
+    add(&mut kept, 3, second);
+    plan.keep_text(0, kept, rules(single));
+    let placements = plan.place(ms(0), &mut [store("a", 6, 0)], rules(single));
+    assert_eq!(placements[0].text.last_id(), None);
+}
+
+#[test]
+fn items_without_a_group_stand_alone() {
+    let mut lone = (*job(1, 3, 3, 1)).clone();
+    lone.items.iter_mut().for_each(|item| item.group.clear());
+    let mut plan = JobPlan::new(lone.into(), &[], 1);
+    let mut stores = vec![StoreView { limit: 2, ..store("a", 1, 0) }];
+    assert_eq!(plan.place(ms(0), &mut stores, rules(false)).len(), 2);
+}
+
+#[test]
+fn nothing_is_placed_or_started_over_where_no_store_is_known() {
+    let mut plan = JobPlan::new(job(1, 1, 1, 4), &[], 1);
+    plan.keep_text(0, text(7, 5), rules(true));
+    assert!(plan.place(ms(0), &mut [], rules(true)).is_empty());
+    let placements = plan.place(ms(1), &mut [store("same", 5, 0)], rules(true));
+    assert_eq!(placements[0].text.last_id(), Some(7));
+}
--- /dev/null
+++ b/system/data/tests/rollout_plan_common/mod.rs
@@ -0,0 +1,85 @@
+//! Batch jobs and stores for tests of the plan.
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gingerledge_data::rollout::events::Event;
+use gingerledge_data::rollout::plan::{Placement, Rules, StoreView, Text};
+use gingerledge_wire::{ItemRecord, JobRecord, ScoringRecord};
+
+/// A batch job of groups of equal size.
+pub fn job(groups: usize, size: usize, desired: u64, min_version: u64) -> Arc<JobRecord> {
+    let items = (0..groups * size).map(|index| item(index, format!("g{}", index / size)));
+    Arc::new(JobRecord {
+        id: "job".to_owned(),
+        host: "host".to_owned(),
+        path: "/job/".to_owned(),
+        step: 0,
+        model: "model".to_owned(),
+        min_version,
+        desired,
+        accepted_unix_ms: 0,
+        items: items.collect(),
+    })
+}
+
+pub fn item(index: usize, group: String) -> ItemRecord {
+    let scoring = ScoringRecord {
+        id: format!("r{index}"),
+        host: "host".to_owned(),
+        path: "/reward/".to_owned(),
+        body: Vec::new(),
+    };
+    ItemRecord {
+        id: format!("i{index}"),
+        path: "/job/x".to_owned(),
+        headers: Vec::new(),
+        body: Vec::new(),
+        tokens: 100,
+        group,
+        scoring: Some(scoring),
+    }
+}
+
+pub fn rules(single_version: bool) -> Rules {
+    Rules { single_version, max_attempts: 3, retained_until: None }
+}
+
+/// A store with room for plenty.
+pub fn store(id: &str, version: u64, out: u32) -> StoreView {
+    StoreView {
+        id: Rc::from(id),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        version,
+        out,
+        limit: 14,
+        avoided: false,
+        own_zone: false,
+        pace_percent: 100,
+    }
+}
+
+/// Adds an event whose data tells its id and its version.
+pub fn add(text: &mut Text, id: u64, version: u64) {
+    let data = format!("{id}v{version}");
+    text.add(Event { id, version: None, data: data.as_bytes() }, Some(version));
+}
+
+/// A text of the events from 1 to `last`.
+pub fn text(last: u64, version: u64) -> Text {
+    let mut text = Text::default();
+    (1..=last).for_each(|id| add(&mut text, id, version));
+    text
+}
+
+/// The items that were placed, with the ids of their stores.
+pub fn placed(placements: &[Placement], stores: &[StoreView]) -> Vec<(u32, String)> {
+    placements.iter().map(|placement| (placement.item, stores[placement.store].id.to_string())).collect()
+}
+
+pub const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
--- /dev/null
+++ b/system/data/tests/rollout_room.rs
@@ -0,0 +1,80 @@
+//! How much room a store is taken to have, and how fast it is taken to be.
+
+mod rollout_plan_common;
+
+use gingerledge_data::rollout::plan::{Paces, Rooms};
+use rollout_plan_common::ms;
+
+const SLOTS: u32 = 12;
+
+#[test]
+fn a_store_has_room_for_its_slots_and_a_few() {
+    assert_eq!(Rooms::default().limit("a", SLOTS, ms(0)), 14);
+    assert_eq!(Rooms::default().limit("a", 0, ms(0)), 3, "a store that tells no slots has one");
+}
+
+#[test]
+fn a_refusal_closes_a_store_for_a_moment_and_then_keeps_it_at_what_it_had() {
+    let mut rooms = Rooms::default();
+    rooms.refused("a", 5, ms(1_000));
+    assert_eq!(rooms.limit("a", SLOTS, ms(1_000)), 0);
+    assert_eq!(rooms.limit("b", SLOTS, ms(1_000)), 14, "others are not concerned");
+    assert_eq!(rooms.limit("a", SLOTS, ms(1_100)), 5);
+}
+
+#[test]
+fn a_store_gets_back_its_room_by_successes_and_by_time() {
+    let mut rooms = Rooms::default();
+    rooms.refused("a", 5, ms(0));
+    rooms.succeeded("a");
+    assert_eq!(rooms.limit("a", SLOTS, ms(100)), 6);
+    assert_eq!(rooms.limit("a", SLOTS, ms(400)), 8);
+    assert_eq!(rooms.limit("a", SLOTS, ms(10_000)), 14);
+}
+
+#[test]
+fn a_store_that_has_nothing_of_this_edge_is_tried_with_one() {
+    let mut rooms = Rooms::default();
+    rooms.refused("a", 0, ms(0));
+    assert_eq!(rooms.limit("a", SLOTS, ms(100)), 1);
+}
+
+#[test]
+fn refusals_in_a_row_close_a_store_longer_up_to_a_most() {
+    let mut rooms = Rooms::default();
+    let mut now = ms(0);
+    let mut closed = Vec::new();
+    for _ in 0..8 {
+        rooms.refused("a", 1, now);
+        // Another that was on its way tells nothing new.
+        rooms.refused("a", 1, now);
+        let open =
+            (0..2_000).map(|later| now + ms(later)).find(|&at| rooms.limit("a", SLOTS, at) > 0).unwrap();
+        closed.push((open - now).as_millis());
+        now = open;
+    }
+    assert_eq!(closed, [25, 50, 100, 200, 400, 400, 400, 400]);
+}
+
+#[test]
+fn a_store_is_slow_by_the_time_for_one_event() {
+    let mut paces = Paces::default();
+    for _ in 0..50 {
+        for store in ["a", "b", "c"] {
+            paces.seen(store, 20, ms(1_000));
+        }
+        paces.seen("slow", 20, ms(4_000));
+    }
+    assert!(paces.percent("a") < 100);
+    assert!(paces.percent("slow") > 175, "{}", paces.percent("slow"));
+    assert_eq!(paces.percent("unknown"), 100);
+    assert!(paces.usual() > ms(50) && paces.usual() < ms(200), "{:?}", paces.usual());
+}
+
+#[test]
+fn a_short_text_tells_nothing_of_the_pace() {
+    let mut paces = Paces::default();
+    paces.seen("a", 20, ms(1_000));
+    paces.seen("b", 1, ms(4_000));
+    assert_eq!(paces.percent("b"), 100);
+}
