--- a/system/data/src/rollout/driver.rs
+++ b/system/data/src/rollout/driver.rs
@@ -15,9 +15,10 @@
 use super::drive::{Carried, Drive, DriveKey, Outcome, MAX_DRIVES};
 use super::generation::{self, Order};
 use super::hold;
-use super::plan::{Ended, JobPlan, Placement, Rules, Step, StoreView};
+use super::plan::{Ended, JobPlan, Placement, Rules, Step};
 use super::{results, reward, stores};
-use crate::stores::StoreTarget;
+use crate::index::KnownStore;
+use crate::stores::CountGuard;
 use crate::Shared;
 
 /// Work that waits for room at the stores is looked at again that often, since a place may fall free without this edge's doing.
@@ -256,11 +257,11 @@
     if !drive.plan.wants_places(now) {
         return false;
     }
-    let service = service_of(route, &job.id).to_owned();
-    let mut views = stores::views(shared, &service, &job.model);
+    let (known, mut views) = stores::views(shared, service_of(route, &job.id), &job.model);
     for placement in drive.plan.place(now, &mut views, rules) {
-        let Some(view) = views.get(placement.store) else { continue };
-        start(shared, key, drive, placement, view, &service, rules);
+        if let Some(store) = known.get(placement.store) {
+            start(shared, key, drive, placement, Rc::clone(store), rules);
+        }
     }
     drive.plan.wants_places(now)
 }
@@ -297,17 +298,16 @@
     key: DriveKey,
     drive: &mut Drive,
     placement: Placement,
-    view: &StoreView,
-    service: &str,
+    store: Rc<KnownStore>,
     rules: Rules,
 ) {
     let job = Arc::clone(drive.plan.job());
     let Some(item) = job.items.get(placement.item as usize) else { return };
-    let counted = shared.counts.add(&view.id);
+    let counted = CountGuard::on(&store.out);
     let mut carried = Carried::new(shared, &job.model, &item.id, placement.text);
     let order = Order {
         item: placement.item,
-        target: StoreTarget { id: view.id.to_string(), address: view.address, service: service.to_owned() },
+        store,
         only_version: placement.only_version,
         single_version: rules.single_version,
         retained: rules.retained_until.map(|until| until.saturating_sub(shared.now())),
--- a/system/data/src/rollout/plan/item.rs
+++ b/system/data/src/rollout/plan/item.rs
@@ -35,9 +35,11 @@
 pub enum RewardEnded {
     /// A success with this stamp.
     Scored(String),
-    /// A store's own 500; `max_attempts` is the reward route's.
+    /// Stores' own 500s.
     Failed {
-        /// So many of them may end the item.
+        /// How many.
+        times: u32,
+        /// So many of them may end the item, by the reward route.
         max_attempts: u32,
     },
     /// Anything else.
@@ -169,8 +171,8 @@
                 self.state = State::Listed;
                 return ItemStep::Completed { score };
             }
-            RewardEnded::Failed { max_attempts } => {
-                self.reward_failures += 1;
+            RewardEnded::Failed { times, max_attempts } => {
+                self.reward_failures = self.reward_failures.saturating_add(times);
                 if self.reward_failures >= max_attempts.max(rules.max_attempts).max(1) {
                     return self.abandon();
                 }
--- a/system/data/src/rollout/plan/placement.rs
+++ b/system/data/src/rollout/plan/placement.rs
@@ -1,6 +1,5 @@
 //! Where the generations of a group go: batch-filling over the stores that are eligible.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,8 +13,6 @@
 pub struct StoreView {
     /// Its instance id.
     pub id: Rc<str>,
-    /// Where it serves.
-    pub address: SocketAddr,
     /// The version of the model's weights there.
     pub version: u64,
     /// Requests that this edge has out there, of all kinds.
--- a/system/data/src/rollout/reward.rs
+++ b/system/data/src/rollout/reward.rs
@@ -50,7 +50,7 @@
             RewardEnded::Scored(answer.signature)
         }
         Ok(answer) if answer.status == StatusCode::INTERNAL_SERVER_ERROR => {
-            RewardEnded::Failed { max_attempts }
+            RewardEnded::Failed { times: answer.server_errors.max(1), max_attempts }
         }
         Ok(_) | Err(_) => RewardEnded::Other,
     }
--- a/system/data/src/rollout/stores.rs
+++ b/system/data/src/rollout/stores.rs
@@ -3,22 +3,28 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use gingerledge_protocol::StoreState;
+use gingerledge_wire::{Key, Value};
 
 use super::plan::StoreView;
+use crate::index::KnownStore;
 use crate::Shared;
 
-/// What the registry says is read again after that long.
+/// Versions of weights are read again after that long.
 const REFRESH: Duration = Duration::from_millis(50);
 /// The most lists that are kept, one for each service and model.
 const MAX_LISTS: usize = 64;
 
+/// Stores of one service.
+pub(super) type Stores = Rc<Vec<Rc<KnownStore>>>;
+
+/// The versions of one model at the stores of one service.
 struct List {
     service: String,
     model: String,
     read: Duration,
-    /// With each store's slots.
-    stores: Vec<(StoreView, u32)>,
+    stores: Stores,
+    /// Ids and versions, in the order of the stores.
+    known: Vec<(Rc<str>, u64)>,
 }
 
 /// Lists of stores by service and model.
@@ -28,59 +34,48 @@
 }
 
 /// The stores of a service that take requests, as they stand now.
-pub(super) fn views(shared: &Shared, service: &str, model: &str) -> Vec<StoreView> {
+pub(super) fn views(shared: &Shared, service: &str, model: &str) -> (Stores, Vec<StoreView>) {
     let now = shared.now();
+    let stores = shared.stores_of(service);
     let mut cache = shared.rollout.views.borrow_mut();
-    let known = cache.lists.iter().position(|list| list.service == service && list.model == model);
-    let place = match known {
-        Some(place) if cache.lists[place].read + REFRESH > now => place,
-        Some(place) => {
-            cache.lists[place] = read(shared, service, model, now);
-            place
-        }
-        None => {
-            if cache.lists.len() >= MAX_LISTS {
-                cache.lists.clear();
-            }
-            cache.lists.push(read(shared, service, model, now));
-            cache.lists.len() - 1
-        }
+    let place = cache.lists.iter().position(|list| list.service == service && list.model == model);
+    let fresh = |list: &List| list.read + REFRESH > now && Rc::ptr_eq(&list.stores, &stores);
+    let list = match place.map(|place| cache.lists.swap_remove(place)).filter(fresh) {
+        Some(list) => list,
+        None => read(shared, service, model, &stores, now),
     };
     let mut rooms = shared.rollout.rooms.borrow_mut();
     let paces = shared.rollout.paces.borrow();
-    let stores = cache.lists.get(place).map_or(&[][..], |list| &list.stores);
-    stores
-        .iter()
-        .map(|(view, slots)| StoreView {
-            out: u32::try_from(shared.counts.count(&view.id)).unwrap_or(u32::MAX),
-            limit: rooms.limit(&view.id, *slots, now),
-            avoided: shared.health.avoid(&view.id, now),
-            pace_percent: paces.percent(&view.id),
-            ..view.clone()
-        })
-        .collect()
+    let known = stores.iter().zip(&list.known);
+    let views = known.map(|(store, (id, version))| StoreView {
+        id: Rc::clone(id),
+        version: *version,
+        out: u32::try_from(store.out.get()).unwrap_or(u32::MAX),
+        limit: rooms.limit(id, u32::try_from(store.slots).unwrap_or(u32::MAX), now),
+        avoided: shared.health.avoid(id, now),
+        own_zone: store.own_zone,
+        pace_percent: paces.percent(id),
+    });
+    let views = views.collect();
+    if cache.lists.len() >= MAX_LISTS {
+        cache.lists.clear();
+    }
+    cache.lists.push(list);
+    (stores, views)
 }
 
-fn read(shared: &Shared, service: &str, model: &str, now: Duration) -> List {
-    let zone = shared.zone();
-    let stores = shared.registry(|registry| {
-        let ready = registry
-            .stores()
-            .filter(|(_, store)| store.service == service && store.state == StoreState::Ready);
-        let views = ready.map(|(id, store)| {
-            let view = StoreView {
-                id: Rc::from(id),
-                address: store.address,
-                version: registry.loaded_version(id, store, model),
-                out: 0,
-                limit: 0,
-                avoided: false,
-                own_zone: store.zone == zone,
-                pace_percent: 0,
+fn read(shared: &Shared, service: &str, model: &str, stores: &Stores, now: Duration) -> List {
+    let known = shared.registry(|registry| {
+        let known = stores.iter().map(|store| {
+            let id = store.target.id.as_str();
+            let entry = registry.entry(&Key::Store(id.to_owned()));
+            let version = match entry.map(|entry| &entry.value) {
+                Some(Value::Store(record)) => registry.loaded_version(id, record, model),
+                _ => 0,
             };
-            (view, store.slots)
+            (Rc::from(id), version)
         });
-        views.collect()
+        known.collect()
     });
-    List { service: service.to_owned(), model: model.to_owned(), read: now, stores }
+    List { service: service.to_owned(), model: model.to_owned(), read: now, stores: Rc::clone(stores), known }
 }
--- a/system/data/tests/rollout_outcomes.rs
+++ b/system/data/tests/rollout_outcomes.rs
@@ -165,7 +165,9 @@
     let (mut plan, _) = at_store(rules(false));
     plan.generation_ended(ms(0), 0, text(2, 1), Ended::Whole, rules(false));
     let mut calls = 1;
-    while plan.reward_ended(ms(0), 0, RewardEnded::Failed { max_attempts }, rules(false)) == Step::Wait {
+    while plan.reward_ended(ms(0), 0, RewardEnded::Failed { times: 1, max_attempts }, rules(false))
+        == Step::Wait
+    {
         plan.due_rewards(ms(10_000));
         calls += 1;
     }
--- a/system/data/tests/rollout_plan_common/mod.rs
+++ b/system/data/tests/rollout_plan_common/mod.rs
@@ -1,7 +1,6 @@
 //! Batch jobs and stores for tests of the plan.
 #![allow(dead_code)]
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -52,7 +51,6 @@
 pub fn store(id: &str, version: u64, out: u32) -> StoreView {
     StoreView {
         id: Rc::from(id),
-        address: SocketAddr::from(([127, 0, 0, 1], 9)),
         version,
         out,
         limit: 14,
--- a/system/data/tests/rollout_plan_simulation.rs
+++ b/system/data/tests/rollout_plan_simulation.rs
@@ -214,7 +214,7 @@
             let ended = match self.random.u32(..10) {
                 0 if !self.calm() => {
                     *self.reward_failures.entry(item).or_default() += 1;
-                    RewardEnded::Failed { max_attempts: MAX_ATTEMPTS }
+                    RewardEnded::Failed { times: 1, max_attempts: MAX_ATTEMPTS }
                 }
                 1 | 2 => RewardEnded::Other,
                 _ => RewardEnded::Scored(format!("stamp of {item}")),
