Test the control state and the checks of configurations; judge retiring behind a read barrier

A minority node answered 404 for a backend it had lost sight of; now only a node that the chain has just confirmed judges, and one that misses a chain's member says 503.

--- a/system/control/src/node/chain.rs
+++ b/system/control/src/node/chain.rs
@@ -13,6 +13,8 @@
 
 /// Time between attempts to write everything anew on a disk that refuses.
 const DISK_RETRY: Duration = Duration::from_millis(500);
+/// Most confirmed ticks that wait until what they stand for is applied.
+const MAX_UNAPPLIED_TICKS: usize = 16;
 
 impl Node {
     pub(super) fn chain_event(&mut self, event: ChainEvent) {
@@ -81,6 +83,7 @@
             let entries = self.state.changed_entries(&command);
             self.learn(entries);
         }
+        self.pass_ticks_on();
         if reply_to == self.me.address {
             self.finish_submission(request, Some(outcome));
         } else if reply {
@@ -95,11 +98,28 @@
         }
         let entries = self.state.registry_entries();
         self.learn(entries);
+        self.pass_ticks_on();
     }
 
     /// A tick says that what was committed up to a number is what counts now; it goes down the tree once that is applied here.
     fn confirmed_tick(&mut self, tick: Tick, committed: u64) {
-        if self.chain.applied() >= committed {
+        if self.unapplied_ticks.len() >= MAX_UNAPPLIED_TICKS {
+            self.unapplied_ticks.pop_front();
+        }
+        self.unapplied_ticks.push_back((tick, committed));
+        self.pass_ticks_on();
+    }
+
+    fn pass_ticks_on(&mut self) {
+        let mut newest = None;
+        while let Some(&(tick, committed)) = self.unapplied_ticks.front() {
+            if committed > self.chain.applied() {
+                break;
+            }
+            newest = Some(tick);
+            self.unapplied_ticks.pop_front();
+        }
+        if let Some(tick) = newest {
             self.relay_event(gingerledge_relay::Event::Tick(tick));
         }
     }
--- a/system/control/src/node/coordinate.rs
+++ b/system/control/src/node/coordinate.rs
@@ -20,7 +20,7 @@
 use weights::EngineSpecs;
 
 /// An order may be on its way for this long, so that the turns of two holders keep so much more apart.
-const ORDER_TRAVEL: Duration = Duration::from_millis(1_500);
+const ORDER_TRAVEL: Duration = Duration::from_millis(400);
 
 /// How far this node is in becoming the coordinator.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/system/control/src/node/mod.rs
+++ b/system/control/src/node/mod.rs
@@ -18,7 +18,7 @@
 mod submissions;
 mod submit;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,7 +28,7 @@
 use gingerledge_relay::Relay;
 use gingerledge_storage::WriterEvent;
 use gingerledge_transport::{Inbox, Network};
-use gingerledge_wire::{ControlMessage, Envelope, Key, NodeRecord};
+use gingerledge_wire::{ControlMessage, Envelope, Key, NodeRecord, Tick};
 use tokio::sync::mpsc::{Receiver, UnboundedReceiver};
 use tokio::sync::oneshot::Sender;
 use tokio::time::Instant;
@@ -52,6 +52,8 @@
 const EVENTS_AT_ONCE: usize = 64;
 /// A pause of the whole process longer than this is told to the sessions.
 const PROCESS_PAUSE: Duration = Duration::from_millis(700);
+/// What is under way when the process is told to stop has this long.
+const LONGEST_STOP: Duration = Duration::from_millis(1_500);
 /// How long a change is held back until the other control nodes have it.
 const SHARE_PATIENCE: Duration = Duration::from_millis(400);
 
@@ -71,6 +73,7 @@
     network: Network<Envelope>,
     chain: ControlChain,
     chain_actions: Vec<ChainAction>,
+    unapplied_ticks: VecDeque<(Tick, u64)>,
     state: ControlState,
     founders: Vec<u64>,
     disk: DiskDriver,
@@ -101,13 +104,13 @@
 }
 
 impl Node {
-    /// Runs until `stop` resolves, and then until what is under way is answered.
+    /// Runs until `stop` resolves, and then until nobody asks any more, but not for long.
     pub async fn run(mut self, mut sources: Sources, stop: impl std::future::Future<Output = ()>) {
         tokio::pin!(stop);
         let mut stopped_at = None;
         loop {
             self.settle();
-            if stopped_at.is_some_and(|at| self.may_end(at)) {
+            if stopped_at.is_some_and(|at| self.now() >= at + LONGEST_STOP) {
                 break;
             }
             let timer = tokio::time::sleep_until(self.started + self.next_timer());
@@ -211,13 +214,6 @@
         self.release_lease();
     }
 
-    /// Nothing is under way that somebody waits for.
-    fn may_end(&self, stopped_at: Duration) -> bool {
-        const LONGEST: Duration = Duration::from_millis(1_500);
-        let idle = self.submissions.is_empty() && self.reads.is_empty() && self.answers.is_empty();
-        idle || self.now() >= stopped_at + LONGEST
-    }
-
     fn say_farewell(&mut self) {
         let farewell = ControlMessage::Farewell { incarnation: self.me.incarnation };
         for record in self.book.records() {
--- a/system/control/src/node/requests.rs
+++ b/system/control/src/node/requests.rs
@@ -1,10 +1,12 @@
 //! Questions of the HTTP side.
 
-use gingerledge_chain::ChainEvent;
-use gingerledge_protocol::{Heartbeat, StoreState};
-use gingerledge_wire::{Command, Key, NodeRecord, Role, StoreRecord, Value};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
+
+use gingerledge_chain::ChainEvent;
+use gingerledge_protocol::{Heartbeat, StoreState};
+use gingerledge_wire::{Command, Key, NodeRecord, RetireState, Role, StoreRecord, Value};
 use tokio::sync::oneshot::Sender;
 
 use super::request::{BeginRetire, Confirmed, Request};
@@ -21,7 +23,9 @@
 #[derive(Debug)]
 pub(super) enum Read {
     Configuration(Sender<Confirmed<Option<Arc<Vec<u8>>>>>),
-    Retire(String, Sender<Confirmed<Option<gingerledge_wire::RetireState>>>),
+    Retire(String, Sender<Confirmed<Option<RetireState>>>),
+    /// Whether a backend is unknown, or too few are left, is judged only by a node in touch with the chain.
+    BeginRetire(String, Sender<BeginRetire>),
 }
 
 impl Node {
@@ -30,7 +34,7 @@
             Request::Submit { command, reply } => self.submit_call(command, reply),
             Request::ReadConfiguration { reply } => self.begin_read(Read::Configuration(reply)),
             Request::ReadRetire { name, reply } => self.begin_read(Read::Retire(name, reply)),
-            Request::BeginRetire { name, reply } => self.begin_retire(name, reply),
+            Request::BeginRetire { name, reply } => self.begin_read(Read::BeginRetire(name, reply)),
             Request::Heartbeat { id, heartbeat, reply } => self.take_heartbeat(id, heartbeat, reply),
             Request::Deregister { id, reply } => {
                 let key = Key::Store(id);
@@ -64,6 +68,10 @@
                 let state = self.state.retiring().get(&name).map(|retiring| retiring.state);
                 let _ = reply.send(confirmed.then_some(state));
             }
+            Read::BeginRetire(name, reply) if confirmed => self.begin_retire(name, reply),
+            Read::BeginRetire(_, reply) => {
+                let _ = reply.send(BeginRetire::NotNow);
+            }
         }
     }
 
@@ -90,22 +98,37 @@
     }
 
     fn begin_retire(&mut self, name: String, reply: Sender<BeginRetire>) {
-        if let Some(retiring) = self.state.retiring().get(&name) {
-            let command = Command::BeginRetire { name, member: retiring.member };
-            self.submit_retire(command, reply);
+        let here = self.backend_named(&name).map(|backend| backend.member);
+        let before = self.state.retiring().get(&name).map(|retiring| retiring.member);
+        if let Some(member) = before.filter(|member| here.is_none_or(|here| here == *member)) {
+            self.submit_retire(Command::BeginRetire { name, member }, reply);
             return;
         }
-        let Some(backend) = self.backend_named(&name) else {
-            let settled = self.now() >= SESSIONS_SETTLED;
-            let _ = reply.send(if settled { BeginRetire::Unknown } else { BeginRetire::NotNow });
-            return;
+        match self.judge_retire(&name) {
+            Ok(member) => self.submit_retire(Command::BeginRetire { name, member }, reply),
+            Err(refusal) => {
+                let _ = reply.send(refusal);
+            }
+        }
+    }
+
+    /// The identity of the disk that would be emptied, or why not.
+    fn judge_retire(&self, name: &str) -> Result<u64, BeginRetire> {
+        let settled = self.now() >= SESSIONS_SETTLED;
+        let unless_unsettled = |refusal| if settled { refusal } else { BeginRetire::NotNow };
+        let Some(backend) = self.backend_named(name) else {
+            return Err(unless_unsettled(BeginRetire::Unknown));
         };
-        if self.backends_left_without(backend.member) < self.settings.fault_tolerance.machines + 1 {
-            let settled = self.now() >= SESSIONS_SETTLED;
-            let _ = reply.send(if settled { BeginRetire::TooFew } else { BeginRetire::NotNow });
-            return;
+        let left = self.backends_left_without(backend.member);
+        if left.len() > self.settings.fault_tolerance.machines {
+            return Ok(backend.member);
         }
-        self.submit_retire(Command::BeginRetire { name, member: backend.member }, reply);
+        let kept = |record: &gingerledge_wire::PartitionRecord| {
+            record.chain.iter().all(|member| *member == backend.member || left.contains(member))
+        };
+        // A member of a chain that is silent now may be back at once.
+        let all_there = self.state.partitions().all().all(|(_, record)| kept(record));
+        Err(if all_there { unless_unsettled(BeginRetire::TooFew) } else { BeginRetire::NotNow })
     }
 
     fn backend_named(&self, name: &str) -> Option<NodeRecord> {
@@ -113,12 +136,12 @@
         nodes.find(|node| node.role == Role::Backend && node.name == name).cloned()
     }
 
-    fn backends_left_without(&self, member: u64) -> usize {
+    fn backends_left_without(&self, member: u64) -> BTreeSet<u64> {
         let retiring = self.state.retiring();
         let others = self.relay.registry().nodes().filter(|node| {
             node.role == Role::Backend && node.member != member && !retiring.contains_member(node.member)
         });
-        others.map(|node| node.member).collect::<std::collections::BTreeSet<u64>>().len()
+        others.map(|node| node.member).collect()
     }
 }
 
--- a/system/control/src/node/start.rs
+++ b/system/control/src/node/start.rs
@@ -1,7 +1,7 @@
 //! How a control node starts: opens its disk, finds out who it is, and either founds the system, joins it, or goes on where its disk
 //! left off.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
@@ -109,6 +109,7 @@
         book: AddressBook::new(identity.member, founder_records(&settings, &identity, kept.book)),
         chain,
         chain_actions: Vec::new(),
+        unapplied_ticks: VecDeque::new(),
         state: ControlState::default(),
         founders: identity.founders,
         disk,
--- /dev/null
+++ b/system/control/tests/state.rs
@@ -0,0 +1,222 @@
+//! The durable state: what each command leads to, also when it comes again.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use gingerledge_control::state::{ControlState, TAKEN_HISTORY};
+use gingerledge_wire::{Command, Key, Outcome, PartitionRecord, RetireState, Value, PARTITIONS};
+use yare::parameterized;
+
+fn replace(base: u64, version: u64, text: &str) -> Command {
+    Command::ReplaceConfiguration { base, version, json: Arc::new(text.as_bytes().to_vec()) }
+}
+
+fn name(version: u64) -> Command {
+    Command::NameVersion { model: "m".to_owned(), version }
+}
+
+fn address(last: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, last], 7380))
+}
+
+fn take_fence(last: u8, incarnation: u64) -> Command {
+    Command::TakeFence { incarnation, address: address(last) }
+}
+
+fn set(epoch: u64, chain: &[u64], full: &[u64], fence: u64) -> Command {
+    let record = PartitionRecord { epoch, chain: chain.to_vec(), full: full.to_vec() };
+    Command::SetPartition { partition: 3, record, fence }
+}
+
+/// Applies commands in order and returns the outcome of the last.
+fn outcome(commands: &[Command]) -> (ControlState, Outcome) {
+    let mut state = ControlState::default();
+    let mut last = Outcome::Taken;
+    for (at, command) in commands.iter().enumerate() {
+        last = state.apply(at as u64 + 1, command);
+    }
+    (state, last)
+}
+
+const CONFLICT_AT_5: Outcome = Outcome::Conflict { current: 5 };
+
+#[parameterized(
+    first = { &[replace(0, 5, "a")], Outcome::Taken },
+    on_top = { &[replace(0, 5, "a"), replace(5, 9, "b")], Outcome::Taken },
+    again = { &[replace(0, 5, "a"), replace(0, 5, "a")], Outcome::Taken },
+    again_when_superseded = { &[replace(0, 5, "a"), replace(5, 9, "b"), replace(0, 5, "a")], Outcome::Taken },
+    lost_race = { &[replace(0, 5, "a"), replace(0, 6, "b")], CONFLICT_AT_5 },
+    same_number_other_text = { &[replace(0, 5, "a"), replace(0, 5, "b")], CONFLICT_AT_5 },
+    base_unknown_yet = { &[replace(0, 5, "a"), replace(7, 9, "b")], CONFLICT_AT_5 },
+    refused_stays_refused = {
+        &[replace(0, 5, "a"), replace(7, 9, "b"), replace(5, 7, "c"), replace(7, 9, "b")],
+        Outcome::Conflict { current: 7 }
+    },
+)]
+fn configurations(commands: &[Command], expected: Outcome) {
+    assert_eq!(outcome(commands).1, expected);
+}
+
+#[parameterized(zero_first = { 0, 0 }, same = { 5, 5 }, lower = { 5, 3 })]
+fn a_version_that_does_not_rise_is_invalid(base: u64, version: u64) {
+    let (_, last) = outcome(&[replace(0, base, "a"), replace(base, version, "b")]);
+    assert!(matches!(last, Outcome::Invalid { .. }), "{last:?}");
+}
+
+#[test]
+fn the_newest_configuration_stays_whole() {
+    let (state, _) =
+        outcome(&[replace(0, 5, "a"), replace(5, 9, "b"), replace(5, 8, "c"), replace(0, 5, "a")]);
+    assert_eq!(state.configuration().version(), 9);
+    assert_eq!(state.configuration().json().map(|json| json.as_slice()), Some(b"b".as_slice()));
+    assert_eq!(state.configuration().sequence(), 2);
+}
+
+#[test]
+fn a_day_of_changes_is_remembered_and_bounded() {
+    let mut state = ControlState::default();
+    let changes = TAKEN_HISTORY as u64 + 10;
+    for version in 1..=changes {
+        assert_eq!(state.apply(version, &replace(version - 1, version, "text")), Outcome::Taken);
+    }
+    assert_eq!(state.apply(changes + 1, &replace(20, 21, "text")), Outcome::Taken);
+    let forgotten = state.apply(changes + 2, &replace(0, 1, "text"));
+    assert_eq!(forgotten, Outcome::Conflict { current: changes });
+}
+
+#[parameterized(
+    first = { &[2], 2 }, in_order = { &[2, 3], 3 }, again = { &[2, 2], 2 }, older = { &[2, 3, 2], 3 }, gap = { &[2, 5], 5 }
+)]
+fn versions_only_rise(named: &[u64], expected: u64) {
+    let commands: Vec<Command> = named.iter().copied().map(name).collect();
+    let (state, last) = outcome(&commands);
+    assert_eq!(last, Outcome::Taken);
+    assert_eq!(state.versions().get("m"), Some(&expected));
+}
+
+#[test]
+fn fencing_tokens_rise_by_one_and_tell_whether_another_machine_ever_had_one() {
+    let mut state = ControlState::default();
+    let mut sole = Vec::new();
+    for (at, (machine, incarnation)) in [(1, 10), (1, 11), (2, 20), (1, 12), (1, 13)].into_iter().enumerate()
+    {
+        assert_eq!(
+            state.apply(at as u64 + 1, &take_fence(machine, incarnation)),
+            Outcome::Fence(at as u64 + 1)
+        );
+        sole.extend(state.fence().map(|fence| fence.sole));
+    }
+    assert_eq!(sole, [true, true, false, false, false]);
+}
+
+#[parameterized(
+    first = { &[set(1, &[1, 2], &[1, 2], 1)], Outcome::Taken },
+    again = { &[set(1, &[1, 2], &[1, 2], 1), set(1, &[1, 2], &[1, 2], 1)], Outcome::Taken },
+    next = { &[set(1, &[1, 2], &[1, 2], 1), set(2, &[1, 3], &[1], 1)], Outcome::Taken },
+    epoch_skipped = { &[set(1, &[1, 2], &[1, 2], 1), set(3, &[1, 3], &[1], 1)], Outcome::Conflict { current: 1 } },
+    epoch_taken = { &[set(1, &[1, 2], &[1, 2], 1), set(1, &[1, 3], &[1], 1)], Outcome::Conflict { current: 1 } },
+    older_fence = { &[take_fence(2, 2), set(1, &[1, 2], &[1, 2], 1)], Outcome::Conflict { current: 2 } },
+)]
+fn partitions(commands: &[Command], expected: Outcome) {
+    let mut all = vec![take_fence(1, 1)];
+    all.extend(commands.iter().cloned());
+    assert_eq!(outcome(&all).1, expected);
+}
+
+#[parameterized(
+    no_full_member_kept = { set(2, &[3, 4], &[], 1) },
+    full_that_was_not = { set(2, &[1, 3], &[1, 3], 1) },
+    full_outside_chain = { set(2, &[1, 3], &[1, 2], 1) },
+    member_twice = { set(2, &[1, 1], &[1], 1) },
+    empty = { set(2, &[], &[], 1) },
+    no_such_partition = {
+        Command::SetPartition {
+            partition: PARTITIONS,
+            record: PartitionRecord { epoch: 1, chain: vec![1], full: vec![1] },
+            fence: 1,
+        }
+    },
+)]
+fn a_chain_that_would_lose_data_is_never_taken(change: Command) {
+    let (state, last) = outcome(&[take_fence(1, 1), set(1, &[1, 2], &[1, 2], 1), change]);
+    assert!(matches!(last, Outcome::Invalid { .. }), "{last:?}");
+    assert_eq!(state.partitions().get(3).map(|record| record.epoch), Some(1));
+}
+
+#[parameterized(
+    member = { 2, 3, Outcome::Taken, 2 },
+    of_an_older_epoch = { 1, 3, Outcome::Conflict { current: 2 }, 1 },
+    full_already = { 2, 1, Outcome::Taken, 1 },
+)]
+fn a_member_becomes_full(epoch: u64, member: u64, expected: Outcome, full: usize) {
+    let mark = Command::PartitionFull { partition: 3, epoch, member };
+    let (state, last) =
+        outcome(&[take_fence(1, 1), set(1, &[1, 2], &[1, 2], 1), set(2, &[1, 3], &[1], 1), mark]);
+    assert_eq!(last, expected);
+    assert_eq!(state.partitions().get(3).map(|record| record.full.len()), Some(full));
+}
+
+#[test]
+fn a_full_member_raises_the_entry_that_all_nodes_see() {
+    let (state, _) = outcome(&[take_fence(1, 1), set(1, &[1, 2], &[1, 2], 1), set(2, &[1, 3], &[1], 1)]);
+    let before = state.changed_entries(&set(2, &[1, 3], &[1], 1));
+    let mut state = state;
+    let mark = Command::PartitionFull { partition: 3, epoch: 2, member: 3 };
+    state.apply(9, &mark);
+    let after = state.changed_entries(&mark);
+    assert!(after[0].version > before[0].version);
+    let next = set(3, &[1, 3], &[1, 3], 1);
+    state.apply(10, &next);
+    assert!(state.changed_entries(&next)[0].version > after[0].version);
+}
+
+#[test]
+fn a_backend_is_complete_only_once_no_chain_has_it() {
+    let begin = Command::BeginRetire { name: "b-1".to_owned(), member: 1 };
+    let complete = Command::CompleteRetire { name: "b-1".to_owned(), member: 1 };
+    let (mut state, last) =
+        outcome(&[take_fence(1, 1), set(1, &[1, 2], &[1, 2], 1), begin.clone(), complete.clone()]);
+    assert!(matches!(last, Outcome::Invalid { .. }));
+    assert_eq!(state.retiring().get("b-1").map(|retiring| retiring.state), Some(RetireState::Active));
+    assert_eq!(state.apply(8, &set(2, &[2, 3], &[2], 1)), Outcome::Taken);
+    assert_eq!(state.apply(9, &complete), Outcome::Taken);
+    assert_eq!(state.apply(10, &begin), Outcome::Taken);
+    assert_eq!(state.retiring().get("b-1").map(|retiring| retiring.state), Some(RetireState::Completed));
+}
+
+#[test]
+fn a_snapshot_brings_everything_back() {
+    let (state, _) = outcome(&[
+        take_fence(1, 1),
+        replace(0, 5, "a"),
+        replace(7, 8, "never"),
+        name(2),
+        set(1, &[1, 2], &[1, 2], 1),
+        Command::BeginRetire { name: "b-1".to_owned(), member: 1 },
+    ]);
+    let mut restored = ControlState::restore(&state.snapshot()).expect("own snapshot");
+    assert_eq!(restored, state);
+    assert_eq!(restored.apply(9, &replace(0, 5, "a")), Outcome::Taken);
+    let keys: Vec<Key> = restored.registry_entries().into_iter().map(|entry| entry.key).collect();
+    assert_eq!(
+        keys,
+        [Key::Configuration, Key::NamedVersion("m".to_owned()), Key::Partition(3), Key::Coordinator]
+    );
+}
+
+#[test]
+fn a_damaged_snapshot_is_an_error() {
+    assert!(ControlState::restore(&[0xff; 3]).is_err());
+    assert_eq!(ControlState::restore(&[]).expect("empty"), ControlState::default());
+}
+
+#[test]
+fn the_entry_of_the_configuration_carries_the_bytes_as_sent() {
+    let command = replace(0, 5, "{ \"as\" : \"sent\" }");
+    let (state, _) = outcome(&[Command::Nothing, command.clone()]);
+    let entries = state.changed_entries(&command);
+    assert_eq!(entries[0].version, 2);
+    assert!(
+        matches!(&entries[0].value, Value::Configuration(json) if json.as_slice() == b"{ \"as\" : \"sent\" }")
+    );
+}
