Edge: change the list of stores entry by entry, prefer stores that read a prompt, refuse what can't be in time

The list was built anew at each change of a store, too dear with thousands of them. A store that was silent only because the time was up no longer counts as failed. One runtime whose tasks stay on the thread takes the place of a LocalSet inside another.

--- a/system/bin/src/bin/gingerledge-edge.rs
+++ b/system/bin/src/bin/gingerledge-edge.rs
@@ -6,6 +6,7 @@
 use gingerledge_data::node::{self, NodeError};
 use gingerledge_system::{check_settings, command_line, init_log, read_settings, Action, StartError};
 use snafu::Snafu;
+use tokio::runtime::{Builder, LocalOptions};
 
 /// Why the program ends with a failure.
 #[derive(Debug, Snafu)]
@@ -41,7 +42,7 @@
 fn run() -> Result<(), Failure> {
     init_log()?;
     let settings = read_settings()?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default())?;
     runtime.block_on(node::run(settings, read_settings))?;
     Ok(())
 }
--- a/system/data/src/forward/attempts.rs
+++ b/system/data/src/forward/attempts.rs
@@ -10,14 +10,21 @@
 use tokio::time::timeout;
 
 use super::outgoing::Outgoing;
+use crate::headers;
 use crate::index::KnownStore;
-use crate::routing::{choose, connect_time, head_time, next_step, pick_service, silence_time, Next, Sent};
+use crate::routing::{
+    choose, connect_time, head_time, next_step, pick_service, silence_time, waits_too_long, Candidate, Next,
+    Prompt, Sent,
+};
 use crate::stores::{Attempt, Cause, CountGuard, Load, Refusal, StoreAnswer, StoreBody, Timings};
 use crate::Shared;
 
 /// Bodies up to this length are read whole before the client gets the head, so that a cut can still be repaired.
 const WHOLE_BODY_BYTES: u64 = 64 * 1024;
 
+/// A store that is silent for less than this is not taken to have failed.
+const SILENCE_OF_A_FAILURE: Duration = Duration::from_millis(250);
+
 /// An answer that has come whole.
 pub struct Whole {
     /// The store's status.
@@ -67,18 +74,22 @@
     tried: Vec<Rc<KnownStore>>,
     own_failure: Option<Whole>,
     server_errors: u32,
+    asked_at: Duration,
+    prompts: Vec<Prompt>,
 }
 
 impl Attempts {
     /// None made yet.
     pub fn new(shared: Rc<Shared>, outgoing: Rc<Outgoing>) -> Self {
         Self {
+            prompts: prompts(&outgoing),
             shared,
             outgoing,
             sent: Sent::default(),
             tried: Vec::new(),
             own_failure: None,
             server_errors: 0,
+            asked_at: Duration::ZERO,
         }
     }
 
@@ -127,30 +138,52 @@
         self.outgoing.until.saturating_sub(self.shared.now())
     }
 
+    /// The time since a store was asked last.
+    fn waited(&self) -> Duration {
+        self.shared.now().saturating_sub(self.asked_at)
+    }
+
     fn next_step(&self) -> Next {
         let route = &self.outgoing.route;
         next_step(&self.sent, route.max_attempts(), route.idempotent(), self.left())
     }
 
-    /// The store to ask next: of the service that the weights pick, else of another one of the route.
+    /// The store to ask next: of the service that the weights pick, else of another one of the route. None if there is none
+    /// that could serve the request in time.
     fn choose(&self) -> Option<Rc<KnownStore>> {
         let route = &self.outgoing.route;
         let picked = pick_service(&route.weights, fastrand::f64())?;
         let others = (0..route.services.len()).filter(|&place| place != picked && route.weights[place] > 0.0);
-        std::iter::once(picked).chain(others).find_map(|place| self.choose_of(&route.services[place]))
+        let store = std::iter::once(picked).chain(others).find_map(|place| self.choose_of(place))?;
+        let load = store.load(self.shared.now());
+        (!waits_too_long(load, route.usual.get(), self.left())).then_some(store)
     }
 
-    fn choose_of(&self, service: &str) -> Option<Rc<KnownStore>> {
+    fn choose_of(&self, place: usize) -> Option<Rc<KnownStore>> {
         let now = self.shared.now();
-        let stores = self.shared.stores_of(service);
+        let stores = self.shared.stores_of(self.outgoing.route.services.get(place)?);
+        let affinity = self.shared.affinity.borrow();
+        let preferred = self.prompts.get(place).and_then(|prompt| affinity.prefer(prompt));
         let candidates = stores.iter().map(|store| {
-            let avoided = self.shared.health.avoid(&store.target.id, now);
-            let tried = self.tried.iter().any(|tried| tried.target.id == store.target.id);
-            store.candidate(now, avoided, tried)
+            let id = store.target.id.as_str();
+            let avoided = self.shared.health.avoid(id, now);
+            let tried = self.tried.iter().any(|tried| tried.target.id == id);
+            let bonus = preferred.filter(|&(preferred, _)| preferred == id).map_or(0, |(_, bonus)| bonus);
+            Candidate { bonus, ..store.candidate(now, avoided, tried) }
         });
         choose(candidates, fastrand::u64(..)).and_then(|place| stores.get(place).cloned())
     }
 
+    /// The store has read the request's prompt.
+    fn note_prompt(&self, store: &KnownStore) {
+        let services = &self.outgoing.route.services;
+        let prompts =
+            self.prompts.iter().zip(services).filter(|(_, service)| **service == store.target.service);
+        for (prompt, _) in prompts {
+            self.shared.affinity.borrow_mut().note(prompt, &store.target.id);
+        }
+    }
+
     async fn ask(
         &mut self,
         store: &Rc<KnownStore>,
@@ -164,10 +197,11 @@
         let silence =
             silence_time(left, route.objective, route.kind == RouteKind::Streaming && route.idempotent());
         let timings = Timings { connect: connect_time(left), head, silence };
-        let began = self.shared.now();
+        self.asked_at = self.shared.now();
         let request = self.outgoing.attempt(left, last_event);
         let answer = self.shared.stores.send(&store.target, request, timings).await?;
-        self.outgoing.route.usual.note(self.shared.now().saturating_sub(began));
+        self.outgoing.route.usual.note(self.waited());
+        self.note_prompt(store);
         Ok(answer)
     }
 
@@ -235,6 +269,8 @@
         match attempt.cause {
             Cause::Refused(refusal) => self.note_refusal(store, refusal),
             Cause::Busy => None,
+            // The time was up, which says little of the store.
+            Cause::Silent if self.waited() < SILENCE_OF_A_FAILURE => None,
             Cause::Connect | Cause::Broken | Cause::Garbled | Cause::Silent => {
                 self.shared.health.failed(&store.target.id, self.shared.now());
                 None
@@ -258,3 +294,12 @@
         None
     }
 }
+
+/// The request's prompt at each service of its route, where they keep what they have read.
+fn prompts(outgoing: &Outgoing) -> Vec<Prompt> {
+    let parts =
+        headers::text(&outgoing.headers, &headers::PROMPT_PREFIX).filter(|_| outgoing.route.route.sticky);
+    let Some(parts) = parts else { return Vec::new() };
+    let model = headers::text(&outgoing.headers, &headers::MODEL).unwrap_or_default();
+    outgoing.route.services.iter().map(|service| Prompt::parse(service, model, parts)).collect()
+}
--- a/system/data/src/headers.rs
+++ b/system/data/src/headers.rs
@@ -22,10 +22,10 @@
 pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 /// The urgency of a request at an engine, 0 to 9.
 pub const PRIORITY: HeaderName = HeaderName::from_static("priority");
+/// The model of a request for tokens.
+pub const MODEL: HeaderName = HeaderName::from_static("model");
 /// The parts of a prompt.
 pub const PROMPT_PREFIX: HeaderName = HeaderName::from_static("prompt-prefix");
-/// The version of the weights, where a request begins to run.
-pub const WEIGHT_VERSIONS: HeaderName = HeaderName::from_static("weight-versions");
 
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
--- a/system/data/src/index.rs
+++ b/system/data/src/index.rs
@@ -1,12 +1,12 @@
-//! What the registry says of stores and routes, arranged for look-ups, and built anew only when it changed.
+//! The stores that take requests, as the registry tells, arranged for look-ups and changed entry by entry.
 
 use std::cell::Cell;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use gingerledge_protocol::StoreState;
-use gingerledge_wire::Registry;
+use gingerledge_wire::StoreRecord;
 
 use crate::routing::Candidate;
 use crate::stores::{Counts, Load, StoreTarget};
@@ -35,6 +35,26 @@
 }
 
 impl KnownStore {
+    fn new(id: &str, record: &StoreRecord, zone: &str, counts: &Counts) -> Self {
+        let target =
+            StoreTarget { id: id.to_owned(), address: record.address, service: record.service.clone() };
+        Self {
+            target,
+            slots: record.slots.max(1) as usize,
+            own_zone: record.zone == zone,
+            out: counts.counter(id),
+            told: Cell::new(None),
+        }
+    }
+
+    /// Whether the record says the same as this.
+    fn is(&self, record: &StoreRecord, zone: &str) -> bool {
+        self.target.address == record.address
+            && self.target.service == record.service
+            && self.slots == record.slots.max(1) as usize
+            && self.own_zone == (record.zone == zone)
+    }
+
     /// Takes in what the store told of its load.
     pub fn note_load(&self, load: Load, now: Duration) {
         let running = load.running as usize + load.waiting as usize;
@@ -56,6 +76,7 @@
             out: self.out.get(),
             others: self.told(now).map_or(0, |told| told.others),
             slots: self.slots,
+            bonus: 0,
             own_zone: self.own_zone,
             avoided,
             tried,
@@ -66,32 +87,24 @@
 /// Stores that take requests, by service.
 #[derive(Default)]
 pub struct StoreIndex {
-    ids: HashSet<String>,
+    known: HashMap<String, Rc<KnownStore>>,
     services: HashMap<String, Rc<Vec<Rc<KnownStore>>>>,
 }
 
 impl StoreIndex {
-    /// Reads the registry; what was known of a store's load stays.
-    pub fn build(registry: &Registry, zone: &str, counts: &Counts, old: &StoreIndex) -> Self {
-        let known = old.by_id();
-        let mut services: HashMap<String, Vec<Rc<KnownStore>>> = HashMap::new();
-        for (id, record) in registry.stores().filter(|(_, record)| record.state == StoreState::Ready) {
-            let target =
-                StoreTarget { id: id.to_owned(), address: record.address, service: record.service.clone() };
-            let store = match known.get(id).filter(|store| store.target == target) {
-                Some(store) => Rc::clone(store),
-                None => Rc::new(KnownStore {
-                    slots: record.slots.max(1) as usize,
-                    own_zone: record.zone == zone,
-                    out: counts.counter(id),
-                    told: Cell::new(None),
-                    target,
-                }),
-            };
-            services.entry(record.service.clone()).or_default().push(store);
+    /// Takes in what the registry says of a store now; none if it is gone. What was known of its load stays while it is the
+    /// same.
+    pub fn update(&mut self, id: &str, record: Option<&StoreRecord>, zone: &str, counts: &Counts) {
+        let ready = record.filter(|record| record.state == StoreState::Ready);
+        if let (Some(known), Some(record)) = (self.known.get(id), ready) {
+            if known.is(record, zone) {
+                return;
+            }
+        }
+        self.remove(id);
+        if let Some(record) = ready {
+            self.insert(Rc::new(KnownStore::new(id, record, zone, counts)));
         }
-        let ids = registry.stores().map(|(id, _)| id.to_owned()).collect();
-        Self { ids, services: services.into_iter().map(|(name, stores)| (name, Rc::new(stores))).collect() }
     }
 
     /// The stores of a service that take requests.
@@ -99,21 +112,23 @@
         self.services.get(service).cloned().unwrap_or_default()
     }
 
-    /// Whether a store is there, though it may be draining.
-    pub fn knows(&self, id: &str) -> bool {
-        self.ids.contains(id)
-    }
-
     /// Whether no store takes requests.
     pub fn is_empty(&self) -> bool {
-        self.services.is_empty()
+        self.known.is_empty()
     }
 
-    fn by_id(&self) -> HashMap<&str, &Rc<KnownStore>> {
-        self.services
-            .values()
-            .flat_map(|stores| stores.iter())
-            .map(|store| (store.target.id.as_str(), store))
-            .collect()
+    fn insert(&mut self, store: Rc<KnownStore>) {
+        let stores = self.services.entry(store.target.service.clone()).or_default();
+        Rc::make_mut(stores).push(Rc::clone(&store));
+        self.known.insert(store.target.id.clone(), store);
+    }
+
+    fn remove(&mut self, id: &str) {
+        let Some(store) = self.known.remove(id) else { return };
+        let Some(stores) = self.services.get_mut(&store.target.service) else { return };
+        Rc::make_mut(stores).retain(|other| other.target.id != id);
+        if stores.is_empty() {
+            self.services.remove(&store.target.service);
+        }
     }
 }
--- a/system/data/src/lib.rs
+++ b/system/data/src/lib.rs
@@ -1,8 +1,8 @@
 //! The data plane: routing, forwarding, streams, and the driver of a batch job.
 //!
 //! One edge is one process with one thread. [`node::run`] brings it up: internal messages and the registry ([`Shared`]), the
-//! front for clients, readiness, and the driver of batch jobs. All state is shared by `Rc` on a `LocalSet`; nothing here is
-//! sent to another thread.
+//! front for clients, readiness, and the driver of batch jobs. All state is shared by `Rc`; nothing here is sent to
+//! another thread.
 
 pub mod forward;
 pub mod front;
--- a/system/data/src/node/mod.rs
+++ b/system/data/src/node/mod.rs
@@ -15,7 +15,6 @@
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::task::LocalSet;
 use tokio::time::{sleep, Instant};
 
 use crate::front::{self, Front};
@@ -28,8 +27,6 @@
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// How often the end of a stopping process is looked for.
 const STOP_INTERVAL: Duration = Duration::from_millis(50);
-/// How long the last messages get to leave the process.
-const FAREWELL_TIME: Duration = Duration::from_millis(20);
 /// The most events of the inbox that are taken at once.
 const INBOX_BATCH: usize = 64;
 
@@ -64,17 +61,10 @@
     },
 }
 
-/// Runs an edge until it is told to stop. `reread` reads the settings again.
+/// Runs an edge until it is told to stop, on a runtime whose tasks stay on its thread. `reread` reads the settings again.
 pub async fn run<E: Display>(
     settings: Settings,
     reread: impl Fn() -> Result<Settings, E>,
-) -> Result<(), NodeError> {
-    LocalSet::new().run_until(run_locally(settings, reread)).await
-}
-
-async fn run_locally<E: Display>(
-    settings: Settings,
-    reread: impl Fn() -> Result<Settings, E>,
 ) -> Result<(), NodeError> {
     let frontend = listen(settings.listen.frontend, "frontend").await?;
     let readiness = listen(settings.listen.readiness, "readiness").await?;
@@ -91,8 +81,9 @@
     tokio::task::spawn_local(readiness::serve(Rc::clone(&shared), Rc::clone(&ready), readiness));
     log::info!("{} serves at {:?}", shared.settings().node_name, shared.settings().listen.frontend);
     let node = Node { shared, front, ready, heartbeats: Heartbeats::new(), swept: Duration::ZERO };
+    let shared = Rc::clone(&node.shared);
     node.run(inbox, signals, reread).await;
-    sleep(FAREWELL_TIME).await;
+    shared.flush().await;
     Ok(())
 }
 
@@ -208,9 +199,7 @@
         let shared = &self.shared;
         self.ready.look(shared);
         self.front.sweep(shared);
-        let index = shared.store_index();
-        shared.stores.sweep(|id| index.knows(id));
-        shared.counts.sweep();
+        shared.sweep();
     }
 
     fn may_end(&self, stopping: &Stopping, now: Duration) -> bool {
--- a/system/data/src/node/readiness.rs
+++ b/system/data/src/node/readiness.rs
@@ -39,7 +39,7 @@
     /// Whether the edge wants new connections.
     pub fn is_ready(&self, shared: &Shared) -> bool {
         self.look(shared);
-        let known = shared.configuration().is_some() && !shared.store_index().is_empty();
+        let known = shared.configuration().is_some() && shared.has_stores();
         ready(known, self.fresh_at.get(), shared.now(), shared.stopping())
     }
 }
--- a/system/data/src/routing/choose.rs
+++ b/system/data/src/routing/choose.rs
@@ -9,6 +9,8 @@
     pub others: usize,
     /// Requests that it works on at once.
     pub slots: usize,
+    /// By how many thousandths of its slots it may be fuller than others.
+    pub bonus: usize,
     /// Whether it is in the edge's own zone.
     pub own_zone: bool,
     /// Whether it failed lately.
@@ -18,10 +20,10 @@
 }
 
 impl Candidate {
-    /// How full it would be with one more request, in thousandths of its slots.
+    /// How full it would be with one more request, in thousandths of its slots, less its bonus.
     fn filling(&self) -> usize {
         const WHOLE: usize = 1_000;
-        (self.out + self.others + 1) * WHOLE / self.slots.max(1)
+        ((self.out + self.others + 1) * WHOLE / self.slots.max(1)).saturating_sub(self.bonus)
     }
 }
 
--- a/system/data/src/routing/times.rs
+++ b/system/data/src/routing/times.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::stores::Load;
+
 /// With less time left, no store is asked any more.
 pub const LEAST_OFFER: Duration = Duration::from_millis(5);
 /// A request with neither a deadline nor a time-out is held this long.
@@ -51,6 +53,14 @@
     }
 }
 
+/// Whether a request would wait at a store of this load for longer than it has, as far as can be told.
+pub fn waits_too_long(load: Option<Load>, usual: Option<Duration>, left: Duration) -> bool {
+    match (load, usual) {
+        (Some(load), Some(usual)) => usual * load.waiting / load.slots.max(1) > left,
+        _ => false,
+    }
+}
+
 /// When a refused client may come again: a quarter of its objective, within bounds, and within a third of the time left.
 pub fn retry_after(left: Duration, objective: Duration) -> Duration {
     let (least, most) = RETRY_BOUNDS;
--- a/system/data/src/shared.rs
+++ b/system/data/src/shared.rs
@@ -8,13 +8,16 @@
 use gingerledge_protocol::{read_configuration, Configuration, Settings};
 use gingerledge_relay::{Action, Event, Relay, RelaySettings};
 use gingerledge_transport::Network;
-use gingerledge_wire::{Entry, Envelope, Key, Registry, Role};
+use gingerledge_wire::{Entry, Envelope, Key, Registry, Role, Value};
 
 use crate::index::{KnownStore, StoreIndex};
 use crate::rollout;
-use crate::routing::{RouteEntry, RouteTable};
+use crate::routing::{Affinity, RouteEntry, RouteTable};
 use crate::stores::{Counts, Health, StoreClient};
 
+/// How long the last internal messages get to leave the process.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+
 /// The configuration that was read last, and the sequence number of its change.
 #[derive(Default)]
 struct Parsed {
@@ -31,6 +34,8 @@
     pub counts: Counts,
     /// Which stores failed lately.
     pub health: Health,
+    /// Which stores read which beginnings of prompts.
+    pub affinity: RefCell<Affinity>,
     /// What the driver of batch jobs keeps.
     pub rollout: rollout::State,
     /// Random for this life of the process.
@@ -39,8 +44,7 @@
     network: Network<Envelope>,
     relay: RefCell<Relay>,
     parsed: RefCell<Parsed>,
-    index: RefCell<Rc<StoreIndex>>,
-    index_stale: Cell<bool>,
+    index: RefCell<StoreIndex>,
     started: Instant,
     stopping: Cell<bool>,
 }
@@ -54,6 +58,7 @@
             stores: StoreClient::new(),
             counts: Counts::default(),
             health: Health::default(),
+            affinity: RefCell::default(),
             rollout: rollout::State::default(),
             incarnation,
             settings: RefCell::new(Rc::new(settings)),
@@ -61,7 +66,6 @@
             relay: RefCell::new(relay),
             parsed: RefCell::default(),
             index: RefCell::default(),
-            index_stale: Cell::new(true),
             started: Instant::now(),
             stopping: Cell::new(false),
         }
@@ -150,18 +154,30 @@
 
     /// The stores of a service that take requests.
     pub fn stores_of(&self, service: &str) -> Rc<Vec<Rc<KnownStore>>> {
-        self.store_index().of(service)
+        self.index.borrow().of(service)
+    }
+
+    /// Whether any store takes requests.
+    pub fn has_stores(&self) -> bool {
+        !self.index.borrow().is_empty()
     }
 
-    /// All stores that take requests.
-    pub fn store_index(&self) -> Rc<StoreIndex> {
-        if self.index_stale.replace(false) {
-            let old = Rc::clone(&self.index.borrow());
-            let zone = self.zone();
-            let new = self.registry(|registry| StoreIndex::build(registry, &zone, &self.counts, &old));
-            *self.index.borrow_mut() = Rc::new(new);
+    /// Lets go of connections and counts that are of no use any more.
+    pub fn sweep(&self) {
+        let relay = self.relay.borrow();
+        let there = |id: &str| {
+            let entry = relay.registry().entry(&Key::Store(id.to_owned()));
+            entry.is_some_and(|entry| matches!(entry.value, Value::Store(_)))
+        };
+        self.stores.sweep(there);
+        self.counts.sweep();
+    }
+
+    /// Waits until the last internal messages have left, for a short time.
+    pub async fn flush(&self) {
+        if !self.network.flush(FLUSH_TIME).await {
+            log::debug!("internal messages were left behind");
         }
-        Rc::clone(&self.index.borrow())
     }
 
     /// Whether the process is about to end and takes nothing new.
@@ -175,8 +191,15 @@
     }
 
     fn note_changed(&self, entries: &[Entry]) {
-        if entries.iter().any(|entry| matches!(entry.key, Key::Store(_))) {
-            self.index_stale.set(true);
+        let zone = self.zone();
+        for entry in entries {
+            if let Key::Store(id) = &entry.key {
+                let record = match &entry.value {
+                    Value::Store(record) => Some(record),
+                    _ => None,
+                };
+                self.index.borrow_mut().update(id, record, &zone, &self.counts);
+            }
         }
         if entries.iter().any(|entry| matches!(entry.key, Key::Configuration | Key::Node(_))) {
             self.share_connections();
