--- /dev/null
+++ b/system/control/tests/partitions.rs
@@ -0,0 +1,273 @@
+//! The planner of partitions: which chains change when backends come, go, or are to be emptied.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use gingerledge_control::coordinator::backends::{BackendReports, BackendSettings};
+use gingerledge_control::coordinator::partitions::{Backend, Backends, Change, Condition};
+use gingerledge_control::state::ControlState;
+use gingerledge_wire::{BackendReport, Command, NodeRecord, Outcome, PartitionRecord, Role, PARTITIONS};
+use yare::parameterized;
+
+use Condition::{Lost, Retiring, Unknown, Usable};
+
+const FAULT_TOLERANCE: usize = 1;
+
+fn backend(member: u64, zone: &str, condition: Condition) -> Backend {
+    Backend { member, zone: zone.to_owned(), condition }
+}
+
+fn backends(conditions: &[Condition]) -> Backends {
+    let all = conditions
+        .iter()
+        .enumerate()
+        .map(|(at, condition)| backend(at as u64 + 1, &format!("zone-{at}"), *condition));
+    Backends::new(all, FAULT_TOLERANCE)
+}
+
+fn record(epoch: u64, chain: &[u64], full: &[u64]) -> PartitionRecord {
+    PartitionRecord { epoch, chain: chain.to_vec(), full: full.to_vec() }
+}
+
+/// The change of partition 0, if it is the only one with a chain.
+fn change_of(backends: &Backends, current: &PartitionRecord) -> Option<PartitionRecord> {
+    let all = |_| Some(current);
+    backends.plan(all).into_iter().find(|change| change.partition == 0).map(|change| change.record)
+}
+
+#[test]
+fn the_first_chains_are_spread_evenly_over_zones() {
+    let found = backends(&[Usable; 4]).plan(|_| None);
+    assert_eq!(found.len(), usize::from(PARTITIONS));
+    let mut chains: BTreeMap<u64, usize> = BTreeMap::new();
+    for Change { record, .. } in &found {
+        assert_eq!((record.epoch, record.chain.len(), record.full.len()), (1, 2, 2));
+        for member in &record.chain {
+            *chains.entry(*member).or_default() += 1;
+        }
+    }
+    let even = usize::from(PARTITIONS) * 2 / 4;
+    assert!(chains.values().all(|count| *count == even), "{chains:?}");
+}
+
+#[test]
+fn two_backends_of_one_zone_are_taken_together_only_if_there_is_no_other() {
+    let crowded = [backend(1, "a", Usable), backend(2, "a", Usable), backend(3, "b", Usable)];
+    for Change { record, .. } in Backends::new(crowded.clone(), FAULT_TOLERANCE).plan(|_| None) {
+        assert!(record.chain.contains(&3), "{record:?}");
+    }
+    assert!(!Backends::new(crowded.into_iter().take(2), FAULT_TOLERANCE).plan(|_| None).is_empty());
+}
+
+#[parameterized(
+    one_backend = { &[Usable], &[] },
+    healthy = { &[Usable, Usable, Usable], &[] },
+    not_known_yet = { &[Usable, Unknown, Usable], &[] },
+    second_lost = { &[Usable, Lost, Usable], &[1, 3] },
+    first_lost = { &[Lost, Usable, Usable], &[2, 3] },
+    both_lost = { &[Lost, Lost, Usable, Usable], &[] },
+    no_replacement = { &[Usable, Lost], &[] },
+    replacement_retires = { &[Usable, Lost, Retiring], &[] },
+    second_retires = { &[Usable, Retiring, Usable], &[1, 2, 3] },
+    both_retire = { &[Retiring, Retiring, Usable, Usable], &[1, 2, 3, 4] },
+    one_lost_one_retires = { &[Lost, Retiring, Usable, Usable], &[2, 3, 4] },
+)]
+fn a_chain_of_two_full_members_is_repaired(conditions: &[Condition], expected: &[u64]) {
+    let current = record(5, &[1, 2], &[1, 2]);
+    let next = change_of(&backends(conditions), &current);
+    let chain = next.as_ref().map(|next| next.chain.clone()).unwrap_or_default();
+    assert_eq!(chain.iter().collect::<BTreeSet<_>>(), expected.iter().collect::<BTreeSet<_>>());
+    if let Some(next) = next {
+        assert_eq!(next.epoch, 6);
+        let stay_full: Vec<u64> = next.chain.iter().copied().filter(|member| *member <= 2).collect();
+        assert_eq!(next.full, stay_full, "members that were full stay so and stand first");
+        assert_eq!(&next.chain[..next.full.len()], next.full);
+    }
+}
+
+#[test]
+fn the_last_full_member_is_never_given_up() {
+    let current = record(5, &[1, 3], &[1]);
+    assert_eq!(change_of(&backends(&[Lost, Usable, Usable]), &current), None);
+}
+
+#[test]
+fn a_member_that_was_filling_and_is_lost_is_replaced() {
+    let current = record(5, &[1, 3], &[1]);
+    let next = change_of(&backends(&[Usable, Usable, Lost]), &current).expect("a change");
+    assert_eq!((next.chain, next.full), (vec![1, 2], vec![1]));
+}
+
+#[test]
+fn one_that_retires_leaves_once_enough_others_are_full() {
+    let filling = record(5, &[1, 2, 3], &[1, 2]);
+    let conditions = backends(&[Usable, Retiring, Usable]);
+    assert_eq!(change_of(&conditions, &filling), None, "nothing changes while the third fills");
+    let filled = record(5, &[1, 2, 3], &[1, 2, 3]);
+    let next = change_of(&conditions, &filled).expect("a change");
+    assert_eq!((next.chain, next.full), (vec![1, 3], vec![1, 3]));
+}
+
+#[parameterized(spared = { &[Usable, Usable, Usable], true }, needed = { &[Usable, Usable, Lost], false })]
+fn a_backend_can_be_spared_only_if_enough_are_left(conditions: &[Condition], spared: bool) {
+    assert_eq!(backends(conditions).can_spare(1), spared);
+}
+
+/// Any course of losses, returns and emptyings, taken at random: every planned change is taken by the state, no chain is ever
+/// without a full member that lives, and once all is calm all chains are whole and full.
+#[test]
+fn random_courses_never_lose_the_last_copy() {
+    for seed in 0..60 {
+        course(seed);
+    }
+}
+
+fn course(seed: u64) {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut state = ControlState::default();
+    let mut sequence = 1;
+    let fence = Command::TakeFence { incarnation: 1, address: ([10, 0, 0, 1], 1).into() };
+    assert_eq!(state.apply(sequence, &fence), Outcome::Fence(1));
+    let mut conditions = [Usable; 5];
+    for _ in 0..40 {
+        disturb(&mut conditions, &mut random);
+        carry_out(&mut state, &mut sequence, &conditions, seed);
+        fill(&mut state, &mut sequence, &conditions, || random.u8(..3) > 0);
+    }
+    let calm = conditions.map(|condition| if condition == Lost { Usable } else { condition });
+    for _ in 0..6 {
+        carry_out(&mut state, &mut sequence, &calm, seed);
+        fill(&mut state, &mut sequence, &calm, || true);
+    }
+    for (partition, record) in state.partitions().all() {
+        let whole = record.chain.len() == FAULT_TOLERANCE + 1 && record.full.len() == record.chain.len();
+        let usable = record.chain.iter().all(|member| calm[*member as usize - 1] == Usable);
+        assert!(whole && usable, "seed {seed}: partition {partition} ends as {record:?} under {calm:?}");
+    }
+}
+
+/// One backend at most is lost at a time; one at most retires.
+fn disturb(conditions: &mut [Condition; 5], random: &mut fastrand::Rng) {
+    for condition in conditions.iter_mut().filter(|condition| **condition == Lost) {
+        *condition = Usable;
+    }
+    let at = random.usize(..conditions.len());
+    let retires = conditions.contains(&Retiring);
+    conditions[at] = match (conditions[at], random.u8(..4)) {
+        (Retiring, _) => Retiring,
+        (_, 0) if !retires => Retiring,
+        (_, 1 | 2) => Lost,
+        (condition, _) => condition,
+    };
+}
+
+fn carry_out(state: &mut ControlState, sequence: &mut u64, conditions: &[Condition; 5], seed: u64) {
+    let plan = backends(conditions).plan(|partition| state.partitions().get(partition));
+    for Change { partition, record } in plan {
+        *sequence += 1;
+        let live = record.full.iter().any(|member| conditions[*member as usize - 1] != Lost);
+        assert!(live, "seed {seed}: {record:?} keeps no full member that lives");
+        let outcome = state.apply(*sequence, &Command::SetPartition { partition, record, fence: 1 });
+        assert_eq!(outcome, Outcome::Taken, "seed {seed}");
+    }
+}
+
+/// Members that live become full, those that `happens` picks.
+fn fill(
+    state: &mut ControlState,
+    sequence: &mut u64,
+    conditions: &[Condition; 5],
+    mut happens: impl FnMut() -> bool,
+) {
+    let filling: Vec<(u16, u64, u64)> = state
+        .partitions()
+        .all()
+        .flat_map(|(partition, record)| {
+            record.chain.iter().map(move |member| (partition, record.epoch, *member))
+        })
+        .filter(|(_, _, member)| conditions[*member as usize - 1] != Lost)
+        .collect();
+    for (partition, epoch, member) in filling {
+        if happens() {
+            *sequence += 1;
+            state.apply(*sequence, &Command::PartitionFull { partition, epoch, member });
+        }
+    }
+}
+
+const REPORTS: BackendSettings = BackendSettings {
+    silence: Duration::from_millis(1_500),
+    grace: Duration::from_millis(3_000),
+    gather: Duration::from_millis(700),
+};
+
+fn node(member: u64) -> NodeRecord {
+    NodeRecord {
+        role: Role::Backend,
+        name: format!("backend-{member}"),
+        incarnation: member * 10,
+        member,
+        address: ([10, 2, 0, member as u8], 7380).into(),
+        zone: format!("zone-{member}"),
+    }
+}
+
+fn condition_at(reports: &BackendReports, now: u64, since: u64, member: u64) -> Option<Condition> {
+    let chain = record(1, &[1, 2], &[1, 2]);
+    let (now, since) = (Duration::from_millis(now), Duration::from_millis(since));
+    let all = reports.conditions(now, since, std::iter::once(&chain), |member| member == 9);
+    all.into_iter().find(|backend| backend.member == member).map(|backend| backend.condition)
+}
+
+#[parameterized(
+    heard_lately = { 1, 11_400, Usable },
+    silent = { 1, 11_600, Lost },
+    never_heard = { 2, 11_600, Lost },
+    stalled = { 3, 10_100, Lost },
+    retiring = { 9, 10_100, Retiring },
+)]
+fn conditions_of_a_settled_coordinator(member: u64, now: u64, expected: Condition) {
+    let mut reports = BackendReports::new(REPORTS);
+    let at = Duration::from_millis(10_000);
+    reports.reported(at, &node(1), BackendReport::default());
+    reports.reported(at, &node(3), BackendReport { disk_stalled: true, ..BackendReport::default() });
+    reports.reported(at, &node(9), BackendReport::default());
+    assert_eq!(condition_at(&reports, now, 0, member), Some(expected));
+}
+
+#[parameterized(never_heard = { 2 }, heard_long_ago = { 1 })]
+fn a_new_coordinator_calls_nobody_lost_before_all_could_report(member: u64) {
+    let mut reports = BackendReports::new(REPORTS);
+    reports.reported(Duration::from_millis(1_000), &node(1), BackendReport::default());
+    assert_eq!(condition_at(&reports, 12_900, 10_000, member), Some(Unknown));
+    assert_eq!(condition_at(&reports, 13_100, 10_000, member), Some(Lost));
+}
+
+#[test]
+fn a_process_that_stood_still_calls_nobody_lost() {
+    let mut reports = BackendReports::new(REPORTS);
+    reports.reported(Duration::from_millis(1_000), &node(1), BackendReport::default());
+    reports.resumed(Duration::from_millis(20_000));
+    assert_eq!(condition_at(&reports, 20_100, 0, 1), Some(Usable));
+}
+
+#[test]
+fn the_first_partitions_wait_for_more_backends() {
+    let mut reports = BackendReports::new(REPORTS);
+    assert!(!reports.gathered(Duration::from_secs(9)));
+    reports.reported(Duration::from_secs(9), &node(1), BackendReport::default());
+    assert!(!reports.gathered(Duration::from_millis(9_600)));
+    assert!(reports.gathered(Duration::from_millis(9_700)));
+}
+
+#[parameterized(
+    news = { 2, 3, 1 }, of_an_older_epoch = { 1, 3, 0 }, known = { 2, 1, 0 }, outside_the_chain = { 2, 7, 0 }
+)]
+fn full_members_are_noted_once(epoch: u64, member: u64, expected: usize) {
+    let mut reports = BackendReports::new(REPORTS);
+    let report = BackendReport { full: vec![(4, epoch)], ..BackendReport::default() };
+    reports.reported(Duration::ZERO, &node(member), report);
+    let current = record(2, &[1, 3], &[1]);
+    let full = reports.newly_full(|partition| (partition == 4).then_some(&current));
+    assert_eq!(full.len(), expected);
+}
--- /dev/null
+++ b/system/control/tests/submissions.rs
@@ -0,0 +1,67 @@
+//! Commands on their way to the head: sent again when they may be lost, and given up in time.
+
+use std::time::Duration;
+
+use gingerledge_control::node::{SubmissionSettings, Submissions};
+use gingerledge_wire::Command;
+
+const SETTINGS: SubmissionSettings =
+    SubmissionSettings { resend: Duration::from_millis(600), retry: Duration::from_millis(60), capacity: 2 };
+const PATIENCE: Duration = Duration::from_millis(1_500);
+
+fn ms(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+fn submissions() -> (Submissions<&'static str>, u64) {
+    let mut submissions = Submissions::new(SETTINGS, 100);
+    let request = submissions.add(ms(0), Command::Nothing, PATIENCE, "caller").expect("room");
+    assert_eq!(submissions.due(ms(0)).len(), 1);
+    (submissions, request)
+}
+
+#[test]
+fn the_outcome_goes_to_the_caller_once() {
+    let (mut submissions, request) = submissions();
+    assert_eq!(submissions.complete(request), Some("caller"));
+    assert_eq!(submissions.complete(request), None);
+    assert!(submissions.is_empty());
+}
+
+#[test]
+fn a_command_without_outcome_is_sent_again() {
+    let (mut submissions, request) = submissions();
+    assert!(submissions.due(ms(599)).is_empty());
+    let again = submissions.due(ms(600));
+    assert_eq!(again, [(request, Command::Nothing)], "under the same number, so that either outcome will do");
+}
+
+#[test]
+fn a_change_of_view_sends_it_at_once() {
+    let (mut submissions, _) = submissions();
+    submissions.view_changed(ms(200));
+    assert_eq!(submissions.due(ms(200)).len(), 1);
+}
+
+#[test]
+fn one_that_reached_no_head_is_tried_soon() {
+    let (mut submissions, request) = submissions();
+    submissions.not_sent(ms(10), request);
+    assert_eq!(submissions.next_timer(), Some(ms(70)));
+    assert_eq!(submissions.due(ms(70)).len(), 1);
+}
+
+#[test]
+fn one_without_outcome_is_given_up_in_time() {
+    let (mut submissions, _) = submissions();
+    assert!(submissions.expired(ms(1_499)).is_empty());
+    assert_eq!(submissions.expired(ms(1_500)), ["caller"]);
+    assert!(submissions.is_empty());
+}
+
+#[test]
+fn too_many_are_refused() {
+    let (mut submissions, _) = submissions();
+    assert!(submissions.add(ms(0), Command::Nothing, PATIENCE, "second").is_ok());
+    assert_eq!(submissions.add(ms(0), Command::Nothing, PATIENCE, "third"), Err("third"));
+}
