--- a/system/chain/src/agreement/liveness.rs
+++ b/system/chain/src/agreement/liveness.rs
@@ -29,10 +29,13 @@
         Self { peers: BTreeMap::new(), gone: BTreeSet::new(), candidates }
     }
 
-    /// A voter counts as heard of at a time, unless it was heard of later.
+    /// A voter that was never heard of counts as heard of at a time.
     pub fn expect(&mut self, voter: MemberId, heard_at: Duration) {
-        let peer = self.peers.entry(voter).or_insert_with(|| Peer { ready: true, ..Peer::default() });
-        peer.heard_at = peer.heard_at.max(Some(heard_at));
+        let peer = self.peers.entry(voter).or_default();
+        if peer.heard_at.is_none() {
+            peer.heard_at = Some(heard_at);
+            peer.ready = true;
+        }
     }
 
     pub fn announce(&mut self, member: MemberId, members: Option<&Members>) {
--- a/system/chain/src/agreement/mod.rs
+++ b/system/chain/src/agreement/mod.rs
@@ -61,6 +61,8 @@
     proposer: Proposer,
     heartbeat_at: Duration,
     last_event: Duration,
+    /// After a start the others are given time to start as well.
+    grace_until: Duration,
 }
 
 impl Agreement {
@@ -75,6 +77,7 @@
             proposer: Proposer::default(),
             heartbeat_at: Duration::ZERO,
             last_event: Duration::ZERO,
+            grace_until: Duration::ZERO,
             settings,
         }
     }
@@ -124,9 +127,15 @@
     pub fn start(&mut self, now: Duration) {
         self.heartbeat_at = now;
         self.last_event = now;
-        let heard_at = now + self.settings.start_grace;
-        for voter in self.members.iter().flat_map(|members| members.voters.clone()) {
-            self.liveness.expect(voter, heard_at);
+        self.grace_until = now + self.settings.start_grace;
+        if let Some(members) = self.members.clone() {
+            self.expect_voters(now, &members);
+        }
+    }
+
+    fn expect_voters(&mut self, now: Duration, members: &Members) {
+        for voter in members.voters.iter().filter(|voter| **voter != self.me) {
+            self.liveness.expect(*voter, now.max(self.grace_until));
         }
     }
 
@@ -145,9 +154,7 @@
         if members.epoch <= self.epoch() {
             return;
         }
-        for voter in members.voters.iter().filter(|voter| **voter != self.me) {
-            self.liveness.expect(*voter, now);
-        }
+        self.expect_voters(now, &members);
         out.push(AgreementAction::Persist {
             record: LogRecord::Members { members: members.clone() },
             vote: Vote::Learned,
--- a/system/chain/src/control_chain.rs
+++ b/system/chain/src/control_chain.rs
@@ -129,6 +129,12 @@
         /// The membership.
         members: Members,
     },
+    /// This member takes part in nothing more of an epoch: the next membership is being voted on. A voter of a lease
+    /// must grant nothing more in this epoch.
+    Sealed {
+        /// The epoch.
+        epoch: u64,
+    },
     /// This member holds everything committed, and counts in the chain of this epoch.
     BecameFull {
         /// The epoch.
--- a/system/chain/src/replica/intake.rs
+++ b/system/chain/src/replica/intake.rs
@@ -123,14 +123,17 @@
         chunk: Chunk,
         out: &mut Vec<ReplicaAction>,
     ) {
-        if self.intake.source != Some(from) || self.intake.installing || self.is_full() {
+        if self.intake.source != Some(from) || self.intake.installing {
             return;
         }
-        self.intake.heard_at = now;
-        if chunk.seq <= self.log.committed() {
-            self.intake.acknowledged = None;
+        // A late `Resume` of this member may have asked for it: the acknowledgement ends that.
+        if chunk.seq <= self.log.committed() || self.is_full() {
+            let (durable, committed) = (self.log.durable(), self.log.committed());
+            let message = ReplicaMessage::Ack { epoch: self.epoch(), durable, committed };
+            out.push(ReplicaAction::Send { to: from, message });
             return;
         }
+        self.intake.heard_at = now;
         let Some(received) = self.assemble(&chunk) else { return };
         let message = ReplicaMessage::ChunkAck { epoch: self.epoch(), seq: chunk.seq, received };
         out.push(ReplicaAction::Send { to: from, message });
--- a/system/chain/src/replica/log.rs
+++ b/system/chain/src/replica/log.rs
@@ -142,7 +142,9 @@
 
     /// Drops applied entries beyond the bounds, the oldest first.
     pub fn trim(&mut self, most_entries: usize, most_bytes: usize) {
-        while self.offset < self.applied && (self.entries.len() > most_entries || self.bytes > most_bytes) {
+        while self.applied > self.offset + most_entries as u64
+            || (self.applied > self.offset && self.bytes - self.unapplied_bytes > most_bytes)
+        {
             let Some(entry) = self.entries.pop_front() else { return };
             self.bytes -= entry.command.len();
             self.offset += 1;
--- a/system/chain/src/settings.rs
+++ b/system/chain/src/settings.rs
@@ -105,7 +105,7 @@
             heartbeat: Duration::from_millis(150),
             suspect: Duration::from_millis(700),
             start_grace: Duration::from_millis(700),
-            replace_after: Duration::from_secs(4),
+            replace_after: Duration::from_secs(3),
             disk_suspect: Duration::from_secs(1),
             promise_grace: Duration::from_millis(200),
             attempt: Duration::from_millis(700),
--- a/system/chain/src/turn.rs
+++ b/system/chain/src/turn.rs
@@ -106,12 +106,12 @@
     }
 
     fn start(&mut self) {
+        self.chain.agreement.start(self.now);
         if let Some(members) = self.chain.founding.take() {
             self.chain.agreement.learn(self.now, members, &mut self.from_agreement);
         }
-        self.chain.agreement.start(self.now);
-        self.replica(ReplicaEvent::Learn);
         self.replica(ReplicaEvent::Started);
+        self.replica(ReplicaEvent::Learn);
         // A crash may have come between the records of a membership and of its view.
         if let Some(members) =
             self.chain.members().filter(|members| members.epoch > self.chain.replica.epoch())
@@ -166,7 +166,10 @@
                 self.out.push(ChainAction::Send { to, message: ChainMessage::Agreement(message) })
             }
             AgreementAction::Persist { record, vote } => self.persist(vec![record], Owner::Vote(vote)),
-            AgreementAction::Seal { epoch } => self.chain.replica.seal_in_memory(epoch),
+            AgreementAction::Seal { epoch } => {
+                self.chain.replica.seal_in_memory(epoch);
+                self.out.push(ChainAction::Sealed { epoch });
+            }
             AgreementAction::Install { members } => {
                 self.replica(ReplicaEvent::Install { view: members.view() })
             }
--- /dev/null
+++ b/system/chain/tests/world/ledger.rs
@@ -0,0 +1,125 @@
+//! What must hold: kept outside the group, from what its hosts were told to do.
+
+use std::collections::{BTreeMap, HashMap};
+
+use gingerledge_chain::{ChainMessage, MemberId, Members, ReplicaMessage};
+
+use super::host::mix;
+use super::Shape;
+
+/// The witness.
+pub struct Ledger {
+    seed: u64,
+    shape: Shape,
+    /// The command of each number, as first applied anywhere.
+    commands: Vec<Vec<u8>>,
+    /// The state after each number.
+    hashes: Vec<u64>,
+    seen: HashMap<Vec<u8>, u64>,
+    /// The highest number acknowledged.
+    pub acknowledged: u64,
+    pub acknowledgements: u64,
+    reads: HashMap<u64, u64>,
+    pub reads_done: u64,
+    pub reads_failed: u64,
+    pub ticks: u64,
+    views: BTreeMap<u64, Members>,
+    /// What was acknowledged when the head sent a barrier.
+    barriers: HashMap<(u64, u64), u64>,
+    last_ticks: HashMap<(MemberId, u64), u64>,
+}
+
+impl Ledger {
+    pub fn new(seed: u64, shape: Shape) -> Self {
+        Self {
+            seed,
+            shape,
+            commands: Vec::new(),
+            hashes: vec![0],
+            seen: HashMap::new(),
+            acknowledged: 0,
+            acknowledgements: 0,
+            reads: HashMap::new(),
+            reads_done: 0,
+            reads_failed: 0,
+            ticks: 0,
+            views: BTreeMap::new(),
+            barriers: HashMap::new(),
+            last_ticks: HashMap::new(),
+        }
+    }
+
+    /// Each number has one command, everywhere and for good, and each command one number.
+    pub fn applied(&mut self, member: MemberId, seq: u64, command: &[u8], reply: bool) {
+        let index = seq as usize - 1;
+        assert!(index <= self.commands.len(), "seed {}: {member:?} applied {seq} with a gap", self.seed);
+        if index == self.commands.len() {
+            let before = self.seen.insert(command.to_vec(), seq);
+            assert_eq!(before, None, "seed {}: {member:?} applied {command:?} twice, at {seq}", self.seed);
+            self.hashes.push(mix(self.hashes[index], command));
+            self.commands.push(command.to_vec());
+        }
+        assert_eq!(
+            self.commands[index], command,
+            "seed {}: {member:?} applied another command at {seq}",
+            self.seed
+        );
+        if reply {
+            self.acknowledged = self.acknowledged.max(seq);
+            self.acknowledgements += 1;
+        }
+    }
+
+    pub fn state(&self, member: MemberId, seq: u64, hash: u64) {
+        let expected = self.hashes.get(seq as usize).copied();
+        assert_eq!(expected, Some(hash), "seed {}: {member:?} took another state at {seq}", self.seed);
+    }
+
+    pub fn read_asked(&mut self, token: u64) {
+        self.reads.insert(token, self.acknowledged);
+    }
+
+    pub fn read_ready(&mut self, token: u64, seq: u64) {
+        let floor = self.reads.remove(&token).expect("each read ends once");
+        assert!(seq >= floor, "seed {}: a read at {seq} after {floor} was acknowledged", self.seed);
+        self.reads_done += 1;
+    }
+
+    pub fn read_failed(&mut self, token: u64) {
+        self.reads.remove(&token).expect("each read ends once");
+        self.reads_failed += 1;
+    }
+
+    /// One membership for each epoch, and voters that change one at a time and don't become fewer.
+    pub fn view(&mut self, members: Members) {
+        let seed = self.seed;
+        let known = self.views.entry(members.epoch).or_insert_with(|| members.clone());
+        assert_eq!(*known, members, "seed {seed}: two memberships for one epoch");
+        assert!(members.chain.iter().all(|member| members.is_voter(*member)), "seed {seed}: {members:?}");
+        assert!(members.voters.len() >= self.shape.founders, "seed {seed}: {members:?}");
+        if let Some(before) = self.views.get(&(members.epoch - 1)) {
+            let new = members.voters.iter().filter(|voter| !before.is_voter(**voter)).count();
+            assert!(new <= 1, "seed {seed}: more than one voter changed from {before:?} to {members:?}");
+            assert!(members.voters.len() >= before.voters.len(), "seed {seed}: voters became fewer");
+        }
+    }
+
+    /// The head sends each barrier once; what was acknowledged by then must be in its confirmation.
+    pub fn sent(&mut self, message: &ChainMessage) {
+        if let ChainMessage::Replica(ReplicaMessage::Barrier { epoch, number }) = message {
+            self.barriers.entry((*epoch, *number)).or_insert(self.acknowledged);
+        }
+    }
+
+    pub fn tick(&mut self, member: MemberId, epoch: u64, number: u64, committed: u64) {
+        let seed = self.seed;
+        let floor = self.barriers.get(&(epoch, number)).copied().unwrap_or(0);
+        assert!(
+            committed >= floor,
+            "seed {seed}: tick {number} of {epoch} confirms {committed}, not {floor}"
+        );
+        let last = self.last_ticks.insert((member, epoch), number);
+        assert!(last < Some(number), "seed {seed}: tick {number} of {epoch} came twice at {member:?}");
+        self.ticks += 1;
+    }
+}
