--- a/system/storage/src/forgetful/state.rs
+++ b/system/storage/src/forgetful/state.rs
@@ -209,14 +209,19 @@
         }
     }
 
-    /// There, missing, or torn: either after some byte or sector by sector.
+    /// There, missing, or torn: after some byte, before some sector, or sector by sector.
     fn apply_some(&self, bytes: &mut Vec<u8>, seeded: &mut Seeded) {
-        match (self, seeded.below(4)) {
+        match (self, seeded.below(5)) {
             (_, 0) => {}
             (Self::Length(_), _) | (_, 1) => self.apply(bytes),
             (Self::Write(offset, written), 2) => {
                 overwrite(bytes, *offset, written, 0..seeded.below(written.len() + 1));
             }
+            (Self::Write(offset, written), 3) => {
+                let sectors = written.len() / SECTOR_BYTES as usize;
+                let start = seeded.below(sectors + 1) * SECTOR_BYTES as usize;
+                overwrite(bytes, *offset, written, start..written.len());
+            }
             (Self::Write(offset, written), _) => {
                 for start in (0..written.len()).step_by(SECTOR_BYTES as usize) {
                     let end = written.len().min(start + SECTOR_BYTES as usize);
--- a/system/storage/src/recovery.rs
+++ b/system/storage/src/recovery.rs
@@ -137,9 +137,6 @@
     superblock: &Superblock,
     unreadable: &Unreadable,
 ) -> Result<(), StorageError> {
-    if superblock.has_snapshot && log.last.is_none() {
-        return Err(reader.corrupt(unreadable.position, "the snapshot is unreadable"));
-    }
     if log.head < superblock.synced_to {
         return Err(reader.corrupt(unreadable.position, "a synced batch is unreadable"));
     }
--- a/system/storage/tests/faults.rs
+++ b/system/storage/tests/faults.rs
@@ -48,6 +48,23 @@
     }
 }
 
+/// The snapshot itself was written, but not the superblock that frees what was before.
+#[test]
+fn a_snapshot_fails_with_its_superblock() {
+    let disk = ForgetfulDisk::new();
+    let (mut ring, _) = open(disk.clone(), SMALL);
+    ring.append(&[record(1, 100)]).unwrap();
+    disk.stop_after(2);
+    assert!(matches!(ring.snapshot(&[record(2, 100)]), Err(StorageError::Io { .. })));
+    disk.restart();
+    assert!(matches!(ring.append(&[record(3, 100)]), Err(StorageError::Broken)));
+    assert!(ring.needs_snapshot());
+    ring.snapshot(&[record(4, 100)]).unwrap();
+    ring.append(&[record(5, 100)]).unwrap();
+    disk.power_loss(0);
+    assert_eq!(open(disk, SMALL).1.numbers(), (vec![4], vec![5]));
+}
+
 /// The sync of a batch failed, the process ended, and the next one read the batch from memory. It gave it back, so it
 /// has to write it again: the sync that comes next covers nothing.
 #[test]
--- a/system/storage/tests/ring.rs
+++ b/system/storage/tests/ring.rs
@@ -78,6 +78,20 @@
     assert_eq!(open(disk, SMALL).1.numbers(), (vec![7], vec![8]));
 }
 
+#[test]
+fn a_snapshot_that_does_not_fit_changes_nothing() {
+    let disk = ForgetfulDisk::new();
+    let (mut ring, mut model) = open(disk.clone(), SMALL);
+    let mut number = 0;
+    while ring.append(&[record(number, 900)]).is_ok() {
+        model = model.with_appended(&[record(number, 900)]);
+        number += 1;
+    }
+    let error = ring.snapshot(&[record(0, 40_000)]).unwrap_err();
+    assert!(matches!(error, StorageError::Full { .. }), "{error}");
+    assert_eq!(open(disk, SMALL).1, model);
+}
+
 #[test]
 fn the_largest_snapshot_can_always_be_replaced() {
     let disk = ForgetfulDisk::new();
