--- a/system/data/tests/edge_common/mod.rs
+++ b/system/data/tests/edge_common/mod.rs
@@ -1,7 +1,8 @@
 //! An edge on loopback with stand-in stores that follow a script, a client that sees raw bytes, and a transcript of all of it.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 mod client;
+pub mod control;
 mod store;
 pub mod transcript;
 
@@ -91,25 +92,34 @@
     }
 
     pub fn learn_configuration(&self, sequence: u64, json: &str) {
-        let value = Value::Configuration(Arc::new(json.as_bytes().to_vec()));
-        self.shared.merge([Entry { key: Key::Configuration, version: sequence, value }]);
+        self.shared.merge([configuration_entry(sequence, json)]);
     }
 
     pub fn learn_store(&self, store: &Store, sequence: u64, state: StoreState) {
-        let record = StoreRecord {
-            service: "s".to_owned(),
-            address: store.address,
-            zone: store.zone.clone(),
-            software: "v1".to_owned(),
-            slots: 4,
-            state,
-            models: Vec::new(),
-        };
-        let key = Key::Store(store.id.clone());
-        self.shared.merge([Entry { key, version: sequence, value: Value::Store(record) }]);
+        self.shared.merge([store_entry(store, sequence, state)]);
     }
 }
 
+/// What the registry says of a configuration.
+pub fn configuration_entry(sequence: u64, json: &str) -> Entry {
+    let value = Value::Configuration(Arc::new(json.as_bytes().to_vec()));
+    Entry { key: Key::Configuration, version: sequence, value }
+}
+
+/// What the registry says of a store.
+pub fn store_entry(store: &Store, sequence: u64, state: StoreState) -> Entry {
+    let record = StoreRecord {
+        service: "s".to_owned(),
+        address: store.address,
+        zone: store.zone.clone(),
+        software: "v1".to_owned(),
+        slots: 4,
+        state,
+        models: Vec::new(),
+    };
+    Entry { key: Key::Store(store.id.clone()), version: sequence, value: Value::Store(record) }
+}
+
 /// Runs a test on one thread.
 pub async fn local<T>(test: impl std::future::Future<Output = T>) -> T {
     let tasks = LocalSet::new();
