--- /dev/null
+++ b/system/data/tests/rollout_common/backend.rs
@@ -0,0 +1,207 @@
+//! A stand-in backend for all partitions: it keeps batch jobs and results in memory, and a test may have it answer otherwise.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use gingerledge_transport::{Incoming, Network, NetworkSettings};
+use gingerledge_wire::{
+    DriverTerm, Envelope, JobRecord, JobsAnswer, JobsMessage, JobsRequest, RenewState, ResultRecord,
+};
+
+/// What the backend says to one question, in place of the proper answer.
+#[derive(Clone, Debug)]
+pub enum Says {
+    /// Nothing; the question is lost.
+    Nothing,
+    /// It does what is asked, and the answer is lost.
+    Loses,
+    /// This.
+    This(JobsAnswer),
+}
+
+struct Kept {
+    job: Arc<JobRecord>,
+    term: DriverTerm,
+    ended: bool,
+    results: Vec<ResultRecord>,
+}
+
+type Script = Box<dyn Fn(&JobsRequest) -> Option<Says>>;
+
+#[derive(Default)]
+struct State {
+    jobs: BTreeMap<String, Kept>,
+    script: Option<Script>,
+    heard: Vec<JobsRequest>,
+    /// When renewals that were granted had come in.
+    renewed: Vec<Instant>,
+}
+
+/// A stand-in backend.
+pub struct Backend {
+    network: Network<Envelope>,
+    state: Rc<RefCell<State>>,
+}
+
+impl Backend {
+    pub async fn start() -> Backend {
+        let (network, mut inbox) =
+            Network::bind(NetworkSettings::new(super::loopback())).await.expect("network");
+        let state = Rc::new(RefCell::new(State::default()));
+        let (serving, answers) = (Rc::clone(&state), network.clone());
+        tokio::task::spawn_local(async move {
+            while let Some(incoming) = inbox.next().await {
+                let Incoming::Message { message: Envelope::Jobs(message), .. } = incoming else { continue };
+                let JobsMessage::Ask { request, reply_to, body, .. } = message else { continue };
+                if let Some(body) = serving.borrow_mut().answer(body) {
+                    let answer = Envelope::Jobs(JobsMessage::Answer { request, body });
+                    assert!(answers.send(reply_to, &answer).is_queued());
+                }
+            }
+        });
+        Backend { network, state }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.network.local_address()
+    }
+
+    /// From now on, questions for which the script has something are answered so.
+    pub fn says(&self, script: impl Fn(&JobsRequest) -> Option<Says> + 'static) {
+        self.state.borrow_mut().script = Some(Box::new(script));
+    }
+
+    /// From now on, questions are answered properly.
+    pub fn is_well(&self) {
+        self.state.borrow_mut().script = None;
+    }
+
+    /// Tells an edge to drive a batch job, which is kept here from now on.
+    pub fn tell_to_drive(&self, edge: SocketAddr, job: JobRecord, term: DriverTerm, listed: Vec<u32>) {
+        let job = Arc::new(job);
+        let results = listed.iter().map(|&item| listed_before(item)).collect();
+        let kept = Kept { job: Arc::clone(&job), term, ended: false, results };
+        self.state.borrow_mut().jobs.insert(job.id.clone(), kept);
+        self.send(edge, JobsMessage::Drive { job, term, listed });
+    }
+
+    pub fn send(&self, edge: SocketAddr, message: JobsMessage) {
+        assert!(self.network.send(edge, &Envelope::Jobs(message)).is_queued());
+    }
+
+    /// Another edge drives the batch job from now on.
+    pub fn give_to_another(&self, job: &str) {
+        self.state.borrow_mut().jobs.get_mut(job).expect("the batch job").term += 1;
+    }
+
+    /// The batch job is ended.
+    pub fn end(&self, job: &str) {
+        self.state.borrow_mut().jobs.get_mut(job).expect("the batch job").ended = true;
+    }
+
+    pub fn results(&self, job: &str) -> Vec<ResultRecord> {
+        self.state.borrow().jobs.get(job).map_or_else(Vec::new, |kept| kept.results.clone())
+    }
+
+    pub fn has(&self, job: &str) -> bool {
+        self.state.borrow().jobs.contains_key(job)
+    }
+
+    pub fn heard(&self) -> Vec<JobsRequest> {
+        self.state.borrow().heard.clone()
+    }
+
+    /// When the last renewal that was granted had come in.
+    pub fn renewed(&self) -> Option<Instant> {
+        self.state.borrow().renewed.last().copied()
+    }
+}
+
+fn listed_before(item: u32) -> ResultRecord {
+    ResultRecord { item, completed: true, text: Vec::new(), versions: vec![2], score: "before".to_owned() }
+}
+
+impl State {
+    fn answer(&mut self, body: JobsRequest) -> Option<JobsAnswer> {
+        self.heard.push(body.clone());
+        match self.script.as_ref().and_then(|script| script(&body)) {
+            Some(Says::Nothing) => None,
+            Some(Says::This(answer)) => Some(answer),
+            Some(Says::Loses) => {
+                self.properly(body);
+                None
+            }
+            None => Some(self.properly(body)),
+        }
+    }
+
+    fn properly(&mut self, body: JobsRequest) -> JobsAnswer {
+        match body {
+            JobsRequest::Create { job } => {
+                let kept = Kept { job: Arc::clone(&job), term: 1, ended: false, results: Vec::new() };
+                let kept = self.jobs.entry(job.id.clone()).or_insert(kept);
+                JobsAnswer::Created { drive: (!kept.ended).then_some(kept.term) }
+            }
+            JobsRequest::Append { job, term, results } => self.append(&job, term, results),
+            JobsRequest::End { job } => match self.jobs.get_mut(&job) {
+                Some(kept) => {
+                    kept.ended = true;
+                    JobsAnswer::Ended
+                }
+                None => JobsAnswer::Unknown,
+            },
+            JobsRequest::Read { job, start_after, .. } => match self.jobs.get(&job) {
+                Some(kept) => {
+                    let from = kept.results.iter().skip(start_after as usize);
+                    let name = |result: &ResultRecord| kept.job.items[result.item as usize].id.clone();
+                    JobsAnswer::Page {
+                        total: kept.job.items.len() as u64,
+                        results: from.map(|result| (name(result), result.clone())).collect(),
+                        ended: kept.ended,
+                    }
+                }
+                None => JobsAnswer::Unknown,
+            },
+            JobsRequest::Body { job, item } => {
+                let items = self.jobs.get(&job).map(|kept| kept.job.items.iter());
+                let found = items.and_then(|mut items| items.find(|known| known.id == item));
+                found.map_or(JobsAnswer::Unknown, |item| JobsAnswer::Body(item.body.clone()))
+            }
+            JobsRequest::Renew { jobs } => {
+                let states: Vec<_> = jobs.iter().map(|(job, term)| self.renew(job, *term)).collect();
+                if states.contains(&RenewState::Held) {
+                    self.renewed.push(Instant::now());
+                }
+                JobsAnswer::Renewed(states)
+            }
+        }
+    }
+
+    fn append(&mut self, job: &str, term: DriverTerm, results: Vec<ResultRecord>) -> JobsAnswer {
+        let Some(kept) = self.jobs.get_mut(job) else { return JobsAnswer::NotNow };
+        if kept.ended {
+            return JobsAnswer::Ended;
+        }
+        if kept.term != term {
+            return JobsAnswer::Fenced;
+        }
+        for result in results {
+            if kept.results.iter().all(|known| known.item != result.item) {
+                kept.results.push(result);
+            }
+        }
+        JobsAnswer::Appended
+    }
+
+    fn renew(&self, job: &str, term: DriverTerm) -> RenewState {
+        match self.jobs.get(job) {
+            Some(kept) if kept.ended || kept.results.len() == kept.job.items.len() => RenewState::Ended,
+            Some(kept) if kept.term == term => RenewState::Held,
+            _ => RenewState::Fenced,
+        }
+    }
+}
--- /dev/null
+++ b/system/data/tests/rollout_front.rs
@@ -0,0 +1,278 @@
+//! What trainers are answered, whatever the backends say or don't say.
+
+mod rollout_common;
+
+use std::rc::Rc;
+
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine as _;
+use bytes::Bytes;
+use gingerledge_data::{rollout, CloseConnection, Reply, ReplyBody};
+use gingerledge_protocol::{ItemState, ResultPage};
+use gingerledge_wire::{JobRecord, JobsAnswer, JobsRequest, ResultRecord};
+use http_body_util::BodyExt;
+use hyper::http::{Method, Request, StatusCode};
+use rollout_common::*;
+use yare::parameterized;
+
+/// A batch job as a trainer sends it.
+fn submitted(job: &JobRecord) -> String {
+    let items: Vec<serde_json::Value> = job
+        .items
+        .iter()
+        .map(|item| {
+            let scoring = item.scoring.as_ref().expect("a reward call");
+            let headers: std::collections::BTreeMap<_, _> = item.headers.iter().cloned().collect();
+            serde_json::json!({"id": item.id, "path": item.path, "headers": headers, "body": STANDARD.encode(&item.body),
+                "tokens": item.tokens, "group": item.group, "scoringEndpoint": {"id": scoring.id, "host": scoring.host,
+                "path": scoring.path, "body": STANDARD.encode(&scoring.body)}, "unknown": 1})
+        })
+        .collect();
+    serde_json::json!({"step": job.step, "model": job.model, "minVersion": job.min_version, "desired": job.desired,
+        "items": items})
+    .to_string()
+}
+
+fn hand_in(id: &str, body: impl Into<Bytes>, deadline_ms: u32) -> Request<Bytes> {
+    let request = Request::post("/jobs/x").header("Host", HOST).header("Deadline-Ms", deadline_ms);
+    request.header("Attempt-Id", id).body(body.into()).expect("request")
+}
+
+fn call(method: Method, path: &str) -> Request<Bytes> {
+    let request = Request::builder().method(method).uri(path).header("Host", HOST);
+    request.body(Bytes::new()).expect("request")
+}
+
+impl World {
+    async fn answer(&self, request: Request<Bytes>) -> Result<Reply, CloseConnection> {
+        rollout::front::handle(Rc::clone(&self.shared), request).await
+    }
+
+    async fn status(&self, request: Request<Bytes>) -> StatusCode {
+        self.answer(request).await.expect("an answer").status()
+    }
+
+    async fn page(&self, path: &str) -> ResultPage {
+        let reply = self.answer(call(Method::GET, path)).await.expect("an answer");
+        assert_eq!(reply.status(), StatusCode::OK);
+        serde_json::from_slice(&bytes(reply).await).expect("a page")
+    }
+}
+
+async fn bytes(reply: Reply) -> Bytes {
+    let body: ReplyBody = reply.into_body();
+    body.collect().await.expect("a body").to_bytes()
+}
+
+/// What becomes of one kind of question.
+fn creating(says: Says) -> impl Fn(&JobsRequest) -> Option<Says> {
+    move |asked| matches!(asked, JobsRequest::Create { .. }).then(|| says.clone())
+}
+
+#[test]
+fn a_batch_job_is_taken_run_and_read() {
+    run(async {
+        let world = World::start(Route::default()).await;
+        let engine = Engine::start("a", 2, |_| Does::Stream).await;
+        world.learn_engine(&engine);
+        let sent = job("j", 1, 3);
+        assert_eq!(world.status(hand_in("j", submitted(&sent), 5_000)).await, StatusCode::ACCEPTED);
+        until("results", || world.backend.results("j").len() == 3).await;
+        let page = world.page("/lots/j?startAfter=1").await;
+        assert_eq!((page.total, page.next_page_token, page.results.len()), (3, 3, 2));
+        for result in &page.results {
+            let item = result.id.strip_prefix('i').expect("an item");
+            assert_eq!(result.text, whole_text(&result.id));
+            assert_eq!((result.state, result.versions.as_slice()), (ItemState::Completed, &[2][..]));
+            assert_eq!(result.score, format!("stamp of r{item}"));
+        }
+        assert_eq!(world.page("/lots/j").await.results.len(), 3);
+        assert_eq!(world.page("/lots/j?startAfter=9").await.next_page_token, 9);
+    });
+}
+
+#[test]
+fn what_the_backend_keeps_is_what_the_trainer_sent() {
+    run(async {
+        let world = World::start(Route::default()).await;
+        let sent = job("j", 2, 2);
+        world.status(hand_in("j", submitted(&sent), 5_000)).await;
+        let JobsRequest::Create { job: kept } = world.backend.heard().remove(0) else {
+            panic!("no creation")
+        };
+        let mut expected = sent;
+        expected.accepted_unix_ms = kept.accepted_unix_ms;
+        for item in &mut expected.items {
+            item.headers.sort();
+        }
+        assert_eq!(*kept, expected);
+    });
+}
+
+#[test]
+fn the_same_batch_job_is_taken_once_and_answered_again() {
+    run(async {
+        let world = World::start(Route::default()).await;
+        let engine = Engine::start("a", 2, |_| Does::HangAfter(1)).await;
+        world.learn_engine(&engine);
+        for _ in 0..3 {
+            let again = hand_in("j", submitted(&job("j", 1, 2)), 5_000);
+            assert_eq!(world.status(again).await, StatusCode::ACCEPTED);
+        }
+        until("both run", || engine.heard().len() == 2).await;
+        assert_eq!(world.status(hand_in("j", submitted(&job("j", 1, 2)), 5_000)).await, StatusCode::ACCEPTED);
+        assert_eq!((engine.heard().len(), engine.open()), (2, 2));
+    });
+}
+
+#[parameterized(
+    no_json = { "{" },
+    no_base64 = { r#"{"items":[{"id":"i","body":"%"}]}"# },
+    wrong_type = { r#"{"items":7}"# },
+)]
+fn what_is_no_batch_job_is_refused_for_good(body: &'static str) {
+    run(async move {
+        let world = World::start(Route::default()).await;
+        assert_eq!(world.status(hand_in("j", body, 500)).await, StatusCode::BAD_REQUEST);
+        assert!(world.backend.heard().is_empty());
+    });
+}
+
+/// The connection is closed (none) where a backend may have taken the batch job.
+#[parameterized(
+    no_answer = { Says::Nothing, None },
+    taken_and_the_answer_lost = { Says::Loses, None },
+    not_now = { Says::This(JobsAnswer::NotNow), Some(StatusCode::SERVICE_UNAVAILABLE) },
+    no_room = { Says::This(JobsAnswer::Full), Some(StatusCode::SERVICE_UNAVAILABLE) },
+    taken_before_and_ended = { Says::This(JobsAnswer::Created { drive: None }), Some(StatusCode::ACCEPTED) },
+    an_odd_answer = { Says::This(JobsAnswer::Appended), None },
+)]
+fn a_batch_job_that_meets(says: Says, expected: Option<StatusCode>) {
+    run(async move {
+        let world = World::start(Route::default()).await;
+        world.backend.says(creating(says));
+        let answer = world.answer(hand_in("j", submitted(&job("j", 1, 1)), 200)).await;
+        assert_eq!(answer.as_ref().map(Reply::status).ok(), expected);
+        if let Ok(reply) = answer.as_ref().map(|reply| reply.headers()) {
+            let refused = expected == Some(StatusCode::SERVICE_UNAVAILABLE);
+            assert_eq!(reply.contains_key("retry-after"), refused);
+        }
+    });
+}
+
+#[test]
+fn no_room_after_a_copy_without_answer_promises_nothing() {
+    run(async {
+        let world = World::start(Route::default()).await;
+        let copies = std::cell::Cell::new(0);
+        world.backend.says(move |asked| {
+            let creation = matches!(asked, JobsRequest::Create { .. });
+            copies.set(copies.get() + u32::from(creation));
+            creation.then(|| if copies.get() == 1 { Says::Nothing } else { Says::This(JobsAnswer::Full) })
+        });
+        let answer = world.answer(hand_in("j", submitted(&job("j", 1, 1)), 5_000)).await;
+        assert!(answer.is_err(), "the first copy may have been taken");
+    });
+}
+
+#[test]
+fn a_lost_answer_is_made_up_for_within_the_deadline() {
+    run(async {
+        let world = World::start(Route::default()).await;
+        let copies = std::cell::Cell::new(0);
+        world.backend.says(move |asked| {
+            copies.set(copies.get() + u32::from(matches!(asked, JobsRequest::Create { .. })));
+            (copies.get() == 1).then_some(Says::Loses)
+        });
+        let answer = hand_in("j", submitted(&job("j", 1, 1)), 5_000);
+        assert_eq!(world.status(answer).await, StatusCode::ACCEPTED);
+    });
+}
+
+#[parameterized(
+    unknown = { Says::This(JobsAnswer::Unknown), StatusCode::NOT_FOUND },
+    not_sure = { Says::This(JobsAnswer::NotNow), StatusCode::SERVICE_UNAVAILABLE },
+    silent = { Says::Nothing, StatusCode::SERVICE_UNAVAILABLE },
+)]
+fn a_read_that_meets(says: Says, expected: StatusCode) {
+    run(async move {
+        let world = World::start(Route::default()).await;
+        world.backend.says(move |_| Some(says.clone()));
+        assert_eq!(world.status(call(Method::GET, "/lots/j?startAfter=0")).await, expected);
+        assert_eq!(world.status(call(Method::GET, "/items/j?id=i0")).await, expected);
+    });
+}
+
+#[test]
+fn bodies_are_read_as_they_were_sent() {
+    run(async {
+        let world = World::start(Route::default()).await;
+        world.status(hand_in("j", submitted(&job("j", 1, 2)), 5_000)).await;
+        let reply = world.answer(call(Method::GET, "/items/j?id=i1")).await.expect("an answer");
+        assert_eq!((reply.status(), bytes(reply).await), (StatusCode::OK, Bytes::from_static(b"body 1")));
+        assert_eq!(world.status(call(Method::GET, "/items/j?id=other")).await, StatusCode::NOT_FOUND);
+        assert_eq!(world.status(call(Method::GET, "/items/j")).await, StatusCode::NOT_FOUND);
+    });
+}
+
+#[test]
+fn an_ended_batch_job_is_dropped_at_once() {
+    run(async {
+        let world = World::start_with(Route::default(), 60_000).await;
+        let engine = Engine::start("a", 2, |_| Does::HangAfter(1)).await;
+        world.learn_engine(&engine);
+        world.status(hand_in("j", submitted(&job("j", 1, 2)), 5_000)).await;
+        until("both run", || engine.heard().len() == 2).await;
+        for _ in 0..2 {
+            assert_eq!(world.status(call(Method::DELETE, "/lots/j")).await, StatusCode::OK);
+        }
+        until("the connections are closed", || engine.open() == 0).await;
+        assert_eq!(world.status(call(Method::DELETE, "/lots/other")).await, StatusCode::NOT_FOUND);
+    });
+}
+
+#[test]
+fn an_end_that_is_not_acknowledged_promises_nothing() {
+    run(async {
+        let world = World::start(Route::default()).await;
+        world.backend.says(|_| Some(Says::This(JobsAnswer::NotNow)));
+        assert_eq!(world.status(call(Method::DELETE, "/lots/j")).await, StatusCode::GATEWAY_TIMEOUT);
+    });
+}
+
+#[parameterized(
+    one_alone_that_is_too_large = { 3_000_000, 1, 1 },
+    as_many_as_fit = { 150_000, 10, 5 },
+    all = { 10, 40, 40 },
+)]
+fn a_page_holds_at_most_a_megabyte_but_one_result_at_least(size: usize, results: u32, expected: usize) {
+    run(async move {
+        let world = World::start(Route::default()).await;
+        world.backend.says(move |_| {
+            let result = |item| {
+                let text = vec![b'x'; size];
+                let result = ResultRecord {
+                    item,
+                    completed: true,
+                    text,
+                    versions: vec![1],
+                    score: "stamp".to_owned(),
+                };
+                (format!("i{item}"), result)
+            };
+            Some(Says::This(JobsAnswer::Page {
+                total: 50,
+                results: (0..results).map(result).collect(),
+                ended: false,
+            }))
+        });
+        let page = world.page("/lots/j?startAfter=7").await;
+        assert_eq!((page.results.len(), page.next_page_token), (expected, 7 + expected as u64));
+    });
+}
+
+/// Runs a test on one thread.
+fn run(test: impl std::future::Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("runtime");
+    runtime.block_on(local(test));
+}
