--- a/system/chain/src/control_chain.rs
+++ b/system/chain/src/control_chain.rs
@@ -141,7 +141,8 @@
         epoch: u64,
     },
     /// The tail has confirmed a barrier of the head: what is applied up to `committed_seq` was current after it was
-    /// sent. Given at members of the chain only; numbers rise within an epoch.
+    /// sent. Given at members of the chain only; numbers rise within an epoch, and are
+    /// used by its head once, over restarts as well.
     Tick {
         /// The epoch.
         epoch: u64,
--- a/system/chain/src/replica/feed.rs
+++ b/system/chain/src/replica/feed.rs
@@ -76,10 +76,13 @@
         learner: bool,
         out: &mut Vec<ReplicaAction>,
     ) {
-        let limit = if learner { self.log.committed() } else { self.log.durable() };
-        if !self.is_serving() || last > limit || (learner && !self.admit_learner(now, from)) {
+        if !self.is_serving() || last > self.log.durable() || (learner && !self.admit_learner(now, from)) {
             return;
         }
+        if learner {
+            // A learner holds nothing but committed entries: a tail that has started again may not know of them yet.
+            self.log.commit(last);
+        }
         let offset = self.log.offset();
         let full_at = (!full && !learner).then(|| self.log.durable());
         let Some(feed) = self.feeds.iter_mut().find(|feed| feed.member == from && feed.learner == learner)
