--- a/system/wire/src/lib.rs
+++ b/system/wire/src/lib.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use gingerledge_chain::{ChainMessage, ReplicaMessage};
+pub use gingerledge_lease::Message as LeaseMessage;
 
 pub use command::{Command, Outcome, RetireState};
 pub use control::{BackendReport, ControlMessage};
@@ -24,9 +25,6 @@
 };
 pub use relay::{RelayMessage, Tick};
 
-/// A message of the lease.
-pub type LeaseMessage = Vec<u8>;
-
 /// One internal message.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Envelope {
