Keep full members of a partition's chain in their order when one retires

Change: full members keep the order of the chain before. Test: random courses check the order, and a case of its own.

--- a/system/control/src/coordinator/loads.rs
+++ b/system/control/src/coordinator/loads.rs
@@ -8,7 +8,8 @@
 /// Bounds and times of loads.
 #[derive(Clone, Copy, Debug)]
 pub struct LoadSettings {
-    /// Most stores of one service that load at once; more would slow all of them down.
+    /// Most stores of one service that load at once; more would slow all of them down. Some of them only wait until requests have
+    /// run to their end.
     pub at_once: usize,
     /// A store that was busy is asked again after this long.
     pub busy_retry: Duration,
@@ -19,7 +20,7 @@
 impl Default for LoadSettings {
     fn default() -> Self {
         Self {
-            at_once: 4,
+            at_once: 6,
             busy_retry: Duration::from_millis(300),
             failed_retry: Duration::from_millis(1_200),
         }
--- a/system/control/src/coordinator/partitions.rs
+++ b/system/control/src/coordinator/partitions.rs
@@ -123,9 +123,9 @@
         let replaced = self.extend(partition, &keep, self.chain_length, load);
         let full_staying = full.iter().copied().filter(staying).count();
         if full_staying < self.chain_length {
-            // Those that leave on purpose serve until enough of the others have everything.
-            let leaving = full.iter().copied().filter(|member| !staying(member));
-            keep = full.iter().copied().filter(staying).chain(leaving).collect();
+            // Those that leave on purpose serve until enough of the others have everything. Full members keep their
+            // order: each holds all that the next one does, and would not after it.
+            keep = full.clone();
             keep.extend(replaced.iter().copied().filter(|member| !full.contains(member)));
         } else {
             keep = replaced;
--- a/system/control/src/coordinator/weights.rs
+++ b/system/control/src/coordinator/weights.rs
@@ -104,6 +104,7 @@
         }
         for model in service.models.keys() {
             let Some(homes) = self.homes.get_mut(&(name.to_owned(), model.clone())) else { continue };
+            relieve(homes, model, service, &mut burden);
             fill(homes, wanted, model, service, &mut burden);
         }
     }
@@ -135,6 +136,31 @@
     (service.stores.len() / service.models.len().max(1)).max(1)
 }
 
+/// Gives up home stores that are home of other models too where a store that is home of none has as new a version: the first
+/// stores that come are homes of all models.
+fn relieve<'a>(
+    homes: &mut BTreeSet<String>,
+    model: &str,
+    service: &'a EngineService,
+    burden: &mut BTreeMap<&'a str, usize>,
+) {
+    let version = |store: &EngineStore| store.versions.get(model).copied().unwrap_or(1);
+    let burden_of = |burden: &BTreeMap<&str, usize>, store: &EngineStore| {
+        burden.get(store.id.as_str()).copied().unwrap_or(0)
+    };
+    let mut free: Vec<u64> =
+        service.stores.iter().filter(|store| burden_of(burden, store) == 0).map(version).collect();
+    for store in &service.stores {
+        if burden_of(burden, store) < 2 || !homes.contains(&store.id) {
+            continue;
+        }
+        let Some(at) = free.iter().position(|other| *other >= version(store)) else { continue };
+        free.swap_remove(at);
+        homes.remove(&store.id);
+        *burden.entry(store.id.as_str()).or_default() -= 1;
+    }
+}
+
 /// Adds home stores: those with the newest version, then those that are home of the fewest models, in zones with few homes.
 fn fill<'a>(
     homes: &mut BTreeSet<String>,
--- a/system/control/src/node/coordinate.rs
+++ b/system/control/src/node/coordinate.rs
@@ -22,6 +22,9 @@
 /// An order may be on its way for this long, so that the turns of two holders keep so much more apart.
 const ORDER_TRAVEL: Duration = Duration::from_millis(400);
 
+/// All stores have announced themselves after so many of their intervals.
+const HEARD_INTERVALS: u32 = 2;
+
 /// How far this node is in becoming the coordinator.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Leadership {
@@ -170,6 +173,9 @@
         // Orders of a former holder on another machine may have been sent until its lease ended.
         let apart = Duration::from_millis(self.settings.bounds.lease_ms) + ORDER_TRAVEL;
         let orders_from = if fence.sole { now } else { held_since + apart };
+        // After a start all stores have to be heard first, else loads go to the wrong ones.
+        let all_heard = HEARD_INTERVALS * Duration::from_millis(self.settings.heartbeat_ms);
+        let orders_from = orders_from.max(all_heard);
         log::info!("coordinates under fencing token {token}");
         self.coordination.leadership = Leadership::Active { token, since: now, orders_from };
         self.coordination.weights_dirty = true;
--- a/system/control/src/node/requests.rs
+++ b/system/control/src/node/requests.rs
@@ -1,6 +1,7 @@
 //! Questions of the HTTP side.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -83,7 +84,12 @@
             let _ = reply.send(());
             return;
         };
+        let is_new = self.relay.registry().entry(&key).is_none();
+        let address = record.address;
         self.hear(key.clone(), sequence, Value::Store(record));
+        if is_new {
+            self.end_former_stores(&key, address);
+        }
         if draining {
             self.answer_later(key, reply);
         } else {
@@ -91,6 +97,23 @@
         }
     }
 
+    /// One store serves at an address: those before it are gone, though they may not have said so.
+    fn end_former_stores(&mut self, key: &Key, address: SocketAddr) {
+        let former: Vec<Key> = self
+            .relay
+            .registry()
+            .stores()
+            .filter(|(_, store)| store.address == address)
+            .map(|(id, _)| Key::Store(id.to_owned()))
+            .filter(|other| other != key)
+            .collect();
+        for other in former {
+            if let Some(entry) = self.sessions.superseded(other) {
+                self.learn_and_share(entry);
+            }
+        }
+    }
+
     fn answer_later(&mut self, key: Key, reply: Sender<()>) {
         if self.answers.len() < MAX_ANSWERS {
             self.answer_when_shared(key, reply);
--- a/system/control/src/sessions/mod.rs
+++ b/system/control/src/sessions/mod.rs
@@ -104,6 +104,12 @@
         Entry { key, version: ENDED_VERSION, value: Value::Gone }
     }
 
+    /// Another source has taken the place of this one. If it lives all the same, it is back with its next heartbeat.
+    pub fn superseded(&mut self, key: Key) -> Option<Entry> {
+        let session = self.sessions.remove(&key)?;
+        Some(Entry { key, version: session.sequence, value: Value::Gone })
+    }
+
     /// Another control node shares an entry that is new here.
     pub fn shared(&mut self, now: Duration, from: SocketAddr, entry: &Entry) {
         if !is_session(&entry.key) {
--- a/system/control/tests/partitions.rs
+++ b/system/control/tests/partitions.rs
@@ -108,6 +108,13 @@
     assert_eq!((next.chain, next.full), (vec![1, 3], vec![1, 3]));
 }
 
+#[test]
+fn one_that_retires_keeps_its_place_before_the_full_members_behind_it() {
+    let current = record(4, &[2, 1], &[2, 1]);
+    let next = change_of(&backends(&[Usable, Retiring, Usable]), &current).expect("a change");
+    assert_eq!((next.chain, next.full), (vec![2, 1, 3], vec![2, 1]));
+}
+
 #[parameterized(spared = { &[Usable, Usable, Usable], true }, needed = { &[Usable, Usable, Lost], false })]
 fn a_backend_can_be_spared_only_if_enough_are_left(conditions: &[Condition], spared: bool) {
     assert_eq!(backends(conditions).can_spare(1), spared);
@@ -167,11 +174,23 @@
         *sequence += 1;
         let live = record.full.iter().any(|member| conditions[*member as usize - 1] != Lost);
         assert!(live, "seed {seed}: {record:?} keeps no full member that lives");
+        if let Some(before) = state.partitions().get(partition) {
+            assert!(full_in_order(before, &record), "seed {seed}: {before:?} to {record:?}");
+        }
         let outcome = state.apply(*sequence, &Command::SetPartition { partition, record, fence: 1 });
         assert_eq!(outcome, Outcome::Taken, "seed {seed}");
     }
 }
 
+/// Whether members that are full before a change stand before all others, in the order that they had: each holds all that
+/// the next one does, which would not hold the other way round.
+fn full_in_order(before: &PartitionRecord, after: &PartitionRecord) -> bool {
+    let full =
+        before.chain.iter().filter(|member| before.full.contains(member) && after.chain.contains(member));
+    let full: Vec<_> = full.collect();
+    after.chain.iter().take(full.len()).collect::<Vec<_>>() == full
+}
+
 /// Members that live become full, those that `happens` picks.
 fn fill(
     state: &mut ControlState,
--- a/system/control/tests/sessions.rs
+++ b/system/control/tests/sessions.rs
@@ -137,6 +137,18 @@
     assert!(!node.is_there());
 }
 
+#[test]
+fn one_that_was_superseded_by_mistake_is_back_with_its_next_heartbeat() {
+    let mut node = Node::new(1);
+    node.hear(Duration::ZERO, 4, ready());
+    let gone = node.sessions.superseded(key()).expect("a session");
+    assert!(node.registry.merge(gone));
+    assert_eq!(node.hear(INTERVAL, 4, ready()), None, "a late heartbeat is no sign of life");
+    assert!(!node.is_there());
+    assert!(node.hear(INTERVAL, 5, ready()).is_some());
+    assert!(node.is_there());
+}
+
 #[test]
 fn only_the_owner_ends_a_session() {
     let (mut owner, mut other) = (Node::new(1), Node::new(2));
--- a/system/control/tests/weights.rs
+++ b/system/control/tests/weights.rs
@@ -63,6 +63,29 @@
     assert_eq!(all.len(), 12);
 }
 
+#[test]
+fn homes_that_met_while_few_stores_were_known_part_when_more_come() {
+    let mut homes = Homes::default();
+    let models = [("a", 1), ("b", 1), ("c", 1)];
+    for known in 1..=12 {
+        homes.plan(&world(stores(known), &models, true));
+    }
+    let all: BTreeSet<String> = ["a", "b", "c"].iter().flat_map(|model| homes_of(&homes, model)).collect();
+    assert_eq!(all.len(), 12);
+}
+
+#[test]
+fn homes_that_met_stay_where_parting_would_cost_loads() {
+    let mut homes = Homes::default();
+    let mut services = world(stores(1), &[("a", 2), ("b", 2)], true);
+    let loads = homes.plan(&services);
+    load_all(&mut services, &loads);
+    for service in services.values_mut() {
+        service.stores.extend(stores(2).into_iter().skip(1));
+    }
+    assert!(homes.plan(&services).is_empty());
+}
+
 #[test]
 fn homes_are_spread_over_zones() {
     let mut homes = Homes::default();
