--- a/system/lease/src/granter.rs
+++ b/system/lease/src/granter.rs
@@ -62,7 +62,10 @@
             return Message::Refuse { attempt, highest: self.highest, wait };
         }
         self.highest = self.highest.max(round);
-        self.granted = Some(Granted { holder: from, round, until: now + settings.term });
+        // A late renewal must not lower the round: a late release of the lower one would then end the higher one.
+        let before =
+            self.granted.as_ref().filter(|granted| granted.holder == from).map_or(0, |held| held.round);
+        self.granted = Some(Granted { holder: from, round: round.max(before), until: now + settings.term });
         Message::Grant { epoch, round, attempt }
     }
 
--- a/system/lease/src/holder.rs
+++ b/system/lease/src/holder.rs
@@ -13,6 +13,7 @@
     pub renewal: bool,
     pub asked_at: Duration,
     pub grants: BTreeSet<Voter>,
+    pub refusals: BTreeSet<Voter>,
 }
 
 /// Whether the lease is held, and the question under way.
@@ -38,7 +39,8 @@
     pub fn start_attempt(&mut self, now: Duration) -> u64 {
         self.attempts += 1;
         let (number, renewal) = (self.attempts, self.held(now));
-        self.attempt = Some(Attempt { number, renewal, asked_at: now, grants: BTreeSet::new() });
+        let (grants, refusals) = (BTreeSet::new(), BTreeSet::new());
+        self.attempt = Some(Attempt { number, renewal, asked_at: now, grants, refusals });
         number
     }
 }
--- a/system/lease/src/lease.rs
+++ b/system/lease/src/lease.rs
@@ -6,6 +6,9 @@
 use crate::holder::Holder;
 use crate::{Message, Settings, Voter};
 
+/// Rounds begin with the epoch in which they were asked for, above this many bits.
+const ROUNDS_BITS: u32 = 32;
+
 /// What happens to a process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
@@ -57,7 +60,7 @@
     },
     /// The lease is held.
     Acquired {
-        /// The round: higher than those before, unless a majority of the voters started again at once.
+        /// The round: higher than those before, unless a majority of the voters has started again in this epoch.
         round: u64,
         /// Until when, if it isn't renewed.
         until: Duration,
@@ -257,11 +260,17 @@
                 self.holder.ask_at = free_at + self.settings.stagger * self.rank();
                 return;
             }
-            self.holder.round = self.holder.round.max(self.granter.highest()).max(self.holder.seen) + 1;
+            self.holder.round = self.next_round();
         }
         self.ask(now, out);
     }
 
+    /// Higher than all rounds known here, and than all of older epochs: new voters may know of none.
+    fn next_round(&self) -> u64 {
+        let known = self.holder.round.max(self.granter.highest()).max(self.holder.seen);
+        known.max(self.epoch << ROUNDS_BITS) + 1
+    }
+
     fn ask(&mut self, now: Duration, out: &mut Vec<Action>) {
         let attempt = self.holder.start_attempt(now);
         self.holder.ask_at = now + self.settings.renew_every();
@@ -319,20 +328,39 @@
                 }
             }
             Message::Refuse { attempt, highest, wait } => {
-                let asked = self.holder.attempt.as_ref().is_some_and(|asked| asked.number == attempt);
-                if !asked {
-                    return;
-                }
-                self.holder.seen = self.holder.seen.max(highest);
-                if !self.held(now) {
-                    let free_at = now + wait + self.settings.stagger * self.rank();
-                    self.holder.ask_at = self.holder.ask_at.max(free_at.min(now + self.settings.silence()));
-                }
+                self.on_refusal(now, from, attempt, highest, wait, out)
             }
             Message::Request { .. } | Message::Release { .. } => {}
         }
     }
 
+    /// Asks again when the voter would grant; at once gives up a question that can't have a majority any more.
+    fn on_refusal(
+        &mut self,
+        now: Duration,
+        from: Voter,
+        attempt: u64,
+        highest: u64,
+        wait: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        let spare = self.voters.len() - self.majority().min(self.voters.len());
+        let Some(asked) = self.holder.attempt.as_mut().filter(|asked| asked.number == attempt) else {
+            return;
+        };
+        asked.refusals.insert(from);
+        let hopeless = asked.refusals.len() > spare;
+        self.holder.seen = self.holder.seen.max(highest);
+        if self.held(now) {
+            return;
+        }
+        let free_at = now + wait.min(self.settings.silence());
+        self.holder.ask_at = self.holder.ask_at.max(free_at);
+        if hopeless {
+            self.attempt_failed(now, out);
+        }
+    }
+
     /// A renewal that comes after the lease has ended is given back: a higher round may have been held since.
     fn granted(&mut self, now: Duration, until: Duration, renewal: bool, out: &mut Vec<Action>) {
         if until <= now || (renewal && !self.held(now)) {
@@ -346,6 +374,8 @@
             None => Action::Acquired { round, until },
         };
         self.holder.until = Some(until);
+        // A refusal by a few may have put the next question off.
+        self.holder.ask_at = self.holder.ask_at.min(now + self.settings.renew_every());
         out.push(action);
     }
 
@@ -357,7 +387,7 @@
             return;
         }
         self.give_up(out);
-        let pause = self.settings.stagger.mul_f64(1.0 + 2.0 * self.rng.f64());
-        self.holder.ask_at = self.holder.ask_at.max(now + pause);
+        let turn = self.settings.stagger * self.rank() + self.settings.stagger.mul_f64(self.rng.f64());
+        self.holder.ask_at = self.holder.ask_at.max(now) + turn;
     }
 }
