Edge: bound connections to all stores together, and read settings again where it is cut off

A resting connection to one store makes room for one to another; the descriptors are divided among clients, stores and the rest.

--- a/system/data/src/front/listener.rs
+++ b/system/data/src/front/listener.rs
@@ -21,10 +21,12 @@
 
 /// Descriptors that the platform keeps for other files.
 const KEPT_DESCRIPTORS: u64 = 200;
+/// One in so many descriptors is kept for internal messages and readiness.
+const INTERNAL_PART: u64 = 8;
 /// About what an idle client connection takes of memory.
 const CONNECTION_BYTES: u64 = 32 * 1024;
 /// About what a request under way takes of memory, its body apart.
-const REQUEST_BYTES: u64 = 64 * 1024;
+const REQUEST_BYTES: u64 = 32 * 1024;
 /// Connections get this part of the memory, and requests as much, and bodies as much.
 const MEMORY_PART: u64 = 6;
 const MEBIBYTE: u64 = 1024 * 1024;
@@ -44,6 +46,8 @@
 pub struct Bounds {
     /// Connections of clients.
     pub connections: usize,
+    /// Connections to stores.
+    pub store_connections: usize,
     /// Requests under way.
     pub requests: usize,
     /// Bytes of their bodies.
@@ -52,11 +56,13 @@
 
 /// What a process of these limits may have at once.
 pub fn bounds(limits: &ProcessLimits) -> Bounds {
-    let descriptors = limits.file_descriptors.saturating_sub(KEPT_DESCRIPTORS) / 2;
+    let descriptors = limits.file_descriptors.saturating_sub(KEPT_DESCRIPTORS);
+    let descriptors = (descriptors - descriptors / INTERNAL_PART) / 2;
     let memory = limits.memory_mb * MEBIBYTE / MEMORY_PART;
     let bounded = |count: u64| usize::try_from(count.max(1)).unwrap_or(usize::MAX);
     Bounds {
         connections: bounded(descriptors.min(memory / CONNECTION_BYTES)),
+        store_connections: bounded(descriptors),
         requests: bounded(memory / REQUEST_BYTES),
         body_bytes: bounded(memory),
     }
--- a/system/data/src/node/mod.rs
+++ b/system/data/src/node/mod.rs
@@ -27,6 +27,10 @@
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// How often the end of a stopping process is looked for.
 const STOP_INTERVAL: Duration = Duration::from_millis(50);
+/// A node that is cut off reads its settings again this often.
+const READ_INTERVAL: Duration = Duration::from_secs(5);
+/// The least pause between two looks at the clock.
+const LEAST_PAUSE: Duration = Duration::from_millis(1);
 /// The most events of the inbox that are taken at once.
 const INBOX_BATCH: usize = 64;
 
@@ -71,8 +75,10 @@
     let network = NetworkSettings::new(settings.internal_address());
     let (network, inbox) = Network::bind(network).await.context(InternalSnafu)?;
     let signals = Signals::new().context(SignalsSnafu)?;
-    let front = Front::new(front::bounds(&settings.limits));
+    let bounds = front::bounds(&settings.limits);
+    let front = Front::new(bounds);
     let shared = Rc::new(Shared::new(settings, network, fastrand::u64(1..)));
+    shared.stores.set_most(bounds.store_connections);
     let ready = Rc::new(Readiness::default());
     shared.relay(Event::ControlKnown(shared.settings().internal_seeds()));
     shared.relay(Event::Started);
@@ -80,7 +86,14 @@
     tokio::task::spawn_local(front::serve(Rc::clone(&shared), Rc::clone(&front), frontend));
     tokio::task::spawn_local(readiness::serve(Rc::clone(&shared), Rc::clone(&ready), readiness));
     log::info!("{} serves at {:?}", shared.settings().node_name, shared.settings().listen.frontend);
-    let node = Node { shared, front, ready, heartbeats: Heartbeats::new(), swept: Duration::ZERO };
+    let node = Node {
+        shared,
+        front,
+        ready,
+        heartbeats: Heartbeats::new(),
+        swept: Duration::ZERO,
+        read_at: Duration::ZERO,
+    };
     let shared = Rc::clone(&node.shared);
     node.run(inbox, signals, reread).await;
     shared.flush().await;
@@ -114,6 +127,7 @@
     ready: Rc<Readiness>,
     heartbeats: Heartbeats,
     swept: Duration,
+    read_at: Duration,
 }
 
 impl Node {
@@ -139,6 +153,9 @@
                 },
                 () = &mut timer => {}
             }
+            if self.cut_off_for_long() {
+                self.read_settings(&reread);
+            }
             if self.clockwork(stopping.as_ref()) {
                 return;
             }
@@ -221,7 +238,18 @@
         let pace = if stopping { STOP_INTERVAL } else { SWEEP_INTERVAL };
         let relay = self.shared.relay_timer().unwrap_or(Duration::MAX);
         let due = relay.min(self.heartbeats.due()).min(self.swept + SWEEP_INTERVAL).min(now + pace);
-        Instant::now() + due.saturating_sub(now)
+        Instant::now() + due.saturating_sub(now).max(LEAST_PAUSE)
+    }
+
+    /// Whether nothing new was heard for long, so that the settings may name other control nodes by now. True once in a while.
+    fn cut_off_for_long(&mut self) -> bool {
+        let now = self.shared.now();
+        let heard = self.ready.fresh_at().unwrap_or_default().max(self.read_at);
+        let due = now.saturating_sub(heard) >= READ_INTERVAL;
+        if due {
+            self.read_at = now;
+        }
+        due
     }
 
     fn stop(&self, stopping: &mut Option<Stopping>) {
--- a/system/data/src/node/readiness.rs
+++ b/system/data/src/node/readiness.rs
@@ -36,6 +36,11 @@
         }
     }
 
+    /// When the registry was last seen to be fresh.
+    pub fn fresh_at(&self) -> Option<Duration> {
+        self.fresh_at.get()
+    }
+
     /// Whether the edge wants new connections.
     pub fn is_ready(&self, shared: &Shared) -> bool {
         self.look(shared);
--- a/system/data/src/stores/client.rs
+++ b/system/data/src/stores/client.rs
@@ -67,6 +67,11 @@
         self.limits.borrow_mut().insert(service.to_owned(), share);
     }
 
+    /// From now on there are at most so many connections to all stores together.
+    pub fn set_most(&self, most: usize) {
+        self.pool.set_most(most);
+    }
+
     /// Closes connections that have rested too long, and those to stores that `known` denies.
     pub fn sweep(&self, known: impl Fn(&str) -> bool) {
         self.pool.sweep(known);
--- a/system/data/src/stores/pool.rs
+++ b/system/data/src/stores/pool.rs
@@ -22,6 +22,8 @@
 /// All resting connections.
 pub(super) struct Pool {
     stores: RefCell<HashMap<String, Rc<StorePool>>>,
+    total: Rc<Cell<usize>>,
+    most: Cell<usize>,
     started: Instant,
 }
 
@@ -30,6 +32,7 @@
     address: SocketAddr,
     idle: RefCell<Vec<Connection>>,
     open: Cell<usize>,
+    total: Rc<Cell<usize>>,
     freed: Notify,
     longest_rest: Cell<Duration>,
     started: Instant,
@@ -50,6 +53,7 @@
 impl Drop for Place {
     fn drop(&mut self) {
         self.store.open.set(self.store.open.get().saturating_sub(1));
+        self.store.total.set(self.store.total.get().saturating_sub(1));
         self.store.freed.notify_one();
     }
 }
@@ -66,7 +70,17 @@
 impl Pool {
     /// Without connections.
     pub fn new() -> Self {
-        Self { stores: RefCell::default(), started: Instant::now() }
+        Self {
+            stores: RefCell::default(),
+            total: Rc::default(),
+            most: Cell::new(usize::MAX),
+            started: Instant::now(),
+        }
+    }
+
+    /// From now on there are at most so many connections to all stores together.
+    pub fn set_most(&self, most: usize) {
+        self.most.set(most);
     }
 
     /// A connection to a store, a resting one if there is one, else a new one while there are fewer than `limit`.
@@ -84,16 +98,30 @@
             }
         }
         if store.open.get() < limit {
-            return store.open_one(within).await;
+            return self.open_one(&store, within).await;
         }
         let waiting = store.wait_for_place(limit, fresh);
         match timeout(within, waiting).await {
             Err(_elapsed) => Err(NoConnection::Busy),
             Ok(Some(connection)) => Ok(connection),
-            Ok(None) => store.open_one(within).await,
+            Ok(None) => self.open_one(&store, within).await,
         }
     }
 
+    async fn open_one(&self, store: &Rc<StorePool>, within: Duration) -> Result<Connection, NoConnection> {
+        if self.total.get() >= self.most.get() && !self.close_one() {
+            return Err(NoConnection::Busy);
+        }
+        store.open_one(within).await
+    }
+
+    /// Closes a resting connection to any store; says whether there was one.
+    fn close_one(&self) -> bool {
+        let stores = self.stores.borrow();
+        let connection = stores.values().find_map(|store| store.idle.borrow_mut().pop());
+        connection.is_some()
+    }
+
     /// Lets go of connections that have rested too long, and of those to stores that `known` denies.
     pub fn sweep(&self, known: impl Fn(&str) -> bool) {
         self.stores.borrow_mut().retain(|id, store| {
@@ -107,18 +135,19 @@
         if let Some(store) = stores.get(&target.id).filter(|store| store.address == target.address) {
             return Rc::clone(store);
         }
-        let store = Rc::new(StorePool::new(target.address, self.started));
+        let store = Rc::new(StorePool::new(target.address, Rc::clone(&self.total), self.started));
         stores.insert(target.id.clone(), Rc::clone(&store));
         store
     }
 }
 
 impl StorePool {
-    fn new(address: SocketAddr, started: Instant) -> Self {
+    fn new(address: SocketAddr, total: Rc<Cell<usize>>, started: Instant) -> Self {
         Self {
             address,
             idle: RefCell::default(),
             open: Cell::new(0),
+            total,
             freed: Notify::new(),
             longest_rest: Cell::new(ASSUMED_REST),
             started,
@@ -195,6 +224,7 @@
 
     async fn open_one(self: &Rc<Self>, within: Duration) -> Result<Connection, NoConnection> {
         self.open.set(self.open.get() + 1);
+        self.total.set(self.total.get() + 1);
         let place = Place { store: Rc::clone(self) };
         match timeout(within, Connection::open(self.address, place)).await {
             Ok(Some(connection)) => Ok(connection),
