Relay: test one machine message by message; drop a child behind the log also while it is full

A child whose window was full was never found to be behind the log; now each frame looks first. A parent's ticks that fell and rise again count for a node that isn't fresh, so that deeper nodes need not move when the control chain counts anew. Tests: places and referrals, gaps, silence, standstill, ages of ticks, bounded frames and window, digests, coalescing, strangers; an island without a root is stale after 0.82 s and stays so.

--- a/system/relay/src/feed.rs
+++ b/system/relay/src/feed.rs
@@ -98,8 +98,9 @@
     /// The next frame.
     pub fn next_frame(&mut self, now: Duration, source: Source<'_>) -> Result<RelayMessage, Overrun> {
         let mut frame = Frame::new(source.settings.update_bytes);
+        let changes = source.log.since(self.position).ok_or(Overrun)?;
         if self.may_send_entries(source) {
-            self.take_changes(source, &mut frame)?;
+            self.take_changes(changes, source, &mut frame);
             self.take_snapshot(source, &mut frame);
         }
         if self.is_complete(source) {
@@ -133,10 +134,14 @@
         self.snapshot.is_none() && self.position >= source.log.end()
     }
 
-    fn take_changes(&mut self, source: Source<'_>, frame: &mut Frame) -> Result<(), Overrun> {
-        let keys = source.log.since(self.position).ok_or(Overrun)?;
+    fn take_changes<'a>(
+        &mut self,
+        changes: impl Iterator<Item = &'a Key>,
+        source: Source<'_>,
+        frame: &mut Frame,
+    ) {
         let mut seen = BTreeSet::new();
-        for key in keys {
+        for key in changes {
             if frame.is_full() {
                 break;
             }
@@ -146,7 +151,6 @@
                 frame.add(entry);
             }
         }
-        Ok(())
     }
 
     fn take_snapshot(&mut self, source: Source<'_>, frame: &mut Frame) {
--- a/system/relay/src/freshness.rs
+++ b/system/relay/src/freshness.rs
@@ -44,7 +44,7 @@
     }
 
     /// Takes a parent's tick of some age if it proves anything new; says whether it does. `rises` says that it is higher than
-    /// any before it from the same subscription. Only a node that is no longer fresh goes to a lower tick than it had: the
+    /// the one before it in the same subscription. Only a node that is no longer fresh goes to a lower tick than it had: the
     /// control chain may count anew after all of it started again.
     pub fn relayed(&mut self, tick: Tick, age: Duration, rises: bool, now: Duration) -> bool {
         if tick == Tick::default() || age >= self.limit {
--- a/system/relay/src/link.rs
+++ b/system/relay/src/link.rs
@@ -69,10 +69,10 @@
         true
     }
 
-    /// Notes the tick of an update; says whether it is higher than all before it.
+    /// Notes the tick of an update; says whether it is higher than the one before it.
     pub fn take_tick(&mut self, tick: Tick) -> bool {
         let rises = tick > self.tick;
-        self.tick = self.tick.max(tick);
+        self.tick = tick;
         rises
     }
 
--- a/system/relay/tests/faults.rs
+++ b/system/relay/tests/faults.rs
@@ -209,6 +209,30 @@
     }
 }
 
+#[test]
+fn an_island_without_a_root_is_soon_stale_and_stays_so_until_the_cut_heals() {
+    for seed in 0..SEEDS {
+        let mut world = calm(seed);
+        let mut edges = world.with_role(Role::Edge);
+        world.rng.shuffle(&mut edges);
+        let (island, mainland) = edges.split_at(30);
+        for inside in island {
+            for outside in mainland.iter().copied().chain(world.with_role(Role::Control)) {
+                world.cut(*inside, outside);
+            }
+        }
+        world.run(ms(820));
+        for _ in 0..200 {
+            let fresh = island.iter().filter(|at| world.relay(**at).fresh(world.now)).count();
+            world.expect(fresh == 0, &format!("{fresh} nodes believe in ticks that go round"));
+            world.run(ms(20));
+        }
+        world.cuts.clear();
+        let healed = world.run_until(ms(1500), World::all_fresh);
+        world.expect(healed.is_some(), "the island comes back in time");
+    }
+}
+
 #[test]
 fn a_core_that_starts_again_with_nothing_deletes_nothing() {
     for seed in 0..SEEDS {
--- /dev/null
+++ b/system/relay/tests/machine.rs
@@ -0,0 +1,445 @@
+//! One relay alone, message by message: who is taken, what is sent, and what is not believed.
+
+mod world;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use gingerledge_relay::{Action, Event, Relay, RelaySettings};
+use gingerledge_wire::{Entry, RelayMessage, Role, Tick};
+use world::{ms, store};
+use yare::parameterized;
+
+const ME: u16 = 1;
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(10, 0, (number >> 8) as u8, number as u8), 7000))
+}
+
+fn tick(number: u64) -> Tick {
+    Tick { epoch: 1, number }
+}
+
+/// A relay with its clock and what it has sent since one last looked.
+struct Lone {
+    relay: Relay,
+    now: Duration,
+    sent: Vec<(SocketAddr, RelayMessage)>,
+}
+
+impl Lone {
+    fn new(settings: RelaySettings, root: bool) -> Self {
+        let relay = Relay::new(settings, address(ME), root, 1);
+        let mut lone = Self { relay, now: Duration::from_secs(10), sent: Vec::new() };
+        lone.handle(Event::ControlKnown(vec![address(2), address(3)]));
+        lone.handle(Event::Started);
+        lone
+    }
+
+    /// A root that is fresh.
+    fn root() -> Self {
+        Self::root_with(RelaySettings::for_role(Role::Control, ""))
+    }
+
+    fn root_with(settings: RelaySettings) -> Self {
+        let mut lone = Self::new(settings, true);
+        lone.handle(Event::Tick(tick(1)));
+        lone
+    }
+
+    /// An edge with the subscription that it sent first.
+    fn edge() -> (Self, SocketAddr, u64) {
+        let mut lone = Self::new(RelaySettings::for_role(Role::Edge, ""), false);
+        let (parent, subscription) = lone.asked();
+        (lone, parent, subscription)
+    }
+
+    /// An edge that is fresh, with its parent and subscription.
+    fn fresh_edge() -> (Self, SocketAddr, u64) {
+        let (mut lone, parent, subscription) = Self::edge();
+        lone.message(parent, RelayMessage::Accepted { subscription });
+        lone.update(parent, subscription, 1, Vec::new(), tick(1));
+        assert!(lone.relay.fresh(lone.now));
+        (lone, parent, subscription)
+    }
+
+    fn handle(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.relay.handle(self.now, event, &mut actions);
+        for action in actions {
+            if let Action::Send { to, message } = action {
+                self.sent.push((to, message));
+            }
+        }
+    }
+
+    fn message(&mut self, from: SocketAddr, message: RelayMessage) {
+        self.handle(Event::Message { from, message });
+    }
+
+    fn update(
+        &mut self,
+        from: SocketAddr,
+        subscription: u64,
+        sequence: u64,
+        entries: Vec<Entry>,
+        tick: Tick,
+    ) {
+        self.message(from, RelayMessage::Update { subscription, sequence, entries, tick, tick_age_ms: 5 });
+    }
+
+    /// Lets time pass, with timers.
+    fn run(&mut self, time: Duration) {
+        let until = self.now + time;
+        while let Some(at) = self.relay.next_timer().filter(|at| *at <= until) {
+            assert!(at >= self.now, "a timer in the past");
+            self.now = at;
+            self.handle(Event::Timer);
+        }
+        self.now = until;
+    }
+
+    fn subscribe(&mut self, number: u16, room: u16) -> Vec<(SocketAddr, RelayMessage)> {
+        self.sent.clear();
+        let digest = Vec::new();
+        self.message(
+            address(number),
+            RelayMessage::Subscribe { subscription: u64::from(number), digest, room },
+        );
+        std::mem::take(&mut self.sent)
+    }
+
+    fn takes(&mut self, number: u16, room: u16) -> bool {
+        self.subscribe(number, room)
+            .iter()
+            .any(|(_, message)| matches!(message, RelayMessage::Accepted { .. }))
+    }
+
+    /// Whom a node is sent to that isn't taken.
+    fn others(&mut self, number: u16) -> Vec<SocketAddr> {
+        let sent = self.subscribe(number, 8);
+        let others = sent.into_iter().find_map(|(_, message)| match message {
+            RelayMessage::Declined { others, .. } => Some(others),
+            _ => None,
+        });
+        others.expect("declined")
+    }
+
+    /// The last subscription that was sent.
+    fn asked(&mut self) -> (SocketAddr, u64) {
+        let last = self.sent.drain(..).rev().find_map(|(to, message)| match message {
+            RelayMessage::Subscribe { subscription, .. } => Some((to, subscription)),
+            _ => None,
+        });
+        last.expect("a subscription")
+    }
+
+    fn left(&self, peer: SocketAddr) -> bool {
+        self.sent.iter().any(|(to, message)| *to == peer && matches!(message, RelayMessage::Leave { .. }))
+    }
+
+    /// The updates sent: entries and tick of each.
+    fn updates(&mut self) -> Vec<(Vec<Entry>, Tick)> {
+        let sent = std::mem::take(&mut self.sent);
+        let updates = sent.into_iter().filter_map(|(_, message)| match message {
+            RelayMessage::Update { entries, tick, .. } => Some((entries, tick)),
+            _ => None,
+        });
+        updates.collect()
+    }
+}
+
+#[test]
+fn children_are_bounded_and_the_rest_is_sent_to_the_emptiest() {
+    let mut root = Lone::root();
+    for number in 10..34 {
+        assert!(root.takes(number, 8));
+    }
+    let first = root.others(100);
+    assert_eq!(first.len(), 4);
+    let second = root.others(101);
+    assert!(first.iter().all(|named| !second.contains(named)), "each naming counts");
+    for number in 10..34 {
+        let room = if number == 20 { 3 } else { 0 };
+        let received = RelayMessage::Received { subscription: number.into(), sequence: 1, room };
+        root.message(address(number), received);
+    }
+    assert_eq!(root.others(102), vec![address(20)], "only this one has room");
+    assert!(root.takes(15, 8), "one that subscribes again keeps its place");
+    assert_eq!(root.relay.children(), 24);
+}
+
+#[test]
+fn nodes_that_take_no_children_leave_places_for_those_that_do() {
+    let mut root = Lone::root();
+    let taken = (10..60).filter(|number| root.takes(*number, 0)).count();
+    assert_eq!(taken, 18);
+    let taken = (100..150).filter(|number| root.takes(*number, 8)).count();
+    assert_eq!(taken, 6);
+}
+
+#[test]
+fn a_backend_takes_nobody() {
+    let mut backend = Lone::root_with(RelaySettings::for_role(Role::Backend, ""));
+    assert!(!backend.takes(10, 8));
+}
+
+#[test]
+fn a_node_that_is_not_fresh_takes_nobody() {
+    let mut root = Lone::root();
+    assert!(root.takes(10, 8));
+    root.run(ms(801));
+    assert!(!root.takes(11, 8));
+    root.handle(Event::Tick(tick(2)));
+    assert!(root.takes(11, 8));
+}
+
+#[test]
+fn a_node_takes_neither_its_parent_nor_one_that_it_asks_nor_itself() {
+    let (mut edge, parent, _) = Lone::fresh_edge();
+    let number = if parent == address(2) { 2 } else { 3 };
+    assert!(!edge.takes(number, 8));
+    assert!(!edge.takes(ME, 8));
+    edge.handle(Event::Lost { peer: parent });
+    let (asked, _) = edge.asked();
+    let number = if asked == address(2) { 2 } else { 3 };
+    assert!(!edge.takes(number, 8));
+    assert!(edge.takes(50, 8));
+}
+
+#[test]
+fn a_missing_update_ends_the_subscription() {
+    let (mut edge, parent, subscription) = Lone::fresh_edge();
+    edge.update(parent, subscription, 3, vec![store(1, 1)], tick(2));
+    assert!(edge.left(parent));
+    assert_eq!(edge.relay.parent(), None);
+    assert_eq!(edge.relay.registry().len(), 0);
+    edge.asked();
+}
+
+#[test]
+fn a_silent_parent_is_left_and_the_other_asked_at_once() {
+    let (mut edge, parent, _) = Lone::fresh_edge();
+    edge.run(ms(599));
+    assert_eq!(edge.relay.parent(), Some(parent));
+    edge.run(ms(2));
+    assert_eq!(edge.relay.parent(), None);
+    assert_ne!(edge.asked().0, parent);
+}
+
+#[test]
+fn a_parent_without_ticks_is_kept_until_another_accepts() {
+    let (mut edge, parent, subscription) = Lone::fresh_edge();
+    for sequence in 2..7 {
+        edge.run(ms(200));
+        edge.update(parent, subscription, sequence, Vec::new(), tick(1));
+    }
+    assert!(!edge.relay.fresh(edge.now));
+    assert_eq!(edge.relay.parent(), Some(parent));
+    let (other, subscription) = edge.asked();
+    assert_ne!(other, parent);
+    edge.message(other, RelayMessage::Accepted { subscription });
+    assert!(edge.left(parent));
+    assert_eq!(edge.relay.parent(), Some(other));
+}
+
+#[test]
+fn what_waited_during_a_standstill_is_not_believed() {
+    let (mut edge, parent, subscription) = Lone::fresh_edge();
+    // No timer ran meanwhile.
+    edge.now += ms(5000);
+    edge.update(parent, subscription, 2, Vec::new(), tick(2));
+    assert!(!edge.relay.fresh(edge.now));
+}
+
+#[test]
+fn a_tick_of_too_great_an_age_proves_nothing() {
+    let (mut edge, parent, subscription) = Lone::edge();
+    let update = |sequence, number, tick_age_ms| {
+        let (entries, tick) = (Vec::new(), tick(number));
+        RelayMessage::Update { subscription, sequence, entries, tick, tick_age_ms }
+    };
+    edge.message(parent, update(1, 1, 800));
+    assert!(!edge.relay.fresh(edge.now));
+    edge.message(parent, update(2, 2, 700));
+    assert!(edge.relay.fresh(edge.now));
+    edge.message(parent, update(3, 2, 5));
+    edge.run(ms(101));
+    assert!(!edge.relay.fresh(edge.now), "the same tick doesn't grow younger");
+}
+
+#[test]
+fn lower_ticks_count_only_for_a_node_that_is_no_longer_fresh() {
+    let (mut edge, parent, subscription) = Lone::edge();
+    edge.update(parent, subscription, 1, Vec::new(), tick(100));
+    // The parent's own parent counts anew, from here on.
+    for (sequence, number) in (2..).zip(1..4) {
+        edge.run(ms(190));
+        edge.update(parent, subscription, sequence, Vec::new(), tick(number));
+    }
+    edge.run(ms(224));
+    assert!(edge.relay.fresh(edge.now), "as long as the first tick counts");
+    edge.run(ms(2));
+    assert!(!edge.relay.fresh(edge.now), "lower ones meanwhile proved nothing");
+    edge.update(parent, subscription, 5, Vec::new(), tick(3));
+    assert!(!edge.relay.fresh(edge.now), "it doesn't rise");
+    edge.update(parent, subscription, 6, Vec::new(), tick(4));
+    assert!(edge.relay.fresh(edge.now));
+}
+
+#[test]
+fn a_subscription_that_begins_without_freshness_may_begin_with_any_tick() {
+    let (mut edge, _, _) = Lone::fresh_edge();
+    edge.run(ms(900));
+    edge.sent.clear();
+    while edge.sent.is_empty() {
+        edge.run(ms(10));
+    }
+    let (parent, subscription) = edge.asked();
+    edge.update(parent, subscription, 1, Vec::new(), Tick { epoch: 0, number: 1 });
+    assert!(edge.relay.fresh(edge.now));
+}
+
+#[test]
+fn strangers_are_told_that_their_subscription_is_over() {
+    let (mut edge, _, _) = Lone::fresh_edge();
+    let stranger = address(99);
+    for message in [
+        RelayMessage::Accepted { subscription: 7 },
+        RelayMessage::Update {
+            subscription: 7,
+            sequence: 1,
+            entries: vec![store(1, 1)],
+            tick: tick(9),
+            tick_age_ms: 0,
+        },
+        RelayMessage::Received { subscription: 7, sequence: 1, room: 0 },
+    ] {
+        edge.sent.clear();
+        edge.message(stranger, message);
+        assert!(edge.left(stranger));
+    }
+    assert_eq!(edge.relay.registry().len(), 0);
+    edge.sent.clear();
+    edge.message(stranger, RelayMessage::Leave { subscription: 7 });
+    edge.message(stranger, RelayMessage::Declined { subscription: 7, others: vec![address(98)] });
+    assert!(edge.sent.is_empty(), "these are not answered");
+}
+
+#[test]
+fn a_copy_goes_in_bounded_frames_and_the_tick_with_the_last() {
+    let mut settings = RelaySettings::for_role(Role::Control, "");
+    settings.update_bytes = 8 * 1024;
+    settings.window_bytes = 32 * 1024;
+    let mut root = Lone::root_with(settings);
+    root.handle(Event::Learned((0..2000).map(|number| store(number, 1)).collect()));
+    let mut entries = 0;
+    let mut sequence = 0;
+    root.sent = root.subscribe(10, 8);
+    for _ in 0..100 {
+        let updates = root.updates();
+        assert!(updates.len() <= 5, "no more than the window: {}", updates.len());
+        for (taken, newest) in updates {
+            sequence += 1;
+            entries += taken.len();
+            let bytes =
+                bincode::serde::encode_to_vec(&taken, bincode::config::standard()).expect("encodes").len();
+            assert!(bytes <= 8 * 1024 + 256, "{bytes} bytes in one update");
+            assert_eq!(newest == tick(1), entries == 2000, "the tick comes with the last of it");
+        }
+        if entries == 2000 {
+            return;
+        }
+        root.run(ms(5));
+        root.message(address(10), RelayMessage::Received { subscription: 10, sequence, room: 8 });
+    }
+    panic!("the copy didn't arrive");
+}
+
+#[test]
+fn only_what_differs_is_sent() {
+    let entries: Vec<Entry> = (0..5000).map(|number| store(number, 1)).collect();
+    let mut root = Lone::root();
+    root.handle(Event::Learned(entries.clone()));
+    let (mut edge, parent, subscription) = Lone::edge();
+    edge.update(parent, subscription, 1, entries, tick(1));
+    edge.handle(Event::Lost { peer: parent });
+    let subscribe = |edge: &mut Lone| {
+        let sent = std::mem::take(&mut edge.sent);
+        let last =
+            sent.into_iter().rev().find(|(_, message)| matches!(message, RelayMessage::Subscribe { .. }));
+        last.expect("a subscription").1
+    };
+    let message = subscribe(&mut edge);
+    root.message(address(50), message.clone());
+    assert!(root.updates().iter().all(|(entries, _)| entries.is_empty()), "equal copies need nothing");
+    root.handle(Event::Learned(vec![store(1, 2), store(2, 2)]));
+    root.message(address(50), message);
+    let sent: Vec<Entry> = root.updates().into_iter().flat_map(|(entries, _)| entries).collect();
+    assert!(sent.contains(&store(1, 2)) && sent.contains(&store(2, 2)));
+    assert!(sent.len() < 60, "{} entries for two that differ", sent.len());
+}
+
+#[test]
+fn changes_go_at_once_and_then_together() {
+    let mut root = Lone::root();
+    root.takes(10, 8);
+    root.run(ms(25));
+    root.sent.clear();
+    root.handle(Event::Learned(vec![store(1, 1)]));
+    assert_eq!(root.updates().len(), 1, "the first goes at once");
+    for version in 2..20 {
+        root.now += ms(1);
+        root.handle(Event::Learned(vec![store(1, version), store(2, version)]));
+    }
+    assert_eq!(root.updates().len(), 0);
+    root.run(ms(20));
+    let updates = root.updates();
+    assert_eq!(updates.len(), 1);
+    assert_eq!(updates[0].0, vec![store(1, 19), store(2, 19)], "each once, the newest");
+}
+
+#[test]
+fn a_child_too_far_behind_is_dropped() {
+    let mut settings = RelaySettings::for_role(Role::Control, "");
+    settings.window_bytes = 1024;
+    settings.max_pending = 100;
+    let mut root = Lone::root_with(settings);
+    root.takes(10, 8);
+    for number in 0..300 {
+        root.run(ms(5));
+        root.handle(Event::Learned(vec![store(number, 1)]));
+        root.handle(Event::Tick(tick(number as u64 + 2)));
+    }
+    assert!(root.left(address(10)));
+    assert_eq!(root.relay.children(), 0);
+}
+
+#[parameterized(
+    silent = { false, 0 },
+    answering = { true, 1 },
+)]
+fn a_child_that_says_nothing_is_dropped(answers: bool, children: usize) {
+    let mut root = Lone::root();
+    root.takes(10, 8);
+    for sequence in 1..5 {
+        root.run(ms(1000));
+        if answers {
+            root.message(address(10), RelayMessage::Received { subscription: 10, sequence, room: 8 });
+        }
+    }
+    assert_eq!(root.relay.children(), children);
+}
+
+#[test]
+fn attempts_without_answer_grow_rare_and_named_nodes_are_asked_at_once() {
+    let (mut edge, _, _) = Lone::edge();
+    edge.run(Duration::from_secs(10));
+    let count =
+        |edge: &Lone| edge.sent.iter().filter(|(_, m)| matches!(m, RelayMessage::Subscribe { .. })).count();
+    let attempts = count(&edge);
+    assert!((10..50).contains(&attempts), "{attempts} attempts in 10 s");
+    let (asked, subscription) = edge.asked();
+    edge.message(asked, RelayMessage::Declined { subscription, others: vec![address(70)] });
+    assert_eq!(edge.asked().0, address(70));
+}
--- a/system/relay/tests/world/mod.rs
+++ b/system/relay/tests/world/mod.rs
@@ -1,9 +1,11 @@
 //! A seeded world of relays: links with delay, cuts and order, processes that stop, freeze and start again, and a control chain
 //! that is only a source of ticks. Every step is checked for what must always hold.
 
-#![allow(dead_code)]
+// Each file of tests uses a part of it.
+#![allow(dead_code, unused_imports)]
 
 mod check;
+mod entries;
 mod node;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,8 +14,9 @@
 
 use fastrand::Rng;
 use gingerledge_relay::{Action, Event, Relay, RelaySettings};
-use gingerledge_wire::{Entry, Key, RelayMessage, Role, StoreRecord, Tick, Value};
+use gingerledge_wire::{Entry, RelayMessage, Role, Tick};
 
+pub use entries::{gone, store, store_key};
 pub use node::Node;
 
 /// How often the control chain confirms a tick.
@@ -379,27 +382,3 @@
         self.plan(after, Step::Deliver { from, to, message, bytes });
     }
 }
-
-/// An entry of a store with some text.
-pub fn store(number: usize, version: u64) -> Entry {
-    let record = StoreRecord {
-        service: "reader".to_owned(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9000)),
-        zone: format!("zone-{}", number % 3),
-        software: "1.0".to_owned(),
-        slots: 8,
-        state: Default::default(),
-        models: Vec::new(),
-    };
-    Entry { key: store_key(number), version, value: Value::Store(record) }
-}
-
-/// The key of a store.
-pub fn store_key(number: usize) -> Key {
-    Key::Store(format!("store-{number:05}"))
-}
-
-/// The same store, gone.
-pub fn gone(number: usize, version: u64) -> Entry {
-    Entry { key: store_key(number), version, value: Value::Gone }
-}
