--- a/system/relay/tests/machine.rs
+++ b/system/relay/tests/machine.rs
@@ -92,7 +92,7 @@
     fn run(&mut self, time: Duration) {
         let until = self.now + time;
         while let Some(at) = self.relay.next_timer().filter(|at| *at <= until) {
-            assert!(at >= self.now, "a timer in the past");
+            assert!(at > self.now, "a timer that is due at once, a busy loop");
             self.now = at;
             self.handle(Event::Timer);
         }
@@ -292,8 +292,10 @@
     let (mut edge, _, _) = Lone::fresh_edge();
     edge.run(ms(900));
     edge.sent.clear();
-    while edge.sent.is_empty() {
-        edge.run(ms(10));
+    for _ in 0..100 {
+        if edge.sent.is_empty() {
+            edge.run(ms(10));
+        }
     }
     let (parent, subscription) = edge.asked();
     edge.update(parent, subscription, 1, Vec::new(), Tick { epoch: 0, number: 1 });
