Relay: doubt entries only at a new parent after a long time apart; tell capacity beside room

Found by thought: after the control chain had stood still for over a minute, nodes that had kept their parents doubted all sessions on the ticks' return and would have let go of those that didn't change within the grace. Doubts now begin with a subscription that asks for the whole copy. An edge whose own places are all taken counted as one that takes no children, and so fell under the share of places that leaves the tree room to grow; a subscription now says its capacity too.

--- a/system/relay/src/children.rs
+++ b/system/relay/src/children.rs
@@ -21,6 +21,15 @@
     children: BTreeMap<SocketAddr, Child>,
 }
 
+/// What a node offers to others that look for a parent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Offer {
+    /// How many more children it takes.
+    pub room: u16,
+    /// How many it takes at most.
+    pub capacity: u16,
+}
+
 #[derive(Debug)]
 struct Child {
     feed: Feed,
@@ -46,17 +55,22 @@
         self.children.contains_key(address)
     }
 
+    /// What this node offers to nodes that look for a parent.
+    pub fn offer(&self) -> Offer {
+        Offer { room: self.room(), capacity: u16::try_from(self.most).unwrap_or(u16::MAX) }
+    }
+
     /// How many more there may be.
     pub fn room(&self) -> u16 {
         u16::try_from(self.most.saturating_sub(self.children.len())).unwrap_or(u16::MAX)
     }
 
-    /// Whether there is a place for a node with so much room of its own; one that subscribes again keeps its place.
-    pub fn has_place(&self, address: &SocketAddr, room: u16) -> bool {
+    /// Whether there is a place for a node that takes children itself or not; one that subscribes again keeps its place.
+    pub fn has_place(&self, address: &SocketAddr, takes_children: bool) -> bool {
         if self.contains(address) {
             return true;
         }
-        if room > 0 {
+        if takes_children {
             return self.children.len() < self.most;
         }
         let without = self.children.values().filter(|child| !child.takes_children).count();
@@ -64,8 +78,9 @@
     }
 
     /// Takes a child, in place of its earlier subscription if it has one.
-    pub fn insert(&mut self, address: SocketAddr, feed: Feed, room: u16, now: Duration) {
-        let child = Child { feed, heard_at: now, room, named: 0, takes_children: room > 0 };
+    pub fn insert(&mut self, address: SocketAddr, feed: Feed, offer: Offer, now: Duration) {
+        let Offer { room, capacity } = offer;
+        let child = Child { feed, heard_at: now, room, named: 0, takes_children: capacity > 0 };
         self.children.insert(address, child);
     }
 
--- a/system/relay/src/link.rs
+++ b/system/relay/src/link.rs
@@ -5,6 +5,7 @@
 
 use gingerledge_wire::{Entry, RelayMessage, Tick};
 
+use crate::search::Attempt;
 use crate::settings::RelaySettings;
 use crate::weight::weight;
 
@@ -13,6 +14,7 @@
 pub(crate) struct Link {
     parent: SocketAddr,
     subscription: u64,
+    awaits_whole_copy: bool,
     accepted_at: Duration,
     heard_at: Duration,
     entries_at: Duration,
@@ -24,11 +26,12 @@
 }
 
 impl Link {
-    /// A subscription that was just accepted, and told the parent how much room there is.
-    pub fn new(parent: SocketAddr, subscription: u64, room: u16, now: Duration) -> Self {
+    /// An attempt that was just accepted.
+    pub fn new(attempt: &Attempt, now: Duration) -> Self {
         Self {
-            parent,
-            subscription,
+            parent: attempt.to,
+            subscription: attempt.subscription,
+            awaits_whole_copy: attempt.whole_copy,
             accepted_at: now,
             heard_at: now,
             entries_at: now,
@@ -36,10 +39,15 @@
             tick: Tick::default(),
             unreported_bytes: 0,
             reported_at: now,
-            reported_room: room,
+            reported_room: attempt.offer.room,
         }
     }
 
+    /// Whether this is the beginning of a subscription that asked for everything; true only once.
+    pub fn begins_whole_copy(&mut self) -> bool {
+        std::mem::take(&mut self.awaits_whole_copy)
+    }
+
     /// The parent.
     pub fn parent(&self) -> SocketAddr {
         self.parent
--- a/system/relay/src/relay.rs
+++ b/system/relay/src/relay.rs
@@ -5,15 +5,17 @@
 
 use gingerledge_wire::{Entry, Registry, RelayMessage, Tick, Value};
 
-use crate::children::{leave, Children};
+use crate::children::{leave, Children, Offer};
 use crate::event::{Action, Event};
 use crate::feed::{Feed, Source};
 use crate::freshness::Freshness;
+use crate::link::Link;
 use crate::log::ChangeLog;
 use crate::replica::Replica;
+use crate::search::Asking;
 use crate::settings::RelaySettings;
 use crate::suspects::Suspects;
-use crate::upstream::{Asking, Upstream};
+use crate::upstream::Upstream;
 
 /// One node's part of the tree, with its copy of the registry.
 #[derive(Debug)]
@@ -133,12 +135,13 @@
         actions: &mut Vec<Action>,
     ) {
         match message {
-            RelayMessage::Subscribe { subscription, digest, room } => {
-                let answer = self.answer_subscription(from, subscription, &digest, room, now);
+            RelayMessage::Subscribe { subscription, digest, room, capacity } => {
+                let offer = Offer { room, capacity };
+                let answer = self.answer_subscription(from, subscription, &digest, offer, now);
                 actions.push(Action::Send { to: from, message: answer });
             }
             RelayMessage::Accepted { subscription } => {
-                if self.upstream.link_of(from, subscription, now, actions).is_none() {
+                if self.link_of(from, subscription, now, actions).is_none() {
                     actions.push(leave(from, subscription));
                 }
             }
@@ -169,7 +172,7 @@
         from: SocketAddr,
         subscription: u64,
         digest: &[u64],
-        room: u16,
+        offer: Offer,
         now: Duration,
     ) -> RelayMessage {
         if !self.fresh(now) {
@@ -177,16 +180,16 @@
             return RelayMessage::Declined { subscription, others: Vec::new() };
         }
         let above = from == self.me || self.upstream.looks_to(from);
-        if above || !self.children.has_place(&from, room) {
+        if above || !self.children.has_place(&from, offer.capacity > 0) {
             return RelayMessage::Declined { subscription, others: self.children.others(&from) };
         }
         let feed = Feed::new(subscription, digest, self.source());
-        self.children.insert(from, feed, room, now);
+        self.children.insert(from, feed, offer, now);
         RelayMessage::Accepted { subscription }
     }
 
     fn on_update(&mut self, update: Update, now: Duration, actions: &mut Vec<Action>) {
-        let Some(link) = self.upstream.link_of(update.from, update.subscription, now, actions) else {
+        let Some(link) = self.link_of(update.from, update.subscription, now, actions) else {
             actions.push(leave(update.from, update.subscription));
             return;
         };
@@ -228,11 +231,24 @@
         self.settings.tombstone_retention / 2
     }
 
-    fn doubt_if_long_apart(&mut self, now: Duration) {
-        let Some(apart_since) = self.freshness.expires_at() else { return };
-        if apart_since + self.doubt_after() <= now {
-            self.suspects.doubt_sessions(self.replica.registry(), apart_since);
+    fn needs_whole_copy(&self, now: Duration) -> bool {
+        let apart_since = self.freshness.expires_at();
+        !self.suspects.is_empty() || apart_since.is_some_and(|since| since + self.doubt_after() <= now)
+    }
+
+    /// The link that a message belongs to; where it begins one after a long time apart, entries are doubted.
+    fn link_of(
+        &mut self,
+        from: SocketAddr,
+        subscription: u64,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) -> Option<&mut Link> {
+        let link = self.upstream.link_of(from, subscription, now, actions)?;
+        if link.begins_whole_copy() {
+            self.suspects.doubt_sessions(self.replica.registry());
         }
+        Some(link)
     }
 
     fn let_go_of_suspects(&mut self, now: Duration, actions: &mut Vec<Action>) {
@@ -244,9 +260,8 @@
 
     /// Looks for a parent if need be, and tells the one there is how far this node is.
     fn look_up(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        self.doubt_if_long_apart(now);
-        let digest = if self.suspects.is_empty() { self.replica.digest() } else { &[] };
-        let asking = Asking { directory: self.replica.directory(), digest, room: self.children.room() };
+        let digest = if self.needs_whole_copy(now) { &[] } else { self.replica.digest() };
+        let asking = Asking { directory: self.replica.directory(), digest, offer: self.children.offer() };
         let (me, children) = (self.me, &self.children);
         let skip = |address: &SocketAddr| *address == me || children.contains(address);
         actions.extend(self.upstream.search(now, self.freshness.expires_at(), asking, skip));
--- a/system/relay/src/search.rs
+++ b/system/relay/src/search.rs
@@ -10,6 +10,8 @@
 
 use fastrand::Rng;
 
+use crate::children::Offer;
+use crate::directory::Directory;
 use crate::settings::RelaySettings;
 
 /// The longest wait for an answer is so many times the shortest.
@@ -34,12 +36,25 @@
     pub to: SocketAddr,
     /// The name of the subscription.
     pub subscription: u64,
-    /// How much room the node told that it has.
-    pub room: u16,
+    /// What the node told of itself.
+    pub offer: Offer,
+    /// Whether it asked to be sent everything, whatever it has.
+    pub whole_copy: bool,
     /// Until when an answer counts.
     until: Duration,
 }
 
+/// What an attempt tells the one asked.
+#[derive(Clone, Copy)]
+pub(crate) struct Asking<'a> {
+    /// Where nodes are.
+    pub directory: &'a Directory,
+    /// The hash of each bucket; none to be sent everything.
+    pub digest: &'a [u64],
+    /// What this node offers itself.
+    pub offer: Offer,
+}
+
 impl Search {
     /// Begins with the first round at once.
     pub fn new(now: Duration, settings: &RelaySettings) -> Self {
@@ -98,14 +113,20 @@
     pub fn ask(
         &mut self,
         to: SocketAddr,
-        room: u16,
+        asking: Asking<'_>,
         now: Duration,
         settings: &RelaySettings,
         rng: &mut Rng,
     ) -> Attempt {
         let patience = self.round.clamp(1, PATIENCE_GROWTH);
         let until = now + settings.answer_timeout * patience;
-        let attempt = Attempt { to, subscription: rng.u64(1..), room, until };
+        let attempt = Attempt {
+            to,
+            subscription: rng.u64(1..),
+            offer: asking.offer,
+            whole_copy: asking.digest.is_empty(),
+            until,
+        };
         if self.open.len() >= MAX_OPEN {
             self.open.pop_front();
         }
--- a/system/relay/src/suspects.rs
+++ b/system/relay/src/suspects.rs
@@ -1,7 +1,8 @@
 //! Entries of sessions that a node held through a long time without a fresh parent.
 //!
 //! Their tombstones may have come and gone everywhere else meanwhile, so nothing would ever remove them here. Such a node asks
-//! for a parent's whole copy; what no parent has confirmed after it has been fresh for the time of grace is let go.
+//! its next parent for the whole copy; what no parent has confirmed after the node has been fresh for the time of grace is let
+//! go. A node that kept its parent all the while missed nothing and doubts nothing, for however long ticks stood still.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -13,16 +14,11 @@
 pub(crate) struct Suspects {
     keys: BTreeSet<Key>,
     fresh_since: Option<Duration>,
-    doubted_for: Option<Duration>,
 }
 
 impl Suspects {
-    /// Doubts all entries of sessions, once for each time apart; `apart_since` tells when it began.
-    pub fn doubt_sessions(&mut self, registry: &Registry, apart_since: Duration) {
-        if self.doubted_for == Some(apart_since) {
-            return;
-        }
-        self.doubted_for = Some(apart_since);
+    /// Doubts all entries of sessions.
+    pub fn doubt_sessions(&mut self, registry: &Registry) {
         let doubtful = registry
             .entries()
             .filter(|entry| matches!(entry.key, Key::Store(_) | Key::Weights(..) | Key::Node(_)))
--- a/system/relay/src/upstream.rs
+++ b/system/relay/src/upstream.rs
@@ -8,10 +8,9 @@
 
 use crate::candidates::Candidates;
 use crate::children::leave;
-use crate::directory::Directory;
 use crate::event::Action;
 use crate::link::Link;
-use crate::search::{Attempt, Search};
+use crate::search::{Asking, Attempt, Search};
 use crate::settings::RelaySettings;
 
 /// The parent of a node, or the search for one.
@@ -24,17 +23,6 @@
     search: Option<Search>,
 }
 
-/// What an attempt tells the one asked.
-#[derive(Clone, Copy)]
-pub(crate) struct Asking<'a> {
-    /// Where nodes are.
-    pub directory: &'a Directory,
-    /// The hash of each bucket; none to be sent everything.
-    pub digest: &'a [u64],
-    /// How many more children the node takes.
-    pub room: u16,
-}
-
 impl Upstream {
     /// Without a parent.
     pub fn new(settings: RelaySettings, me: SocketAddr, seed: u64) -> Self {
@@ -160,7 +148,7 @@
                 None => return None,
             }
         };
-        Some(subscribe(search.ask(to, asking.room, now, settings, rng), asking.digest))
+        Some(subscribe(search.ask(to, asking, now, settings, rng), asking.digest))
     }
 
     /// Tells the parent how far this node is, if it is time.
@@ -190,7 +178,7 @@
     fn accept(&mut self, attempt: Attempt, now: Duration, actions: &mut Vec<Action>) {
         self.search = None;
         self.leave_parent(actions);
-        self.link = Some(Link::new(attempt.to, attempt.subscription, attempt.room, now));
+        self.link = Some(Link::new(&attempt, now));
     }
 }
 
@@ -198,7 +186,8 @@
     let message = RelayMessage::Subscribe {
         subscription: attempt.subscription,
         digest: digest.to_vec(),
-        room: attempt.room,
+        room: attempt.offer.room,
+        capacity: attempt.offer.capacity,
     };
     Action::Send { to: attempt.to, message }
 }
--- a/system/relay/tests/machine.rs
+++ b/system/relay/tests/machine.rs
@@ -104,7 +104,7 @@
         let digest = Vec::new();
         self.message(
             address(number),
-            RelayMessage::Subscribe { subscription: u64::from(number), digest, room },
+            RelayMessage::Subscribe { subscription: u64::from(number), digest, room, capacity: room },
         );
         std::mem::take(&mut self.sent)
     }
--- a/system/relay/tests/tombstones.rs
+++ b/system/relay/tests/tombstones.rs
@@ -85,6 +85,29 @@
     }
 }
 
+#[test]
+fn a_long_standstill_of_the_control_chain_deletes_nothing() {
+    for seed in 0..SEEDS {
+        let mut world = calm(seed);
+        for number in 0..10 {
+            world.learn(store(number, 1));
+        }
+        world.run(Duration::from_secs(1));
+        world.chain_up = false;
+        world.run(Duration::from_secs(100));
+        world.learn(gone(1, 2));
+        world.run(Duration::from_secs(1));
+        world.chain_up = true;
+        for _ in 0..100 {
+            world.run(Duration::from_secs(2));
+            for at in world.nodes.keys().copied().collect::<Vec<_>>() {
+                let held = world.relay(at).registry().stores().count();
+                world.expect(held == 9, &format!("{at} holds {held} stores"));
+            }
+        }
+    }
+}
+
 #[test]
 fn after_a_long_absence_of_the_core_stores_that_announce_themselves_in_time_are_never_missing() {
     for seed in 0..SEEDS {
--- a/system/wire/src/relay.rs
+++ b/system/wire/src/relay.rs
@@ -24,6 +24,8 @@
         digest: Vec<u64>,
         /// How many more children of its own the node would take.
         room: u16,
+        /// How many children the node takes at most; 0 if none ever.
+        capacity: u16,
     },
     /// The parent has taken the child; what differs follows as updates.
     Accepted {
