--- a/system/chain/src/agreement/mod.rs
+++ b/system/chain/src/agreement/mod.rs
@@ -94,6 +94,11 @@
         self.members.as_ref().map_or(0, |members| members.epoch)
     }
 
+    /// The present epoch, if it is sealed here.
+    pub fn sealed_epoch(&self) -> Option<u64> {
+        self.promised.map(|_| self.epoch())
+    }
+
     /// Takes up a record found on the disk.
     pub fn restore(&mut self, record: &LogRecord) {
         match record {
--- a/system/chain/src/control_chain.rs
+++ b/system/chain/src/control_chain.rs
@@ -130,7 +130,7 @@
         members: Members,
     },
     /// This member takes part in nothing more of an epoch: the next membership is being voted on. A voter of a lease
-    /// must grant nothing more in this epoch.
+    /// must grant nothing more in this epoch. Given again after a restart.
     Sealed {
         /// The epoch.
         epoch: u64,
--- a/system/chain/src/turn.rs
+++ b/system/chain/src/turn.rs
@@ -111,6 +111,9 @@
             self.chain.agreement.learn(self.now, members, &mut self.from_agreement);
         }
         self.replica(ReplicaEvent::Started);
+        if let Some(epoch) = self.chain.agreement.sealed_epoch() {
+            self.out.push(ChainAction::Sealed { epoch });
+        }
         self.replica(ReplicaEvent::Learn);
         // A crash may have come between the records of a membership and of its view.
         if let Some(members) =
