--- a/system/storage/src/layout.rs
+++ b/system/storage/src/layout.rs
@@ -15,6 +15,8 @@
 pub(crate) const SECTOR_BYTES: u64 = 512;
 /// What each file keeps free at its start for superblocks.
 pub(crate) const FILE_HEADER_BYTES: u64 = 4096;
+/// Bound on positions, far beyond what a disk can write in its life: sums of a few lengths cannot overflow.
+pub(crate) const MAX_POSITION: u64 = 1 << 62;
 /// Bound on the files of a ring; each stays open.
 const MAX_FILES: u64 = 256;
 /// Bound on the length of a file, so that positions cannot overflow.
--- a/system/storage/src/recovery.rs
+++ b/system/storage/src/recovery.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::frame::{Batch, BatchKind, FrameHeader, FRAME_BYTES, FRAME_HEADER_BYTES};
+use crate::frame::{Batch, BatchKind, FrameHeader, FRAME_BYTES};
 use crate::layout::SECTOR_BYTES;
 use crate::superblock::Superblock;
 use crate::volume::Volume;
@@ -104,8 +104,9 @@
 
 fn read_batch<D: Disk>(reader: &mut Reader<'_, D>, log: &Log) -> Result<Found, StorageError> {
     let unreadable = |position, batch_end| Ok(Found::Unreadable(Unreadable { position, batch_end }));
-    let Some((header, _)) = reader.frame(log.head)? else { return unreadable(log.head, None) };
-    let batch = header.batch;
+    let Some(FrameHeader { batch, .. }) = reader.header(log.head)? else {
+        return unreadable(log.head, None);
+    };
     let continues = batch.start == log.head
         && batch.number == log.next_batch
         && batch.epoch >= log.epoch()
@@ -185,10 +186,6 @@
     log: &Log,
     position: u64,
 ) -> Result<Option<FrameHeader>, StorageError> {
-    let header = FrameHeader::decode(reader.bytes(position, FRAME_HEADER_BYTES)?);
-    Ok(header.filter(|header| {
-        header.position == position
-            && header.batch.epoch >= log.epoch()
-            && header.batch.number >= log.next_batch
-    }))
+    let header = reader.header(position)?;
+    Ok(header.filter(|header| header.batch.epoch >= log.epoch() && header.batch.number >= log.next_batch))
 }
--- a/system/storage/src/recovery/reader.rs
+++ b/system/storage/src/recovery/reader.rs
@@ -30,7 +30,7 @@
     }
 
     /// The bytes at a position; fewer at the end of the ring.
-    pub fn bytes(&mut self, position: u64, length: usize) -> Result<&[u8], StorageError> {
+    fn bytes(&mut self, position: u64, length: usize) -> Result<&[u8], StorageError> {
         let wanted = length.min(self.left(position));
         if position < self.buffer_start || self.buffered(position) < wanted {
             self.fill(position)?;
@@ -39,16 +39,18 @@
         Ok(self.buffer.get(from..from + wanted).unwrap_or_default())
     }
 
+    /// The header of a frame that belongs at a position; nothing if there is none.
+    pub fn header(&mut self, position: u64) -> Result<Option<FrameHeader>, StorageError> {
+        let header = FrameHeader::decode(self.bytes(position, FRAME_HEADER_BYTES)?);
+        Ok(header.filter(|header| header.position == position))
+    }
+
     /// The frame at a position, and its body; nothing unless both are whole.
     pub fn frame(&mut self, position: u64) -> Result<Option<(FrameHeader, &[u8])>, StorageError> {
-        let Some(header) = FrameHeader::decode(self.bytes(position, FRAME_HEADER_BYTES)?) else {
-            return Ok(None);
-        };
+        let Some(header) = self.header(position)? else { return Ok(None) };
         let frame = self.bytes(position, FRAME_HEADER_BYTES + header.body_bytes as usize)?;
         let body = frame.get(FRAME_HEADER_BYTES..).unwrap_or_default();
-        let whole = header.position == position
-            && body.len() == header.body_bytes as usize
-            && crc32fast::hash(body) == header.body_crc;
+        let whole = body.len() == header.body_bytes as usize && crc32fast::hash(body) == header.body_crc;
         Ok(whole.then_some((header, body)))
     }
 
--- a/system/storage/src/superblock.rs
+++ b/system/storage/src/superblock.rs
@@ -4,7 +4,7 @@
 //! older one, once the newer one is known to be durable. The older one is as good a start as the newer one, as long
 //! as the log behind it has not been reused: everything the newer one knows stands in the log too.
 
-use crate::layout::{file_name, Layout};
+use crate::layout::{file_name, Layout, MAX_POSITION, SECTOR_BYTES};
 use crate::volume::Volume;
 use crate::{Disk, StorageError};
 
@@ -77,7 +77,13 @@
         }
         let layout = Layout::checked(files, file_bytes).ok()?;
         let has_snapshot = has_snapshot == 1;
-        Some(Self { generation, epoch, layout, start, start_batch, has_snapshot, synced_to })
+        let found = Self { generation, epoch, layout, start, start_batch, has_snapshot, synced_to };
+        found.is_consistent().then_some(found)
+    }
+
+    fn is_consistent(&self) -> bool {
+        let synced = self.start..=self.start.saturating_add(self.layout.capacity());
+        self.start % SECTOR_BYTES == 0 && self.start < MAX_POSITION && synced.contains(&self.synced_to)
     }
 
     /// Writes this superblock to its slot and syncs it.
--- a/system/storage/src/writer.rs
+++ b/system/storage/src/writer.rs
@@ -27,7 +27,7 @@
         /// Whether a snapshot should be taken soon.
         wants_snapshot: bool,
     },
-    /// It may not have been written. Every later batch fails too, until a snapshot succeeds.
+    /// It may not be on the disk, or not durably. Of batches: every later one fails too, until a snapshot succeeds.
     Failed {
         /// The token it was given.
         token: u64,
