--- a/system/control/tests/common/mod.rs
+++ b/system/control/tests/nodes/common/mod.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use gingerledge_protocol::Settings;
-use serde_json::json;
+use serde_json::{json, Value};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
@@ -21,6 +21,8 @@
 /// A test waits for a condition at most this long.
 pub const PATIENCE: Duration = Duration::from_secs(60);
 const NODES: u8 = 3;
+/// The number of a node that is no founder.
+pub const NEWCOMER: u8 = NODES;
 
 /// Three control nodes.
 pub struct World {
@@ -43,13 +45,49 @@
         // Always three digits, so that lengths in transcripts do not vary.
         let octets = ((process % 150) as u8 + 100, number);
         let mut world = Self { folder, octets, nodes: Vec::new() };
+        world.nodes.resize_with(usize::from(NEWCOMER) + 1, || None);
         for node in 0..NODES {
-            world.nodes.push(None);
             world.start_node(node, true);
         }
         world
     }
 
+    /// Ends a node; its disk is lost.
+    pub async fn wipe(&mut self, node: u8) {
+        self.kill(node).await;
+        std::fs::remove_dir_all(self.disk(node)).expect("a disk");
+    }
+
+    fn disk(&self, node: u8) -> PathBuf {
+        self.folder.join(format!("disk-{node}"))
+    }
+
+    /// Where a process of another kind takes internal messages.
+    pub fn other_internal_address(&self, number: u8) -> SocketAddr {
+        SocketAddr::new(Ipv4Addr::new(127, self.octets.0, self.octets.1, number).into(), INTERNAL_PORT)
+    }
+
+    /// Where the control nodes take internal messages.
+    pub fn internal_addresses(&self) -> Vec<SocketAddr> {
+        (0..NODES).map(|node| SocketAddr::new(self.ip(node), INTERNAL_PORT)).collect()
+    }
+
+    /// What a node says of itself, once it is as wanted.
+    pub async fn status_until(&self, node: u8, wanted: impl Fn(&Value) -> bool) -> Value {
+        let begun = Instant::now();
+        let mut status = Value::Null;
+        while begun.elapsed() < PATIENCE {
+            let answer = self.call(node, &Call::get("/status"), None).await;
+            status = answer.and_then(|answer| serde_json::from_str(answer.body()).ok()).unwrap_or_default();
+            if wanted(&status) {
+                return status;
+            }
+            // A round trip through the chain takes the time of a few syncs, so that this is no busy loop.
+            self.call(node, &Call::get("/configuration/read"), None).await;
+        }
+        panic!("node {node} never became as wanted: {status:#}");
+    }
+
     /// Starts a node with whatever its disk holds.
     pub fn start_node(&mut self, node: u8, bootstrap: bool) {
         let settings = self.settings(node, bootstrap);
@@ -95,7 +133,7 @@
             "ip": self.ip(node), "listen": {"controlPlane": self.address(node)},
             "internalPorts": [INTERNAL_PORT, INTERNAL_PORT + 10], "seeds": seeds, "bootstrap": bootstrap,
             "limits": {"cpuShare": 1.0, "memoryMb": 256, "fileDescriptors": 1024, "diskMb": 64},
-            "dataDir": self.folder.join(format!("disk-{node}")), "heartbeatMs": 1200,
+            "dataDir": self.disk(node), "heartbeatMs": 1200,
             "faultTolerance": {"machines": 1}, "bounds": {"leaseMs": 3000}
         });
         Settings::parse(settings.to_string().as_bytes()).expect("settings")
--- /dev/null
+++ b/system/control/tests/nodes/coordination.rs
@@ -0,0 +1,219 @@
+//! The coordinator at work: partitions over backends that report, the emptying of one, and weights at stand-in stores.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use crate::common::{run, Call, World};
+use gingerledge_system_standin::{Store, StoreSettings};
+use gingerledge_transport::{Network, NetworkSettings};
+use gingerledge_wire::{BackendReport, ControlMessage, Envelope, NodeRecord, Role};
+use serde_json::Value;
+use tokio::task::JoinHandle;
+
+/// Time between the heartbeats of a stand-in backend.
+const INTERVAL: Duration = Duration::from_millis(200);
+const FIRST_BACKEND: u8 = 100;
+
+/// A backend that only reports. It says of every partition asked of it that it is full.
+struct Backend {
+    member: u64,
+    full: Arc<Mutex<Vec<(u16, u64)>>>,
+    task: JoinHandle<()>,
+}
+
+impl Backend {
+    async fn start(world: &World, number: u8) -> Self {
+        let address = world.other_internal_address(FIRST_BACKEND + number);
+        let member = u64::from(number) + 1;
+        let full: Arc<Mutex<Vec<(u16, u64)>>> = Arc::default();
+        let node = NodeRecord {
+            role: Role::Backend,
+            name: format!("backend-{number}"),
+            incarnation: member * 1_000,
+            member,
+            address,
+            zone: format!("zone-{number}"),
+        };
+        let task = tokio::task::spawn_local(report(address, node, world.internal_addresses(), full.clone()));
+        Self { member, full, task }
+    }
+
+    fn name(&self) -> String {
+        format!("{:x}", self.member)
+    }
+
+    /// Says of all partitions in the status that it holds everything.
+    fn fill(&self, status: &Value) {
+        let chains = partitions(status).into_iter().filter(|(_, _, chain, _)| chain.contains(&self.name()));
+        *self.full.lock().expect("full") =
+            chains.map(|(partition, epoch, _, _)| (partition, epoch)).collect();
+    }
+}
+
+impl Drop for Backend {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn report(
+    address: SocketAddr,
+    node: NodeRecord,
+    control: Vec<SocketAddr>,
+    full: Arc<Mutex<Vec<(u16, u64)>>>,
+) {
+    let (network, _inbox) = Network::<Envelope>::bind(NetworkSettings::new(address)).await.expect("network");
+    let mut ticks = tokio::time::interval(INTERVAL);
+    for sequence in 1.. {
+        ticks.tick().await;
+        let report = BackendReport { full: full.lock().expect("full").clone(), ..BackendReport::default() };
+        for to in &control {
+            let heartbeat =
+                ControlMessage::Heartbeat { node: node.clone(), sequence, report: Some(report.clone()) };
+            let _ = network.send(*to, &Envelope::Control(heartbeat));
+        }
+    }
+}
+
+/// Partition, epoch, chain, and how many of it are full.
+fn partitions(status: &Value) -> Vec<(u16, u64, Vec<String>, usize)> {
+    let read = |entry: &Value| {
+        let chain =
+            entry["chain"].as_array()?.iter().filter_map(|name| Some(name.as_str()?.to_owned())).collect();
+        let partition = u16::try_from(entry["partition"].as_u64()?).ok()?;
+        Some((partition, entry["epoch"].as_u64()?, chain, usize::try_from(entry["full"].as_u64()?).ok()?))
+    };
+    status["partitions"].as_array().map(|all| all.iter().filter_map(read).collect()).unwrap_or_default()
+}
+
+fn all_founded(status: &Value) -> bool {
+    partitions(status).len() == usize::from(gingerledge_wire::PARTITIONS)
+}
+
+async fn backends(world: &World, count: u8) -> Vec<Backend> {
+    let mut backends = Vec::new();
+    for number in 0..count {
+        backends.push(Backend::start(world, number).await);
+    }
+    backends
+}
+
+#[test]
+fn partitions_are_spread_over_all_backends_and_leave_one_that_falls_silent() {
+    run(async {
+        let world = World::start(21);
+        let mut all = backends(&world, 3).await;
+        let status = world.status_until(0, all_founded).await;
+        for backend in &all {
+            let chains =
+                partitions(&status).into_iter().filter(|(_, _, chain, _)| chain.contains(&backend.name()));
+            assert!(chains.count() > 30, "{} has its share", backend.name());
+        }
+        let lost = all.pop().expect("a backend").name();
+        let left = |status: &Value| {
+            partitions(status).iter().all(|(_, _, chain, _)| chain.len() == 2 && !chain.contains(&lost))
+        };
+        let status = world.status_until(1, left).await;
+        assert!(partitions(&status).iter().any(|(_, epoch, _, full)| (*epoch, *full) == (2, 1)));
+        all.iter().for_each(|backend| backend.fill(&status));
+        world.status_until(2, |status| partitions(status).iter().all(|(_, _, _, full)| *full == 2)).await;
+    });
+}
+
+#[test]
+fn a_backend_is_emptied_only_once_the_others_have_everything() {
+    run(async {
+        let world = World::start(22);
+        let all = backends(&world, 3).await;
+        world.status_until(0, all_founded).await;
+        let begin = Call::post("/retire/backend-0/begin", "", "{\"deadlineS\":10}");
+        world.until(0, &begin, 200).await;
+        world.until(1, &begin, 200).await;
+        let joined = |status: &Value| {
+            partitions(status)
+                .iter()
+                .filter(|(_, _, chain, _)| chain.contains(&all[0].name()))
+                .all(|(_, epoch, chain, _)| *epoch == 2 && chain.len() == 3)
+        };
+        let status = world.status_until(0, joined).await;
+        let read = Call::get("/retire/backend-0/read");
+        assert_eq!(world.until(2, &read, 200).await.body(), r#"{"state":"active"}"#);
+        all.iter().for_each(|backend| backend.fill(&status));
+        let empty = |status: &Value| {
+            partitions(status)
+                .iter()
+                .all(|(_, _, chain, _)| chain.len() == 2 && !chain.contains(&all[0].name()))
+        };
+        world.status_until(1, empty).await;
+        while world.until(2, &read, 200).await.body() != r#"{"state":"completed"}"# {}
+        let second = Call::post("/retire/backend-1/begin", "", "{\"deadlineS\":10}");
+        world.until(0, &second, 409).await;
+    });
+}
+
+fn engine() -> String {
+    r#"{"version":3,"routes":[{"name":"r","host":"h","pathPrefix":"/g/","routeKind":"deployment","service":"s","singleVersion":true}],
+        "services":[{"name":"s","healthPath":"/healthz","engine":{"slots":4,"models":[{"name":"a"},{"name":"b"}]}}]}"#
+        .to_owned()
+}
+
+async fn store(world: &World, number: u8) -> Store {
+    let settings = StoreSettings {
+        id: format!("i-{number}"),
+        service: "s".to_owned(),
+        zone: format!("zone-{number}"),
+        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        models: vec!["a".to_owned(), "b".to_owned()],
+        events: 1,
+        pause: Duration::from_millis(1),
+        heartbeat: Duration::from_millis(300),
+    };
+    Store::start(settings, (0..3).map(|node| world.address(node)).collect()).await.expect("a store")
+}
+
+/// How many stores have a version of a model in a node's status.
+fn loaded(status: &Value, model: &str, version: u64) -> usize {
+    let stores = status["stores"].as_array().cloned().unwrap_or_default();
+    stores.iter().filter(|store| store["versions"][model] == version).count()
+}
+
+#[test]
+fn a_named_version_is_loaded_at_home_stores_by_one_holder_under_rising_fences() {
+    run(async {
+        let mut world = World::start(23);
+        let mut stores = Vec::new();
+        for number in 0..4 {
+            stores.push(store(&world, number).await);
+        }
+        world.until(0, &Call::post("/configuration/replace", "Base-Version: 0\r\n", &engine()), 200).await;
+        world.until(1, &Call::post("/version-put", "", r#"{"model":"a","version":2}"#), 200).await;
+        let status = world.status_until(2, |status| loaded(status, "a", 2) == 2).await;
+        assert_eq!(loaded(&status, "a", 1), 2, "only the homes load");
+        // The coordinator goes, and another one takes over after the time that holders keep apart.
+        let holder = holder(&world).await;
+        world.kill(holder).await;
+        let other = (holder + 1) % 3;
+        world.until(other, &Call::post("/version-put", "", r#"{"model":"a","version":3}"#), 200).await;
+        world.status_until(other, |status| loaded(status, "a", 3) == 2).await;
+        for store in &stores {
+            let orders = store.ledger().orders.clone();
+            let fences: Vec<u64> = orders.iter().map(|(_, fence, _, _)| *fence).collect();
+            assert!(fences.is_sorted(), "{orders:?}");
+            for pair in orders.windows(2) {
+                assert_eq!(pair[0].0 == pair[1].0, pair[0].1 == pair[1].1, "one holder a token: {orders:?}");
+            }
+        }
+    });
+}
+
+/// The node that coordinates.
+async fn holder(world: &World) -> u8 {
+    for node in [0, 1, 2].into_iter().cycle() {
+        let status = world.status_until(node, |status| status["serving"] == true).await;
+        if status["leadership"].as_str().is_some_and(|leadership| leadership.starts_with("Active")) {
+            return node;
+        }
+    }
+    0
+}
--- a/system/control/tests/exchanges.rs
+++ b/system/control/tests/nodes/exchanges.rs
@@ -1,9 +1,7 @@
 //! Whole exchanges of the operator, trainers and stores with three control nodes on loopback, compared with approved transcripts.
 
-mod common;
-
-use common::transcript::Transcript;
-use common::{run, Call, World};
+use crate::common::transcript::Transcript;
+use crate::common::{run, Call, World, NEWCOMER};
 
 const REPLACE: &str = "/configuration/replace";
 const READ: &str = "/configuration/read";
@@ -203,3 +201,43 @@
         world.until(0, &Call::post(REPLACE, "Base-Version: 5\r\n", &second), 200).await;
     });
 }
+
+#[test]
+fn a_node_whose_disk_was_lost_comes_back_as_another_member() {
+    run(async {
+        let mut world = World::start(9);
+        ready(&world).await;
+        let (first, second, third) = (configuration(5), configuration(9), configuration(12));
+        world.until(0, &Call::post(REPLACE, "Base-Version: 0\r\n", &first), 200).await;
+        world.wipe(0).await;
+        world.until(1, &Call::post(REPLACE, "Base-Version: 5\r\n", &second), 200).await;
+        world.start_node(0, false);
+        world.status_until(0, |status| status["serving"] == true).await;
+        world
+            .status_until(1, |status| status["chain"].as_array().is_some_and(|chain| chain.len() == 3))
+            .await;
+        assert_eq!(world.until(0, &Call::get(READ), 200).await.body(), second);
+        // Now it counts: without one of the others, it and the last one go on.
+        world.kill(1).await;
+        world.until(0, &Call::post(REPLACE, "Base-Version: 9\r\n", &third), 200).await;
+        assert_eq!(world.until(2, &Call::get(READ), 200).await.body(), third);
+    });
+}
+
+#[test]
+fn a_machine_at_another_address_takes_the_place_of_one_that_is_gone() {
+    run(async {
+        let mut world = World::start(10);
+        ready(&world).await;
+        let (first, second, third) = (configuration(5), configuration(9), configuration(12));
+        world.until(0, &Call::post(REPLACE, "Base-Version: 0\r\n", &first), 200).await;
+        world.kill(0).await;
+        world.start_node(NEWCOMER, false);
+        world.until(1, &Call::post(REPLACE, "Base-Version: 5\r\n", &second), 200).await;
+        world.status_until(NEWCOMER, |status| status["serving"] == true).await;
+        assert_eq!(world.until(NEWCOMER, &Call::get(READ), 200).await.body(), second);
+        world.kill(2).await;
+        world.until(NEWCOMER, &Call::post(REPLACE, "Base-Version: 9\r\n", &third), 200).await;
+        assert_eq!(world.until(1, &Call::get(READ), 200).await.body(), third);
+    });
+}
--- a/system/control/tests/sessions.rs
+++ b/system/control/tests/sessions.rs
@@ -104,6 +104,8 @@
     node.hear(INTERVAL, 9, store(StoreState::Draining));
     assert_eq!(node.hear(INTERVAL * 2, 8, ready()), None);
     assert!(node.registry.stores().all(|(_, store)| store.state == StoreState::Draining));
+    node.expire(INTERVAL * 9);
+    assert!(!node.is_there(), "the end goes behind the newest heartbeat, not behind the late one");
 }
 
 #[parameterized(within = { 3, true }, beyond = { 4, false })]
