Edge: hold an attempt no longer than its time, the connection included; part the tests by subject

The time for the head began only once a connection was there, so that a request could be held a third beyond its time-out.

--- a/system/data/src/stores/client.rs
+++ b/system/data/src/stores/client.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use gingerledge_protocol::Verdict;
@@ -89,12 +89,14 @@
         mut request: Request<Full<Bytes>>,
         timings: Timings,
     ) -> Result<(Connection, Response<Incoming>), Attempt> {
+        let began = Instant::now();
         let limit = self.limit(&target.service);
         let mut fresh = false;
         loop {
             let taken = self.pool.take(target, limit, timings.connect, fresh).await;
             let mut connection = taken.map_err(no_connection)?;
-            match timeout(timings.head, connection.sender.try_send_request(request)).await {
+            let left = timings.head.saturating_sub(began.elapsed());
+            match timeout(left, connection.sender.try_send_request(request)).await {
                 Err(_elapsed) => return Err(may_have_run(Cause::Silent)),
                 Ok(Ok(response)) => return Ok((connection, response)),
                 Ok(Err(mut error)) => match unwritten(&mut error) {
--- a/system/data/src/stores/mod.rs
+++ b/system/data/src/stores/mod.rs
@@ -33,7 +33,7 @@
 pub struct Timings {
     /// To get a connection.
     pub connect: Duration,
-    /// From the sending of the request to the head of the answer.
+    /// From the start of the attempt to the head of the answer.
     pub head: Duration,
     /// Between two pieces of the answer's body, and from its head to the first.
     pub silence: Duration,
--- a/system/data/tests/edge_common/mod.rs
+++ b/system/data/tests/edge_common/mod.rs
@@ -21,7 +21,7 @@
 use tokio::task::LocalSet;
 
 pub use client::{request, Client};
-pub use store::{answer, event, events, Store, Turn};
+pub use store::{answer, event, events, full, ok, own_error, Store, Turn};
 
 /// A bound that only a fault reaches.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -106,6 +106,14 @@
     }
 }
 
+/// A near store, which is asked first, and one that is asked only after it.
+pub async fn two(first: Vec<Turn>, second: Vec<Turn>) -> (Edge, Store, Store) {
+    let near = Store::start("near", None, first).await;
+    let far = Store::start_in("far", "away", None, second).await;
+    let edge = Edge::with(&[&near, &far]).await;
+    (edge, near, far)
+}
+
 /// What the registry says of a configuration.
 pub fn configuration_entry(sequence: u64, json: &str) -> Entry {
     let value = Value::Configuration(Arc::new(json.as_bytes().to_vec()));
--- a/system/data/tests/edge_common/store.rs
+++ b/system/data/tests/edge_common/store.rs
@@ -66,6 +66,21 @@
     format!("id: {id}\ndata: d{id}\n\n")
 }
 
+/// A success with a body.
+pub fn ok(body: &str) -> Turn {
+    Turn::Say(answer("200 OK", "", body))
+}
+
+/// A full store's refusal.
+pub fn full() -> Turn {
+    Turn::Say(answer("503 Service Unavailable", "Not-Executed: true\r\n", ""))
+}
+
+/// A store's own error.
+pub fn own_error() -> Turn {
+    Turn::Say(answer("500 Internal Server Error", "", "oops"))
+}
+
 impl Store {
     pub async fn start(id: &str, transcript: Option<&Transcript>, turns: Vec<Turn>) -> Store {
         Self::start_in(id, super::ZONE, transcript, turns).await
