--- a/system/relay/src/settings.rs
+++ b/system/relay/src/settings.rs
@@ -80,8 +80,8 @@
             retry_most: Duration::from_millis(500),
             failure_memory: Duration::from_secs(5),
             snapshot_timeout: Duration::from_secs(5),
-            update_bytes: 256 * 1024,
-            window_bytes: 1024 * 1024,
+            update_bytes: 64 * 1024,
+            window_bytes: 256 * 1024,
             max_pending: 16_384,
             tombstone_retention: Duration::from_secs(120),
         }
--- a/system/relay/tests/machine.rs
+++ b/system/relay/tests/machine.rs
@@ -99,12 +99,16 @@
         self.now = until;
     }
 
-    fn subscribe(&mut self, number: u16, room: u16) -> Vec<(SocketAddr, RelayMessage)> {
+    fn subscribe(&mut self, number: u16, capacity: u16) -> Vec<(SocketAddr, RelayMessage)> {
+        self.subscribe_with(number, capacity, capacity)
+    }
+
+    fn subscribe_with(&mut self, number: u16, room: u16, capacity: u16) -> Vec<(SocketAddr, RelayMessage)> {
         self.sent.clear();
         let digest = Vec::new();
         self.message(
             address(number),
-            RelayMessage::Subscribe { subscription: u64::from(number), digest, room, capacity: room },
+            RelayMessage::Subscribe { subscription: u64::from(number), digest, room, capacity },
         );
         std::mem::take(&mut self.sent)
     }
@@ -178,6 +182,16 @@
     assert_eq!(taken, 6);
 }
 
+#[test]
+fn an_edge_whose_own_places_are_taken_still_counts_as_one_that_takes_children() {
+    let mut root = Lone::root();
+    for number in 10..34 {
+        let sent = root.subscribe_with(number, 0, 8);
+        assert!(sent.iter().any(|(_, message)| matches!(message, RelayMessage::Accepted { .. })));
+    }
+    assert!(root.others(50).is_empty(), "none of them has room");
+}
+
 #[test]
 fn a_backend_takes_nobody() {
     let mut backend = Lone::root_with(RelaySettings::for_role(Role::Backend, ""));
