Let running requests go on where no known route of a model wants one version a text

Edges tell the coordinator which model a batch job uses (ControlMessage::ModelUsed, new at the end of the enum); a model whose known routes are all loose loads with preserve. Unknown: as before. Reports are asked for each 400 ms at most, so that the end of a load is seen sooner. Not measured yet.

--- a/system/control/src/coordinator/weights.rs
+++ b/system/control/src/coordinator/weights.rs
@@ -23,14 +23,21 @@
 /// One service whose stores hold models.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EngineService {
-    /// The models, with the newest named version of each.
-    pub models: BTreeMap<String, u64>,
-    /// Whether a route of the service wants each text made under one version.
-    pub single_version: bool,
+    /// The models.
+    pub models: BTreeMap<String, WantedModel>,
     /// Its stores that take requests.
     pub stores: Vec<EngineStore>,
 }
 
+/// What is wanted of a model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WantedModel {
+    /// The newest named version.
+    pub version: u64,
+    /// How requests that run under an older one end.
+    pub method: LoadMethod,
+}
+
 /// A store that should load a version.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Load {
@@ -110,9 +117,8 @@
     }
 
     fn due(&self, name: &str, service: &EngineService) -> Vec<Load> {
-        let method = if service.single_version { LoadMethod::Blocking } else { LoadMethod::Preserve };
         let mut loads = Vec::new();
-        for (model, &version) in &service.models {
+        for (model, &WantedModel { version, method }) in &service.models {
             let Some(homes) = self.of(name, model) else { continue };
             let behind = service.stores.iter().filter(|store| {
                 homes.contains(&store.id) && store.versions.get(model).copied().unwrap_or(1) < version
--- a/system/control/src/node/book.rs
+++ b/system/control/src/node/book.rs
@@ -109,6 +109,14 @@
         }
     }
 
+    /// Whether this very process has been heard since `since`: it is not known to have ended or fallen silent.
+    pub fn lives(&self, address: SocketAddr, incarnation: u64, since: Duration) -> bool {
+        self.members.values().any(|page| {
+            let same = page.record.address == address && page.record.incarnation == incarnation;
+            same && page.direct && page.heard >= since
+        })
+    }
+
     /// Where a member takes internal messages.
     pub fn address(&self, member: u64) -> Option<SocketAddr> {
         self.members.get(&member).map(|page| page.record.address)
--- a/system/control/src/node/coordinate.rs
+++ b/system/control/src/node/coordinate.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use gingerledge_wire::{BackendReport, Command, NodeRecord, Outcome};
+use gingerledge_wire::{BackendReport, Command, Coordinator, NodeRecord, Outcome};
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::orders::{OrderGate, OrderNews};
@@ -15,13 +15,17 @@
 use super::Node;
 use crate::coordinator::backends::{BackendReports, BackendSettings};
 use crate::coordinator::loads::{LoadSettings, Loads};
+use crate::coordinator::uses::ModelUses;
 use crate::coordinator::weights::Homes;
 
-use weights::EngineSpecs;
+use weights::Engines;
 
 /// An order may be on its way for this long, so that the turns of two holders keep so much more apart.
 const ORDER_TRAVEL: Duration = Duration::from_millis(400);
 
+/// A holder before that was not heard for so long is taken to have ended or to be cut off.
+const HOLDER_SILENCE: Duration = Duration::from_millis(1_000);
+
 /// All stores have announced themselves after so many of their intervals.
 const HEARD_INTERVALS: u32 = 2;
 
@@ -60,7 +64,8 @@
     backends: BackendReports,
     partitions_under_way: BTreeSet<u16>,
     completion_under_way: bool,
-    specs: EngineSpecs,
+    engines: Engines,
+    uses: ModelUses,
     homes: Homes,
     loads: Loads,
     weights_dirty: bool,
@@ -75,7 +80,8 @@
             backends: BackendReports::new(BackendSettings::default()),
             partitions_under_way: BTreeSet::new(),
             completion_under_way: false,
-            specs: EngineSpecs::default(),
+            engines: Engines::default(),
+            uses: ModelUses::default(),
             homes: Homes::default(),
             loads: Loads::new(LoadSettings::default()),
             weights_dirty: true,
@@ -161,6 +167,14 @@
         };
     }
 
+    /// Whether the holder before may still be at work: it may have sent orders until its lease ended. Stores that check fencing
+    /// tokens refuse it from now on, so there only a process that is known to live is waited for.
+    fn must_wait_for(&self, previous: Option<&Coordinator>, now: Duration) -> bool {
+        let Some(previous) = previous.filter(|previous| previous.address != self.me.address) else { return false };
+        let heard_since = now.saturating_sub(HOLDER_SILENCE);
+        !self.settings.bounds.fencing || self.book.lives(previous.address, previous.incarnation, heard_since)
+    }
+
     fn begin_coordinating(&mut self, now: Duration, token: u64, held_since: Duration) {
         let Some(fence) = self.state.fence() else { return };
         if fence.token > token {
@@ -170,9 +184,11 @@
         if fence.token < token {
             return;
         }
-        // Orders of a former holder on another machine may have been sent until its lease ended.
-        let apart = Duration::from_millis(self.settings.bounds.lease_ms) + ORDER_TRAVEL;
-        let orders_from = if fence.sole { now } else { held_since + apart };
+        let orders_from = if self.must_wait_for(fence.previous.as_ref(), now) {
+            held_since + Duration::from_millis(self.settings.bounds.lease_ms) + ORDER_TRAVEL
+        } else {
+            now
+        };
         // After a start all stores have to be heard first, else loads go to the wrong ones.
         let all_heard = HEARD_INTERVALS * Duration::from_millis(self.settings.heartbeat_ms);
         let orders_from = orders_from.max(all_heard);
--- a/system/control/src/node/coordinate/weights.rs
+++ b/system/control/src/node/coordinate/weights.rs
@@ -4,42 +4,29 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use gingerledge_protocol::{read_configuration, Configuration, Order, StoreState};
+use gingerledge_protocol::{read_configuration, Configuration, Engine, Model, Order, Service, StoreState};
 use gingerledge_wire::{Entry, Key, StoreRecord, Value};
 
 use super::super::orders::{LoadTask, OrderNews};
 use super::super::Node;
+use super::Coordination;
 use crate::coordinator::loads::LoadEnd;
-use crate::coordinator::weights::{EngineService, EngineStore, Load};
+use crate::coordinator::weights::{EngineService, EngineStore, Load, WantedModel};
 
-/// What the configuration says of a service whose stores hold models.
-#[derive(Clone, Debug)]
-struct EngineSpec {
-    models: Vec<String>,
-    single_version: bool,
-}
-
-/// All of them, as of one change of the configuration.
+/// The configuration as read for the weights, as of one change.
 #[derive(Clone, Debug, Default)]
-pub(super) struct EngineSpecs {
+pub(super) struct Engines {
     sequence: u64,
-    services: BTreeMap<String, EngineSpec>,
+    configuration: Configuration,
 }
 
-impl EngineSpecs {
-    fn read(sequence: u64, configuration: &Configuration) -> Self {
-        let engines = configuration.services.iter().filter_map(|service| {
-            let models: Vec<String> =
-                service.engine.as_ref()?.models.iter().map(|model| model.name.clone()).collect();
-            if models.is_empty() {
-                return None;
-            }
-            let single_version = configuration.routes.iter().any(|route| {
-                route.single_version && route.services().iter().any(|(name, _)| *name == service.name)
-            });
-            Some((service.name.clone(), EngineSpec { models, single_version }))
-        });
-        Self { sequence, services: engines.collect() }
+impl Engines {
+    /// The services whose stores hold models.
+    fn services(&self) -> impl Iterator<Item = (&Service, &Engine)> {
+        let with_engine =
+            |service: &'_ Service| service.engine.as_ref().is_some_and(|engine| !engine.models.is_empty());
+        let services = self.configuration.services.iter().filter(move |service| with_engine(service));
+        services.filter_map(|service| Some((service, service.engine.as_ref()?)))
     }
 }
 
@@ -50,7 +37,7 @@
             return;
         }
         self.coordination.weights_dirty = false;
-        self.read_specs();
+        self.read_engines();
         let services = self.engine_services();
         let due = self.coordination.homes.plan(&services);
         for (name, service) in &services {
@@ -65,29 +52,37 @@
         }
     }
 
-    fn read_specs(&mut self) {
+    fn read_engines(&mut self) {
         let configuration = self.state.configuration();
-        if configuration.sequence() == self.coordination.specs.sequence {
+        if configuration.sequence() == self.coordination.engines.sequence {
             return;
         }
         let Some(json) = configuration.json() else { return };
         if let Ok(read) = read_configuration(json) {
-            self.coordination.specs = EngineSpecs::read(configuration.sequence(), &read);
+            self.coordination.engines = Engines { sequence: configuration.sequence(), configuration: read };
         }
     }
 
+    /// An edge has seen a batch job.
+    pub(in crate::node) fn model_used(&mut self, model: &str, host: &str, path: &str) {
+        self.read_engines();
+        let Coordination { uses, engines, .. } = &mut self.coordination;
+        uses.seen(&engines.configuration, model, host, path);
+    }
+
     /// What is known of the services whose stores hold models.
     fn engine_services(&self) -> BTreeMap<String, EngineService> {
         let versions = self.state.versions();
-        let specs = &self.coordination.specs.services;
-        let mut services: BTreeMap<String, EngineService> = specs
-            .iter()
-            .map(|(name, spec)| {
-                let named = |model: &String| (model.clone(), versions.get(model).copied().unwrap_or(1));
-                let models = spec.models.iter().map(named).collect();
-                let service =
-                    EngineService { models, single_version: spec.single_version, stores: Vec::new() };
-                (name.clone(), service)
+        let Coordination { uses, engines, .. } = &self.coordination;
+        let wanted = |service: &Service, model: &Model| WantedModel {
+            version: versions.get(&model.name).copied().unwrap_or(1),
+            method: uses.method(&engines.configuration, &service.name, &model.name),
+        };
+        let mut services: BTreeMap<String, EngineService> = engines
+            .services()
+            .map(|(service, engine)| {
+                let models = engine.models.iter().map(|model| (model.name.clone(), wanted(service, model)));
+                (service.name.clone(), EngineService { models: models.collect(), stores: Vec::new() })
             })
             .collect();
         let registry = self.relay.registry();
--- a/system/control/src/node/orders.rs
+++ b/system/control/src/node/orders.rs
@@ -23,7 +23,7 @@
 /// A load takes about this long; a report says so a little later.
 const FIRST_REPORT: Duration = Duration::from_millis(330);
 const LEAST_REPORT_PAUSE: Duration = Duration::from_millis(150);
-const MOST_REPORT_PAUSE: Duration = Duration::from_millis(1_000);
+const MOST_REPORT_PAUSE: Duration = Duration::from_millis(400);
 /// Requests that run first may take long; after this the order is sent again.
 const LONGEST_LOAD: Duration = Duration::from_secs(12);
 const MOST_REPORT_BYTES: usize = 256 * 1024;
--- a/system/control/src/state/mod.rs
+++ b/system/control/src/state/mod.rs
@@ -40,8 +40,8 @@
     pub token: u64,
     /// Who took it.
     pub holder: Coordinator,
-    /// Whether all tokens before it were taken at the same address, or there was none.
-    pub sole: bool,
+    /// Who took the token before it, if that was somebody else's process or place.
+    pub previous: Option<Coordinator>,
 }
 
 /// The durable state of the control plane.
@@ -94,9 +94,11 @@
 
     fn take_fence(&mut self, holder: Coordinator) -> Outcome {
         let token = self.fence_token() + 1;
-        let same = |fence: &Fence| fence.sole && fence.holder.address == holder.address;
-        let sole = self.fence.as_ref().is_none_or(same);
-        self.fence = Some(Fence { token, holder, sole });
+        let previous = match &self.fence {
+            Some(fence) if fence.holder == holder => fence.previous.clone(),
+            other => other.as_ref().map(|fence| fence.holder.clone()),
+        };
+        self.fence = Some(Fence { token, holder, previous });
         Outcome::Fence(token)
     }
 
--- a/system/control/tests/state.rs
+++ b/system/control/tests/state.rs
@@ -95,18 +95,19 @@
 }
 
 #[test]
-fn fencing_tokens_rise_by_one_and_tell_whether_another_machine_ever_had_one() {
+fn fencing_tokens_rise_by_one_and_tell_which_process_had_the_one_before() {
     let mut state = ControlState::default();
-    let mut sole = Vec::new();
-    for (at, (machine, incarnation)) in [(1, 10), (1, 11), (2, 20), (1, 12), (1, 13)].into_iter().enumerate()
+    let mut previous = Vec::new();
+    for (at, (machine, incarnation)) in [(1, 10), (1, 10), (1, 11), (2, 20), (2, 20)].into_iter().enumerate()
     {
         assert_eq!(
             state.apply(at as u64 + 1, &take_fence(machine, incarnation)),
             Outcome::Fence(at as u64 + 1)
         );
-        sole.extend(state.fence().map(|fence| fence.sole));
+        let before = state.fence().map(|fence| fence.previous.as_ref().map(|holder| holder.incarnation));
+        previous.extend(before);
     }
-    assert_eq!(sole, [true, true, false, false, false]);
+    assert_eq!(previous, [None, None, Some(10), Some(11), Some(11)]);
 }
 
 #[parameterized(
--- a/system/control/tests/weights.rs
+++ b/system/control/tests/weights.rs
@@ -4,7 +4,11 @@
 use std::time::Duration;
 
 use gingerledge_control::coordinator::loads::{LoadEnd, LoadSettings, Loads};
-use gingerledge_control::coordinator::weights::{EngineService, EngineStore, Homes, Load, LoadMethod};
+use gingerledge_control::coordinator::uses::{ModelUses, MAX_MODELS, MAX_PLACES};
+use gingerledge_control::coordinator::weights::{
+    EngineService, EngineStore, Homes, Load, LoadMethod, WantedModel,
+};
+use gingerledge_protocol::{Configuration, Route};
 use yare::parameterized;
 
 fn stores(count: usize) -> Vec<EngineStore> {
@@ -20,10 +24,12 @@
 fn world(
     stores: Vec<EngineStore>,
     models: &[(&str, u64)],
-    single_version: bool,
+    method: LoadMethod,
 ) -> BTreeMap<String, EngineService> {
-    let models = models.iter().map(|(model, version)| ((*model).to_owned(), *version)).collect();
-    BTreeMap::from([("s".to_owned(), EngineService { models, single_version, stores })])
+    let wanted =
+        |(model, version): &(&str, u64)| ((*model).to_owned(), WantedModel { version: *version, method });
+    let models = models.iter().map(wanted).collect();
+    BTreeMap::from([("s".to_owned(), EngineService { models, stores })])
 }
 
 fn homes_of(homes: &Homes, model: &str) -> BTreeSet<String> {
@@ -49,7 +55,10 @@
 fn each_model_has_its_share_of_home_stores(count: usize, models: &[&str], share: usize) {
     let models: Vec<(&str, u64)> = models.iter().map(|model| (*model, 1)).collect();
     let mut homes = Homes::default();
-    assert!(homes.plan(&world(stores(count), &models, true)).is_empty(), "nothing is named yet");
+    assert!(
+        homes.plan(&world(stores(count), &models, LoadMethod::Blocking)).is_empty(),
+        "nothing is named yet"
+    );
     for (model, _) in models {
         assert_eq!(homes_of(&homes, model).len(), share);
     }
@@ -58,7 +67,7 @@
 #[test]
 fn homes_of_different_models_do_not_meet_where_there_is_room() {
     let mut homes = Homes::default();
-    homes.plan(&world(stores(12), &[("a", 1), ("b", 1), ("c", 1)], true));
+    homes.plan(&world(stores(12), &[("a", 1), ("b", 1), ("c", 1)], LoadMethod::Blocking));
     let all: BTreeSet<String> = ["a", "b", "c"].iter().flat_map(|model| homes_of(&homes, model)).collect();
     assert_eq!(all.len(), 12);
 }
@@ -68,7 +77,7 @@
     let mut homes = Homes::default();
     let models = [("a", 1), ("b", 1), ("c", 1)];
     for known in 1..=12 {
-        homes.plan(&world(stores(known), &models, true));
+        homes.plan(&world(stores(known), &models, LoadMethod::Blocking));
     }
     let all: BTreeSet<String> = ["a", "b", "c"].iter().flat_map(|model| homes_of(&homes, model)).collect();
     assert_eq!(all.len(), 12);
@@ -77,7 +86,7 @@
 #[test]
 fn homes_that_met_stay_where_parting_would_cost_loads() {
     let mut homes = Homes::default();
-    let mut services = world(stores(1), &[("a", 2), ("b", 2)], true);
+    let mut services = world(stores(1), &[("a", 2), ("b", 2)], LoadMethod::Blocking);
     let loads = homes.plan(&services);
     load_all(&mut services, &loads);
     for service in services.values_mut() {
@@ -89,16 +98,16 @@
 #[test]
 fn homes_are_spread_over_zones() {
     let mut homes = Homes::default();
-    homes.plan(&world(stores(12), &[("a", 1), ("b", 1), ("c", 1)], true));
+    homes.plan(&world(stores(12), &[("a", 1), ("b", 1), ("c", 1)], LoadMethod::Blocking));
     let zones: BTreeSet<u32> =
         homes_of(&homes, "a").iter().filter_map(|id| id[2..].parse::<u32>().ok()).map(|at| at % 4).collect();
     assert_eq!(zones.len(), 4);
 }
 
-#[parameterized(single = { true, LoadMethod::Blocking }, any = { false, LoadMethod::Preserve })]
-fn a_named_version_is_loaded_at_the_homes_only(single_version: bool, method: LoadMethod) {
+#[parameterized(blocking = { LoadMethod::Blocking }, preserve = { LoadMethod::Preserve })]
+fn a_named_version_is_loaded_at_the_homes_only(method: LoadMethod) {
     let mut homes = Homes::default();
-    let mut services = world(stores(12), &[("a", 2), ("b", 1), ("c", 1)], single_version);
+    let mut services = world(stores(12), &[("a", 2), ("b", 1), ("c", 1)], method);
     let loads = homes.plan(&services);
     let loaded: BTreeSet<String> = loads.iter().map(|load| load.id.clone()).collect();
     assert_eq!(loaded, homes_of(&homes, "a"));
@@ -110,13 +119,13 @@
 #[test]
 fn homes_stay_when_versions_rise() {
     let mut homes = Homes::default();
-    let mut services = world(stores(12), &[("a", 2), ("b", 1), ("c", 1)], true);
+    let mut services = world(stores(12), &[("a", 2), ("b", 1), ("c", 1)], LoadMethod::Blocking);
     let first = homes.plan(&services);
     load_all(&mut services, &first);
     let before = homes_of(&homes, "a");
     for version in 3..9 {
         for service in services.values_mut() {
-            service.models.insert("a".to_owned(), version);
+            service.models.insert("a".to_owned(), WantedModel { version, method: LoadMethod::Blocking });
         }
         let loads = homes.plan(&services);
         assert_eq!(loads.len(), 4);
@@ -127,7 +136,7 @@
 
 #[test]
 fn a_new_coordinator_finds_the_homes_by_their_versions() {
-    let mut services = world(stores(12), &[("a", 2), ("b", 3), ("c", 2)], true);
+    let mut services = world(stores(12), &[("a", 2), ("b", 3), ("c", 2)], LoadMethod::Blocking);
     let mut first = Homes::default();
     let loads = first.plan(&services);
     load_all(&mut services, &loads);
@@ -140,7 +149,7 @@
 
 #[test]
 fn a_lost_home_is_replaced_where_the_version_is_there_already() {
-    let mut services = world(stores(12), &[("a", 2), ("b", 1), ("c", 1)], true);
+    let mut services = world(stores(12), &[("a", 2), ("b", 1), ("c", 1)], LoadMethod::Blocking);
     let mut homes = Homes::default();
     let loads = homes.plan(&services);
     load_all(&mut services, &loads);
@@ -161,8 +170,8 @@
 #[test]
 fn what_the_configuration_drops_has_no_homes() {
     let mut homes = Homes::default();
-    homes.plan(&world(stores(4), &[("a", 1), ("b", 1)], true));
-    homes.plan(&world(stores(4), &[("a", 1)], true));
+    homes.plan(&world(stores(4), &[("a", 1), ("b", 1)], LoadMethod::Blocking));
+    homes.plan(&world(stores(4), &[("a", 1)], LoadMethod::Blocking));
     assert!(homes.of("s", "b").is_none());
     assert_eq!(homes_of(&homes, "a").len(), 4);
 }
@@ -212,3 +221,66 @@
     assert!(started(&mut loads, pause - 1, &["i-1"]).is_empty());
     assert_eq!(started(&mut loads, pause, &["i-1"]), ["i-1"]);
 }
+
+const STRICT: (&str, &str) = ("strict.example", "/one/");
+const LOOSE: (&str, &str) = ("loose.example", "/many/");
+
+fn configuration() -> Configuration {
+    let route = |(host, prefix): (&str, &str), single_version: bool| Route {
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        service: "s".to_owned(),
+        single_version,
+        ..Route::default()
+    };
+    Configuration { routes: vec![route(STRICT, true), route(LOOSE, false)], ..Configuration::default() }
+}
+
+#[parameterized(
+    nothing_known = { &[], LoadMethod::Blocking },
+    strict_route = { &[STRICT], LoadMethod::Blocking },
+    loose_route = { &[LOOSE], LoadMethod::Preserve },
+    both = { &[LOOSE, STRICT], LoadMethod::Blocking },
+    no_route = { &[("strict.example", "/none/")], LoadMethod::Blocking },
+)]
+fn running_requests_end_as_the_strictest_route_of_the_model_wants(
+    places: &[(&str, &str)],
+    expected: LoadMethod,
+) {
+    let (mut uses, configuration) = (ModelUses::default(), configuration());
+    for (host, prefix) in places {
+        uses.seen(&configuration, "a", host, &format!("{prefix}7c41e0"));
+    }
+    assert_eq!(uses.method(&configuration, "s", "a"), expected);
+    assert_eq!(uses.method(&configuration, "s", "b"), LoadMethod::Blocking, "another model");
+    assert_eq!(
+        uses.method(&configuration, "other", "b"),
+        LoadMethod::Preserve,
+        "a service without strict routes"
+    );
+}
+
+#[test]
+fn a_route_that_becomes_strict_or_goes_counts_as_it_is_now() {
+    let (mut uses, mut configuration) = (ModelUses::default(), configuration());
+    uses.seen(&configuration, "a", LOOSE.0, "/many/1");
+    configuration.routes[1].single_version = true;
+    assert_eq!(uses.method(&configuration, "s", "a"), LoadMethod::Blocking);
+    configuration.routes.remove(1);
+    assert_eq!(uses.method(&configuration, "s", "a"), LoadMethod::Blocking, "known no more");
+}
+
+#[test]
+fn uses_are_bounded() {
+    let (mut uses, mut configuration) = (ModelUses::default(), configuration());
+    for at in 0..MAX_PLACES + 5 {
+        let route = Route { path_prefix: format!("/p{at}/"), ..configuration.routes[1].clone() };
+        configuration.routes.push(route);
+        uses.seen(&configuration, "a", LOOSE.0, &format!("/p{at}/x"));
+    }
+    for at in 0..MAX_MODELS + 5 {
+        uses.seen(&configuration, &format!("m{at}"), LOOSE.0, "/many/1");
+    }
+    assert_eq!(uses.method(&configuration, "s", "m5"), LoadMethod::Preserve);
+    assert_eq!(uses.method(&configuration, "s", &format!("m{}", MAX_MODELS + 4)), LoadMethod::Blocking);
+}
--- a/system/wire/src/control.rs
+++ b/system/wire/src/control.rs
@@ -80,4 +80,14 @@
         /// From the message answered.
         number: u64,
     },
+    /// From edges to the coordinator: a batch job has come, so the weights of this model are used by the route of this host and
+    /// path.
+    ModelUsed {
+        /// The model.
+        model: String,
+        /// The host that the batch job was sent to.
+        host: String,
+        /// The path that it was sent to.
+        path: String,
+    },
 }
