Edge: keep the connection of an answer that came whole, though nobody read its body

The driver of batch jobs drops answers of 500 and the like unread; each cost a new connection. Unfinished bodies still close theirs. Test: two dropped answers, whole and unfinished, count connections.

--- a/system/data/src/stores/answer.rs
+++ b/system/data/src/stores/answer.rs
@@ -2,7 +2,8 @@
 
 use std::future::Future;
 use std::pin::Pin;
-use std::task::{ready, Context, Poll};
+use std::sync::Arc;
+use std::task::{ready, Context, Poll, Wake, Waker};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -15,6 +16,9 @@
 use super::connection::Connection;
 use super::{Attempt, Cause};
 
+/// The most pieces of an unread body that are looked at for its end.
+const MAX_UNREAD_PIECES: usize = 4;
+
 /// What a store said of its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -124,6 +128,32 @@
     }
 }
 
+impl Drop for StoreBody {
+    /// A body that has come whole, though nobody read it, leaves its connection to others.
+    fn drop(&mut self) {
+        if self.connection.is_none() || !self.reusable {
+            return;
+        }
+        let waker = Waker::from(Arc::new(Nobody));
+        let mut context = Context::from_waker(&waker);
+        for _ in 0..MAX_UNREAD_PIECES {
+            match Pin::new(&mut self.incoming).poll_frame(&mut context) {
+                Poll::Ready(None) => return self.finish(),
+                Poll::Ready(Some(Ok(_))) if self.incoming.is_end_stream() => return self.finish(),
+                Poll::Ready(Some(Ok(_))) => {}
+                Poll::Ready(Some(Err(_))) | Poll::Pending => return,
+            }
+        }
+    }
+}
+
+/// Is never woken.
+struct Nobody;
+
+impl Wake for Nobody {
+    fn wake(self: Arc<Self>) {}
+}
+
 impl Body for StoreBody {
     type Data = Bytes;
     type Error = Attempt;
--- a/system/data/tests/edge_forwarding.rs
+++ b/system/data/tests/edge_forwarding.rs
@@ -2,8 +2,14 @@
 
 mod edge_common;
 
-use edge_common::{answer, full, local, ok, own_error, request, two, until, Client, Edge, Store, Turn};
+use bytes::Bytes;
+use edge_common::{
+    answer, full, local, ok, own_error, request, two, until, Client, Edge, Store, Turn, PATIENCE,
+};
+use gingerledge_data::stores::Timings;
 use gingerledge_protocol::StoreState;
+use http_body_util::Full;
+use hyper::Request;
 
 #[tokio::test]
 async fn refused_request_goes_to_another_store_whatever_its_kind() {
@@ -253,3 +259,23 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn answer_that_nobody_reads_leaves_its_connection_only_if_it_has_come_whole() {
+    local(async {
+        let part = Turn::SayInParts(answer("200 OK", "", "whole").replace("whole", "who"), String::new());
+        let store = Store::start("a", None, vec![ok("whole"), part]).await;
+        let edge = Edge::with(&[&store]).await;
+        let target = edge.shared.stores_of("s")[0].target.clone();
+        let timings = Timings { connect: PATIENCE, head: PATIENCE, silence: PATIENCE };
+        for (id, connections) in [("q1", 1), ("q2", 1), ("q3", 2)] {
+            let request = Request::post("/x").header("attempt-id", id).body(Full::new(Bytes::new()));
+            let answer = edge.shared.stores.send(&target, request.expect("request"), timings).await;
+            drop(answer.expect("answer"));
+            assert_eq!(store.connections(), connections, "{id}");
+        }
+        store.go_on();
+        until("unread answer's connection closed", || store.closed() == 1).await;
+    })
+    .await;
+}
