--- a/system/chain/src/replica/install.rs
+++ b/system/chain/src/replica/install.rs
@@ -39,19 +39,22 @@
         self.persist(records, Pending::View { epoch }, out);
     }
 
-    /// Whether this member holds all that was committed before a view: it counted in the view just before, stays in the
-    /// chain, and the members that stay keep their order and come first. Else two logs could differ in their ends.
+    /// Whether this member holds all that was committed before a view: it counted in the view just before, and all that
+    /// now stand before it in the chain stood before it then. Else its log could end otherwise than that of its
+    /// predecessor.
     fn counts_in(&self, next: &View) -> bool {
         let Some(view) = &self.view else {
             return next.epoch == 1 && next.contains(self.me) && self.log.last() == 0;
         };
-        let stay: Vec<MemberId> =
-            view.chain.iter().copied().filter(|member| next.contains(*member)).collect();
+        let before = |view: &View| -> Vec<MemberId> {
+            view.chain.iter().copied().take_while(|member| *member != self.me).collect()
+        };
+        let stood_before = before(view);
         self.full
             && next.epoch == view.epoch + 1
             && view.contains(self.me)
             && next.contains(self.me)
-            && next.chain.starts_with(&stay)
+            && before(next).iter().all(|member| stood_before.contains(member))
     }
 
     /// The view is on the disk.
--- a/system/chain/src/replica/mod.rs
+++ b/system/chain/src/replica/mod.rs
@@ -4,10 +4,10 @@
 //! So the durable log of a member always begins with that of its successor, and every member of a chain holds all that
 //! the chain has committed. The view comes from outside ([`ReplicaEvent::Install`]): whoever decides views must decide
 //! each epoch once, and may keep a member as the first of the next chain only if it reported
-//! [`ReplicaAction::BecameFull`] in the epoch before. Members that stay must keep their order and come
-//! first. A member counts
-//! (it is *full*) in a view if it counted in the view just before and was in both chains; any other drops what it
-//! doesn't know to be committed, and catches up from its predecessor before it counts.
+//! [`ReplicaAction::BecameFull`] in the epoch before. A member counts (it is *full*) in a view if it counted in the view
+//! just before and all that stand before it in the chain stood before it then; so members that stay keep their order
+//! and come first. Any other member drops what it doesn't know to be committed, and catches up from its predecessor
+//! before it counts.
 //!
 //! The host's duties towards the disk are those of [`ControlChain`](crate::ControlChain).
 
--- a/system/chain/tests/world/faults.rs
+++ b/system/chain/tests/world/faults.rs
@@ -1,4 +1,5 @@
 //! Trouble, drawn from the seed, within what the group promises to bear.
+#![allow(dead_code)]
 
 use std::time::Duration;
 
--- a/system/chain/tests/world/host.rs
+++ b/system/chain/tests/world/host.rs
@@ -1,101 +1,13 @@
 //! One machine: its disk, its process, and the state machine that the process keeps.
 
-use std::collections::HashSet;
 use std::time::Duration;
 
 use gingerledge_chain::{ChainEvent, ControlChain, LogRecord, MemberId};
 
+use super::disk::{Disk, Write};
+use super::ledger::mix;
 use super::{millis, Happens, World};
 
-/// Something written and not synced.
-pub enum Write {
-    Append {
-        token: u64,
-        records: Vec<LogRecord>,
-    },
-    /// In place of everything before.
-    Replace {
-        records: Vec<LogRecord>,
-    },
-}
-
-/// A disk that keeps what was synced, and of the rest some beginning.
-#[derive(Default)]
-pub struct Disk {
-    pub records: Vec<LogRecord>,
-    pub unsynced: Vec<Write>,
-    /// How many of those the sync under way covers.
-    pub syncing: usize,
-    pub stalled_until: Duration,
-    /// Extra time of a slow disk's sync.
-    pub slow: Duration,
-    /// The highest state that was ever synced here, and all the commands. A member may have dropped a command again that
-    /// it couldn't know to be committed; it has counted all the same, since the new chain's head holds it.
-    snapshot: u64,
-    commands: HashSet<(u64, Vec<u8>)>,
-}
-
-impl Disk {
-    fn apply(&mut self, write: Write) -> Option<u64> {
-        match write {
-            Write::Append { token, records } => {
-                records.into_iter().for_each(|record| self.keep(record));
-                Some(token)
-            }
-            Write::Replace { records } => {
-                self.records.clear();
-                records.into_iter().for_each(|record| self.keep(record));
-                None
-            }
-        }
-    }
-
-    fn keep(&mut self, record: LogRecord) {
-        match &record {
-            LogRecord::Entry { seq, command, .. } => {
-                self.commands.insert((*seq, command.clone()));
-            }
-            LogRecord::Snapshot { seq, .. } => self.snapshot = self.snapshot.max(*seq),
-            _ => {}
-        }
-        self.records.push(record);
-    }
-
-    /// Whether the disk has synced an entry, by itself or in a state.
-    pub fn has_synced(&self, seq: u64, command: &[u8]) -> bool {
-        seq <= self.snapshot || self.commands.contains(&(seq, command.to_vec()))
-    }
-
-    /// The newest epoch that a vote on the disk has sealed.
-    pub fn sealed(&self) -> u64 {
-        let sealed = self.records.iter().map(|record| match record {
-            LogRecord::Promise { epoch, .. } => epoch - 1,
-            LogRecord::Accepted { members, .. } => members.epoch - 1,
-            _ => 0,
-        });
-        sealed.max().unwrap_or(0)
-    }
-
-    /// The process has gone: of what wasn't synced, some beginning is there.
-    pub fn lose(&mut self, rng: &mut fastrand::Rng) {
-        let kept = if rng.bool() { 0 } else { rng.usize(..=self.unsynced.len()) };
-        for (index, write) in std::mem::take(&mut self.unsynced).into_iter().enumerate() {
-            if index < kept {
-                self.apply(write);
-            } else if let (true, Write::Append { records, .. }) = (index == kept, write) {
-                let torn = rng.usize(..=records.len());
-                records.into_iter().take(torn).for_each(|record| self.keep(record));
-            }
-        }
-        self.syncing = 0;
-    }
-
-    pub fn restart(&mut self) {
-        self.unsynced.clear();
-        self.syncing = 0;
-    }
-}
-
 /// A running process.
 pub struct Process {
     pub chain: ControlChain,
@@ -127,13 +39,6 @@
     hash: u64,
 }
 
-/// The hash of a state after one more command.
-pub fn mix(hash: u64, command: &[u8]) -> u64 {
-    command
-        .iter()
-        .fold(hash ^ 0x9e37_79b9, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3))
-}
-
 impl Host {
     pub fn new(identity: MemberId) -> Self {
         Self {
@@ -214,10 +119,9 @@
 
     fn sync(&mut self, place: usize) {
         let disk = &mut self.hosts[place].disk;
-        if disk.syncing > 0 || disk.unsynced.is_empty() {
+        if !disk.start_sync() {
             return;
         }
-        disk.syncing = disk.unsynced.len();
         let stall = disk.stalled_until.saturating_sub(self.now);
         let delay = stall + disk.slow + Duration::from_micros(self.rng.u64(2000..6000));
         let life = self.hosts[place].life;
@@ -234,13 +138,7 @@
             self.after(delay, Happens::Synced { place, life });
             return;
         }
-        let count = std::mem::take(&mut host.disk.syncing);
-        let done: Vec<_> = host.disk.unsynced.drain(..count).collect();
-        let mut last = None;
-        for write in done {
-            last = host.disk.apply(write).or(last);
-        }
-        if let Some(token) = last {
+        if let Some(token) = host.disk.synced() {
             self.event(place, ChainEvent::Durable { token });
         }
         self.sync(place);
--- a/system/chain/tests/world/ledger.rs
+++ b/system/chain/tests/world/ledger.rs
@@ -1,16 +1,22 @@
 //! What must hold: kept outside the group, from what its hosts were told to do.
+#![allow(dead_code)]
 
 use std::collections::{BTreeMap, HashMap};
 
 use gingerledge_chain::{ChainMessage, MemberId, Members, ReplicaMessage};
 
-use super::host::mix;
-use super::Shape;
+/// The hash of a state after one more command.
+pub fn mix(hash: u64, command: &[u8]) -> u64 {
+    command
+        .iter()
+        .fold(hash ^ 0x9e37_79b9, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3))
+}
 
 /// The witness.
 pub struct Ledger {
     seed: u64,
-    shape: Shape,
+    fault_tolerance: usize,
+    founders: usize,
     /// The command of each number, as first applied anywhere.
     commands: Vec<Vec<u8>>,
     /// The state after each number.
@@ -33,10 +39,11 @@
 }
 
 impl Ledger {
-    pub fn new(seed: u64, shape: Shape) -> Self {
+    pub fn new(seed: u64, fault_tolerance: usize, founders: usize) -> Self {
         Self {
             seed,
-            shape,
+            fault_tolerance,
+            founders,
             commands: Vec::new(),
             hashes: vec![0],
             seen: HashMap::new(),
@@ -76,7 +83,7 @@
 
     /// What is acknowledged has been synced by one more disk than may be lost.
     pub fn synced_by(&self, seq: u64, disks: usize) {
-        let needed = self.shape.fault_tolerance + 1;
+        let needed = self.fault_tolerance + 1;
         assert!(
             disks >= needed,
             "seed {}: {seq} was acknowledged after {disks} disks had synced it",
@@ -110,7 +117,7 @@
         let known = self.views.entry(members.epoch).or_insert_with(|| members.clone());
         assert_eq!(*known, members, "seed {seed}: two memberships for one epoch");
         assert!(members.chain.iter().all(|member| members.is_voter(*member)), "seed {seed}: {members:?}");
-        assert!(members.voters.len() >= self.shape.founders, "seed {seed}: {members:?}");
+        assert!(members.voters.len() >= self.founders, "seed {seed}: {members:?}");
         if let Some(before) = self.views.get(&(members.epoch - 1)) {
             let new = members.voters.iter().filter(|voter| !before.is_voter(**voter)).count();
             assert!(new <= 1, "seed {seed}: more than one voter changed from {before:?} to {members:?}");
--- a/system/chain/tests/world/mod.rs
+++ b/system/chain/tests/world/mod.rs
@@ -1,6 +1,8 @@
 //! A simulated control group: processes, disks that forget what a loss of power loses, links that fail, and a ledger
 //! that knows what was acknowledged. Everything follows from one seed.
+#![allow(dead_code)]
 
+pub mod disk;
 pub mod faults;
 pub mod host;
 pub mod ledger;
@@ -73,7 +75,7 @@
     pub shape: Shape,
     pub settings: Settings,
     pub hosts: Vec<Host>,
-    pub lost_disks: Vec<host::Disk>,
+    pub lost_disks: Vec<disk::Disk>,
     pub ledger: Ledger,
     /// Links that are cut, from place to place.
     pub cut: HashSet<(usize, usize)>,
@@ -113,7 +115,7 @@
             settings,
             hosts: (0..shape.places).map(|place| Host::new(MemberId(place as u64 + 1))).collect(),
             lost_disks: Vec::new(),
-            ledger: Ledger::new(seed, shape),
+            ledger: Ledger::new(seed, shape.fault_tolerance, shape.founders),
             cut: HashSet::new(),
             loss: 0.0,
             troubled: true,
