--- a/system/jobs/tests/common/coordinator.rs
+++ b/system/jobs/tests/common/coordinator.rs
@@ -1,85 +1,89 @@
-//! The map of partitions as the control plane would change it: one chain from the one before, always with a full member of it.
+//! The map of partitions as the control plane changes it: its own state and its own planner, over the members of a simulation.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
-use fastrand::Rng;
-use gingerledge_wire::PartitionRecord;
+use gingerledge_control::coordinator::partitions::{Backend, Backends, Condition};
+use gingerledge_control::state::ControlState;
+use gingerledge_wire::{Command, Outcome, PartitionRecord};
 
-const CHAIN: usize = 2;
+const FAULT_TOLERANCE: usize = 1;
 
 /// The chains of some partitions.
 pub struct Coordinator {
-    pub records: BTreeMap<u16, PartitionRecord>,
-    /// Who said that it is full, in the current epoch.
-    reported: BTreeMap<u16, BTreeSet<u64>>,
+    state: ControlState,
+    sequence: u64,
+    partitions: u16,
+    /// The member that is being emptied.
+    pub retiring: Option<u64>,
 }
 
 impl Coordinator {
     /// First chains over these members.
     pub fn new(partitions: u16, members: &[u64]) -> Self {
-        let record = |partition: u16| {
-            let chain: Vec<u64> =
-                (0..CHAIN).map(|index| members[(usize::from(partition) + index) % members.len()]).collect();
-            PartitionRecord { epoch: 1, full: chain.clone(), chain }
-        };
-        let records = (0..partitions).map(|partition| (partition, record(partition))).collect();
-        Self { records, reported: BTreeMap::new() }
+        let mut coordinator =
+            Self { state: ControlState::default(), sequence: 0, partitions, retiring: None };
+        coordinator.plan(members, |_| true);
+        coordinator
+    }
+
+    /// The newest chain of a partition.
+    pub fn record(&self, partition: u16) -> &PartitionRecord {
+        self.state.partitions().get(partition).unwrap()
+    }
+
+    /// The newest chains.
+    pub fn records(&self) -> BTreeMap<u16, PartitionRecord> {
+        (0..self.partitions).map(|partition| (partition, self.record(partition).clone())).collect()
     }
 
-    /// A member says in which epochs it is full.
+    /// A member says in which epochs it is full; what says the same as before is not told again.
     pub fn report(&mut self, member: u64, full: &[(u16, u64)]) {
-        for (partition, epoch) in full {
-            if self.records.get(partition).is_some_and(|record| record.epoch == *epoch) {
-                self.reported.entry(*partition).or_default().insert(member);
+        for (partition, epoch) in full.iter().copied() {
+            let known = self.state.partitions().get(partition);
+            if known.is_some_and(|record| record.epoch == epoch && !record.full.contains(&member)) {
+                self.sequence += 1;
+                self.state.apply(self.sequence, &Command::PartitionFull { partition, epoch, member });
             }
         }
     }
 
-    fn full(&self, partition: u16) -> Vec<u64> {
-        let record = &self.records[&partition];
-        let reported = self.reported.get(&partition);
-        let is_full = |member: &&u64| {
-            record.full.contains(member) || reported.is_some_and(|reported| reported.contains(member))
-        };
-        record.chain.iter().filter(is_full).copied().collect()
-    }
-
     /// Whether every member of every chain is full and lives.
     pub fn is_whole(&self, alive: &[u64]) -> bool {
-        self.records.iter().all(|(partition, record)| {
-            record.chain.len() >= CHAIN
-                && self.full(*partition).len() == record.chain.len()
+        self.records().values().all(|record| {
+            record.full.len() == record.chain.len()
                 && record.chain.iter().all(|member| alive.contains(member))
         })
     }
 
-    /// Looks at one partition; changes its chain if a member is not alive, is too many, or by the way.
-    pub fn look_after(&mut self, partition: u16, alive: &[u64], by_the_way: bool, rng: &mut Rng) {
-        let record = self.records[&partition].clone();
-        let full = self.full(partition);
-        let mut chain: Vec<u64> = record.chain.iter().copied().filter(|it| alive.contains(it)).collect();
-        let full_stay = |chain: &[u64]| chain.iter().filter(|member| full.contains(member)).count();
-        if full_stay(&chain) == 0 {
-            return;
-        }
-        // Those that are full stand first; one that isn't, before one that is, has to go.
-        let last_full = chain.iter().rposition(|member| full.contains(member)).unwrap_or(0);
-        let mut index = 0..chain.len();
-        chain.retain(|member| index.next().is_some_and(|at| at > last_full) || full.contains(member));
-        if chain.len() > CHAIN && full_stay(&chain) > CHAIN {
-            chain.remove(rng.usize(..chain.len()));
-        }
-        // Those that stay keep their order, so nobody comes back in the same step.
-        let others: Vec<u64> =
-            alive.iter().copied().filter(|member| !record.chain.contains(member)).collect();
-        let wants = chain.len() < CHAIN || (by_the_way && chain.len() == CHAIN);
-        if let Some(other) = rng.choice(&others).filter(|_| wants) {
-            chain.push(*other);
-        }
-        if chain != record.chain || by_the_way {
-            let full = full.into_iter().filter(|member| chain.contains(member)).collect();
-            self.records.insert(partition, PartitionRecord { epoch: record.epoch + 1, chain, full });
-            self.reported.remove(&partition);
+    /// Whether a member is in no chain.
+    pub fn is_empty(&self, member: u64) -> bool {
+        self.records().values().all(|record| !record.chain.contains(&member))
+    }
+
+    /// Changes the chains of some partitions, where a member is not alive or is to leave.
+    pub fn plan(&mut self, alive: &[u64], mut looks_at: impl FnMut(u16) -> bool) {
+        let condition = |member: u64| {
+            if Some(member) == self.retiring {
+                Condition::Retiring
+            } else {
+                Condition::Usable
+            }
+        };
+        let backends = alive.iter().map(|member| Backend {
+            member: *member,
+            zone: format!("zone {member}"),
+            condition: condition(*member),
+        });
+        let backends = Backends::new(backends, FAULT_TOLERANCE);
+        let changes = backends.plan(|partition| self.state.partitions().get(partition));
+        for change in changes {
+            if change.partition < self.partitions && looks_at(change.partition) {
+                let set =
+                    Command::SetPartition { partition: change.partition, record: change.record, fence: 0 };
+                self.sequence += 1;
+                let outcome = self.state.apply(self.sequence, &set);
+                assert_eq!(outcome, Outcome::Taken, "{set:?}");
+            }
         }
     }
 }
--- a/system/jobs/tests/common/mod.rs
+++ b/system/jobs/tests/common/mod.rs
@@ -4,4 +4,5 @@
 pub mod disk;
 pub mod edges;
 pub mod facts;
+pub mod fate;
 pub mod world;
--- a/system/jobs/tests/common/world.rs
+++ b/system/jobs/tests/common/world.rs
@@ -31,7 +31,7 @@
 }
 
 /// Something that happens at a time.
-enum Happening {
+pub(super) enum Happening {
     Tick { backend: usize, life: u64 },
     Sync { backend: usize, life: u64 },
     Deliver { to: u64, event: BackendEvent },
@@ -43,24 +43,24 @@
 
 /// Whom a machine doesn't reach, and the other way round.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Cut {
+pub(super) enum Cut {
     Nobody,
     /// All but edges.
     Peers,
     Everybody,
 }
 
-struct Machine {
-    member: u64,
+pub(super) struct Machine {
+    pub(super) member: u64,
     life: u64,
-    backend: Option<Backend>,
-    disk: Disk,
+    pub(super) backend: Option<Backend>,
+    pub(super) disk: Disk,
     last_token: u64,
     tick_at: Option<Duration>,
     syncing: bool,
-    cut: Cut,
+    pub(super) cut: Cut,
     /// Its disk does not answer.
-    stalled: bool,
+    pub(super) stalled: bool,
 }
 
 /// Everything but the edges.
@@ -71,10 +71,10 @@
     /// Edges that are there.
     pub edges: BTreeMap<u64, SocketAddr>,
     settings: JobsSettings,
-    machines: Vec<Machine>,
+    pub(super) machines: Vec<Machine>,
     queue: BTreeMap<(Duration, u64), Happening>,
     next: u64,
-    next_member: u64,
+    pub(super) next_member: u64,
     /// How likely a message is lost, in percent.
     pub loss: u8,
     pub faults: bool,
@@ -158,7 +158,7 @@
 
     /// The newest chain of a partition.
     pub fn chain(&self, partition: u16) -> &PartitionRecord {
-        &self.coordinator.records[&partition]
+        self.coordinator.record(partition)
     }
 
     /// Ends all faults and waits for what is left of them.
@@ -175,13 +175,13 @@
         self.machines.iter().filter_map(|it| it.backend.as_ref().map(|backend| (it.member, backend)))
     }
 
-    fn after(&mut self, milliseconds: u64, happening: Happening) {
+    pub(super) fn after(&mut self, milliseconds: u64, happening: Happening) {
         self.next += 1;
         let at = self.now + Duration::from_millis(milliseconds);
         self.queue.insert((at, self.next), happening);
     }
 
-    fn send(&mut self, to: u64, event: BackendEvent) {
+    pub(super) fn send(&mut self, to: u64, event: BackendEvent) {
         if self.rng.u8(..100) >= self.loss {
             let delay = 1 + self.rng.u64(..MOST_DELAY_MS);
             self.after(delay, Happening::Deliver { to, event });
@@ -191,7 +191,9 @@
     fn drive(&mut self, backend: usize, event: BackendEvent) {
         let moment = Moment { steady: self.now, unix_ms: self.now.as_millis() as u64 };
         let machine = &mut self.machines[backend];
-        let Some(running) = machine.backend.as_mut() else { return };
+        let Some(running) = machine.backend.as_mut() else {
+            return;
+        };
         let mut actions = Vec::new();
         running.handle(moment, event, &mut actions);
         let (from, cut) = (MemberId(machine.member), machine.cut);
@@ -221,7 +223,9 @@
     fn maybe_snapshot(&mut self, backend: usize) {
         let due = self.rng.u16(..500) == 0;
         let machine = &mut self.machines[backend];
-        let Some(running) = machine.backend.as_ref().filter(|_| due) else { return };
+        let Some(running) = machine.backend.as_ref().filter(|_| due) else {
+            return;
+        };
         if let Some(records) = running.checkpoint().unwrap() {
             machine.disk.snapshot(machine.last_token, records);
         }
@@ -237,7 +241,9 @@
         }
         let machine = &mut self.machines[backend];
         let timer = machine.backend.as_ref().and_then(Backend::next_timer);
-        let Some(timer) = timer.map(|timer| timer.max(self.now + Duration::from_millis(1))) else { return };
+        let Some(timer) = timer.map(|timer| timer.max(self.now + Duration::from_millis(1))) else {
+            return;
+        };
         if machine.tick_at.is_none_or(|at| timer < at) {
             machine.tick_at = Some(timer);
             self.next += 1;
@@ -260,7 +266,7 @@
         }
     }
 
-    fn start(&mut self, backend: usize) {
+    pub(super) fn start(&mut self, backend: usize) {
         let seed = self.rng.u64(..);
         let machine = &mut self.machines[backend];
         machine.life += 1;
@@ -287,7 +293,7 @@
         }
     }
 
-    fn restore(&mut self, backend: usize) {
+    pub(super) fn restore(&mut self, backend: usize) {
         let machine = &mut self.machines[backend];
         machine.cut = Cut::Nobody;
         machine.stalled = false;
@@ -297,77 +303,12 @@
         self.schedule(backend);
     }
 
-    fn crash(&mut self, backend: usize) {
+    pub(super) fn crash(&mut self, backend: usize) {
         let machine = &mut self.machines[backend];
         machine.backend = None;
         machine.life += 1;
         machine.disk.crash(&mut self.rng);
     }
-
-    /// One round of the coordinator, the registry, and fate.
-    fn coordinate(&mut self) {
-        self.after(100, Happening::Coordinate);
-        let alive: Vec<u64> = self.machines.iter().filter(|it| it.is_well()).map(|it| it.member).collect();
-        for machine in self.machines.iter().filter(|it| it.is_well()) {
-            if let Some(backend) = &machine.backend {
-                self.coordinator.report(machine.member, &backend.report(self.now).full);
-            }
-        }
-        for partition in 0..PARTITIONS {
-            let by_the_way = self.faults && self.rng.u8(..100) < 4;
-            if self.rng.u8(..100) < 40 {
-                self.coordinator.look_after(partition, &alive, by_the_way, &mut self.rng);
-            }
-        }
-        // The registry passes over what a newer entry has replaced, and comes late.
-        for (partition, record) in self.coordinator.records.clone() {
-            for member in alive.clone() {
-                if self.rng.u8(..100) < 60 {
-                    self.send(member, BackendEvent::Chain { partition, record: record.clone() });
-                }
-            }
-        }
-        if self.faults {
-            self.fate(&alive);
-        }
-    }
-
-    fn fate(&mut self, alive: &[u64]) {
-        let all_well = alive.len() == self.machines.len();
-        if !all_well || self.rng.u8(..100) >= 12 {
-            return;
-        }
-        let backend = self.rng.usize(..self.machines.len());
-        let pause = 200 + self.rng.u64(..2_500);
-        match self.rng.u8(..10) {
-            0 => {
-                // Everything ends at once.
-                for backend in 0..self.machines.len() {
-                    self.crash(backend);
-                    self.after(300, Happening::Return { backend });
-                }
-            }
-            1 | 2 if self.coordinator.is_whole(alive) => {
-                self.crash(backend);
-                self.next_member += 1;
-                self.machines[backend].member = self.next_member;
-                self.machines[backend].disk = Disk::new(identity(self.next_member));
-                self.after(pause, Happening::Return { backend });
-            }
-            3 | 4 => {
-                self.machines[backend].cut = if self.rng.bool() { Cut::Peers } else { Cut::Everybody };
-                self.after(pause, Happening::Return { backend });
-            }
-            5 => {
-                self.machines[backend].stalled = true;
-                self.after(pause, Happening::Return { backend });
-            }
-            _ => {
-                self.crash(backend);
-                self.after(pause, Happening::Return { backend });
-            }
-        }
-    }
 }
 
 impl Machine {
@@ -385,7 +326,7 @@
         }
     }
 
-    fn is_well(&self) -> bool {
+    pub(super) fn is_well(&self) -> bool {
         self.backend.is_some() && self.cut == Cut::Nobody && !self.stalled
     }
 }
@@ -394,6 +335,6 @@
     matches!(event, BackendEvent::Ask { .. })
 }
 
-fn identity(member: u64) -> Vec<u8> {
+pub(super) fn identity(member: u64) -> Vec<u8> {
     DiskRecord::Identity(member).encode().unwrap()
 }
