Test one backend alone: what its head and tail answer, and when

16 cases: nothing before the disk, nothing in a chain that is too short, repeated hand-ins, no room, a stalled disk, reads that wait, drivers that renew, fall silent or are gone, ends, retention, and a checkpoint in place of the records before it.

--- /dev/null
+++ b/system/jobs/tests/backend.rs
@@ -0,0 +1,342 @@
+//! One backend alone: what its head and its tail answer, when, and what they keep.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gingerledge_chain::MemberId;
+use gingerledge_jobs::backend::{Backend, BackendAction, BackendEvent, DiskContent};
+use gingerledge_jobs::partition::Moment;
+use gingerledge_jobs::store::Asker;
+use gingerledge_jobs::JobsSettings;
+use gingerledge_protocol::Settings;
+use gingerledge_wire::{
+    ItemRecord, JobRecord, JobsAnswer, JobsMessage, JobsRequest, PartitionRecord, RenewState, ResultRecord,
+};
+use yare::parameterized;
+
+const ME: u64 = 5;
+const EDGE: u64 = 77;
+const OTHER_EDGE: u64 = 78;
+const PARTITION: u16 = 3;
+
+/// A backend whose disk is as fast as the test wants.
+struct Bench {
+    backend: Backend,
+    now: Duration,
+    unsynced: Vec<u64>,
+    records: Vec<Vec<u8>>,
+    sent: Vec<JobsMessage>,
+    next_request: u64,
+}
+
+fn settings(machines: usize) -> JobsSettings {
+    let text = format!(
+        r#"{{"nodeName":"n","role":"r","machineClass":"c","ip":"10.0.0.1","zone":"z","internalPorts":[1,2],
+        "seeds":["10.0.0.2:1"],"faultTolerance":{{"machines":{machines}}},"bounds":{{"statusS":100}},
+        "limits":{{"memoryMb":16,"diskMb":128}}}}"#
+    );
+    JobsSettings::new(&Settings::parse(text.as_bytes()).unwrap())
+}
+
+fn address(edge: u64) -> SocketAddr {
+    SocketAddr::from(([10, 1, 0, 1], edge as u16))
+}
+
+impl Bench {
+    /// A backend that is the whole chain of a partition.
+    fn new(machines: usize) -> Self {
+        let backend = Backend::new(MemberId(ME), DiskContent::default(), settings(machines), 1);
+        let (unsynced, records, sent) = (Vec::new(), Vec::new(), Vec::new());
+        let mut bench = Self { backend, now: Duration::ZERO, unsynced, records, sent, next_request: 0 };
+        bench.handle(BackendEvent::Started);
+        for edge in [EDGE, OTHER_EDGE] {
+            bench.handle(BackendEvent::Edge { incarnation: edge, address: Some(address(edge)) });
+        }
+        let record = PartitionRecord { epoch: 1, chain: vec![ME], full: vec![ME] };
+        bench.handle(BackendEvent::Chain { partition: PARTITION, record });
+        bench.sync();
+        bench
+    }
+
+    fn handle(&mut self, event: BackendEvent) {
+        let mut actions = Vec::new();
+        let moment = Moment { steady: self.now, unix_ms: self.now.as_millis() as u64 };
+        self.backend.handle(moment, event, &mut actions);
+        for action in actions {
+            match action {
+                BackendAction::SendEdge { message, .. } => self.sent.push(message),
+                BackendAction::Persist { token, records } => {
+                    self.unsynced.push(token);
+                    self.records.extend(records);
+                }
+                BackendAction::SendMember { .. } => {}
+            }
+        }
+    }
+
+    fn sync(&mut self) {
+        while !self.unsynced.is_empty() {
+            let token = self.unsynced.remove(0);
+            self.handle(BackendEvent::Durable { token });
+        }
+    }
+
+    /// Lets time pass, with all timers on the way.
+    fn pass(&mut self, milliseconds: u64) {
+        let end = self.now + Duration::from_millis(milliseconds);
+        while let Some(timer) = self.backend.next_timer().filter(|timer| *timer <= end) {
+            self.now = self.now.max(timer);
+            self.handle(BackendEvent::Tick);
+            self.sync();
+        }
+        self.now = end;
+    }
+
+    /// Asks without waiting for the disk.
+    fn ask_only(&mut self, edge: u64, request: JobsRequest) {
+        self.next_request += 1;
+        let asker = Asker { request: self.next_request, reply_to: address(edge), edge };
+        self.handle(BackendEvent::Ask { asker, partition: PARTITION, epoch: 1, request });
+    }
+
+    fn ask(&mut self, request: JobsRequest) -> Vec<JobsAnswer> {
+        self.ask_only(EDGE, request);
+        self.sync();
+        self.answers()
+    }
+
+    fn answers(&mut self) -> Vec<JobsAnswer> {
+        let answer = |message| match message {
+            JobsMessage::Answer { body, .. } => Some(body),
+            _ => None,
+        };
+        self.sent.drain(..).filter_map(answer).collect()
+    }
+}
+
+fn job(body_bytes: usize) -> Arc<JobRecord> {
+    let item = |index: u8| ItemRecord {
+        id: format!("i{index}"),
+        path: "/p/".to_owned(),
+        headers: Vec::new(),
+        body: vec![index; body_bytes],
+        tokens: 1,
+        group: "g".to_owned(),
+        scoring: None,
+    };
+    Arc::new(JobRecord {
+        id: "j".to_owned(),
+        host: "h".to_owned(),
+        path: "/p/".to_owned(),
+        step: 0,
+        model: "m".to_owned(),
+        min_version: 1,
+        desired: 1,
+        accepted_unix_ms: 0,
+        items: vec![item(0), item(1)],
+    })
+}
+
+fn create(body_bytes: usize) -> JobsRequest {
+    JobsRequest::Create { job: job(body_bytes) }
+}
+
+fn append(term: u64, item: u32) -> JobsRequest {
+    let result = ResultRecord {
+        item,
+        completed: true,
+        text: b"text".to_vec(),
+        versions: vec![1],
+        score: "s".to_owned(),
+    };
+    JobsRequest::Append { job: "j".to_owned(), term, results: vec![result] }
+}
+
+fn read(start_after: u64, wait_ms: u64) -> JobsRequest {
+    JobsRequest::Read { job: "j".to_owned(), start_after, wait_ms, max_bytes: 1_000_000 }
+}
+
+fn renew(term: u64) -> JobsRequest {
+    JobsRequest::Renew { jobs: vec![("j".to_owned(), term)] }
+}
+
+fn end() -> JobsRequest {
+    JobsRequest::End { job: "j".to_owned() }
+}
+
+fn listed(answers: &[JobsAnswer]) -> Option<usize> {
+    match answers {
+        [JobsAnswer::Page { results, .. }] => Some(results.len()),
+        _ => None,
+    }
+}
+
+#[test]
+fn nothing_is_acknowledged_before_it_is_on_the_disk() {
+    let mut bench = Bench::new(0);
+    bench.ask_only(EDGE, create(10));
+    assert!(bench.answers().is_empty());
+    bench.sync();
+    assert!(matches!(bench.answers()[..], [JobsAnswer::Created { drive: Some(1) }]));
+}
+
+#[test]
+fn a_chain_that_is_too_short_acknowledges_nothing() {
+    let mut bench = Bench::new(1);
+    assert!(bench.ask(create(10)).is_empty());
+    bench.pass(5_000);
+    assert!(bench.answers().is_empty());
+}
+
+#[test]
+fn a_repeated_hand_in_waits_for_the_first_and_is_answered_too() {
+    let mut bench = Bench::new(0);
+    bench.ask_only(EDGE, create(10));
+    bench.ask_only(OTHER_EDGE, create(10));
+    assert!(bench.answers().is_empty());
+    bench.sync();
+    let answers = bench.answers();
+    let drives: Vec<_> =
+        answers.iter().map(|answer| matches!(answer, JobsAnswer::Created { drive: Some(_) })).collect();
+    assert_eq!(drives.iter().filter(|drives| **drives).count(), 1, "{answers:?}");
+    assert_eq!(answers.len(), 2);
+}
+
+#[parameterized(fits = { 1_000, false }, too_large = { 8 * 1024 * 1024, true })]
+fn what_does_not_fit_is_refused_before_it_is_proposed(body_bytes: usize, refused: bool) {
+    let mut bench = Bench::new(0);
+    let records = bench.records.len();
+    let answers = bench.ask(create(body_bytes));
+    assert_eq!(matches!(answers[..], [JobsAnswer::Full]), refused, "{answers:?}");
+    assert_eq!(bench.records.len() == records, refused);
+}
+
+#[test]
+fn a_stalled_disk_takes_nothing_and_says_so() {
+    let mut bench = Bench::new(0);
+    bench.ask_only(EDGE, create(10));
+    bench.now += Duration::from_millis(1_500);
+    assert!(bench.backend.report(bench.now).disk_stalled);
+    bench.ask_only(EDGE, JobsRequest::End { job: "other".to_owned() });
+    assert!(matches!(bench.answers()[..], [JobsAnswer::NotNow]));
+    bench.sync();
+    assert!(!bench.backend.report(bench.now).disk_stalled);
+}
+
+#[test]
+fn a_read_waits_for_a_result() {
+    let mut bench = Bench::new(0);
+    bench.ask(create(10));
+    assert!(bench.ask(read(0, 1_000)).is_empty());
+    bench.pass(500);
+    let answers = bench.ask(append(1, 1));
+    assert!(answers
+        .iter()
+        .any(|answer| matches!(answer, JobsAnswer::Page { results, .. } if results.len() == 1)));
+}
+
+#[test]
+fn a_read_is_answered_once_it_has_waited_long_enough() {
+    let mut bench = Bench::new(0);
+    bench.ask(create(10));
+    assert!(bench.ask(read(0, 400)).is_empty());
+    bench.pass(390);
+    assert!(bench.answers().is_empty());
+    bench.pass(20);
+    assert_eq!(listed(&bench.answers()), Some(0));
+}
+
+#[test]
+fn nobody_waits_for_what_cannot_come() {
+    let mut bench = Bench::new(0);
+    bench.ask(create(10));
+    bench.ask(append(1, 0));
+    bench.ask(end());
+    assert_eq!(listed(&bench.ask(read(1, 1_000))), Some(0));
+    assert!(matches!(
+        bench.ask(JobsRequest::Read {
+            job: "nothing".to_owned(),
+            start_after: 0,
+            wait_ms: 1_000,
+            max_bytes: 1
+        })[..],
+        [JobsAnswer::Unknown]
+    ));
+}
+
+#[test]
+fn a_driver_that_renews_stays_and_a_silent_one_is_replaced() {
+    let mut bench = Bench::new(0);
+    bench.ask(create(10));
+    for _ in 0..10 {
+        bench.pass(1_000);
+        assert!(
+            matches!(&bench.ask(renew(1))[..], [JobsAnswer::Renewed(states)] if states == &[RenewState::Held])
+        );
+    }
+    bench.pass(1_600);
+    let drive = bench.sent.iter().find_map(|message| match message {
+        JobsMessage::Drive { term, listed, job } => Some((*term, listed.len(), job.items.len())),
+        _ => None,
+    });
+    assert_eq!(drive, Some((2, 0, 2)));
+    bench.sent.clear();
+    assert!(
+        matches!(&bench.ask(renew(1))[..], [JobsAnswer::Renewed(states)] if states == &[RenewState::Fenced])
+    );
+    assert!(matches!(bench.ask(append(1, 0))[..], [JobsAnswer::Fenced]));
+    assert!(matches!(bench.ask(append(2, 0))[..], [JobsAnswer::Appended]));
+}
+
+#[test]
+fn a_driver_that_is_known_to_be_gone_is_replaced_at_once() {
+    let mut bench = Bench::new(0);
+    bench.ask(create(10));
+    bench.handle(BackendEvent::Edge { incarnation: EDGE, address: None });
+    bench.sync();
+    assert!(bench.sent.iter().any(|message| matches!(message, JobsMessage::Drive { term: 2, .. })));
+}
+
+#[test]
+fn the_end_stops_the_driver() {
+    let mut bench = Bench::new(0);
+    bench.ask(create(10));
+    bench.ask_only(OTHER_EDGE, end());
+    bench.sync();
+    assert!(bench.sent.iter().any(|message| matches!(message, JobsMessage::Stop { term: 1, .. })));
+    bench.sent.clear();
+    assert!(
+        matches!(&bench.ask(renew(1))[..], [JobsAnswer::Renewed(states)] if states == &[RenewState::Ended])
+    );
+    assert!(matches!(bench.ask(append(1, 0))[..], [JobsAnswer::Ended]));
+}
+
+#[parameterized(open = { false, 300_000, true }, ended_and_young = { true, 100_000, true }, ended_and_old = { true, 140_000, false })]
+fn only_an_ended_job_whose_retention_is_over_goes(ended: bool, milliseconds: u64, stays: bool) {
+    let mut bench = Bench::new(0);
+    bench.ask(create(10));
+    if ended {
+        bench.ask(end());
+    }
+    bench.pass(milliseconds);
+    let kept =
+        bench.backend.partition(PARTITION).is_some_and(|partition| partition.store().job("j").is_some());
+    assert_eq!(kept, stays);
+}
+
+#[test]
+fn a_checkpoint_holds_what_the_records_before_it_held() {
+    let mut bench = Bench::new(0);
+    bench.ask(create(10));
+    bench.ask(append(1, 1));
+    let store = |backend: &Backend| backend.partition(PARTITION).map(|partition| partition.store().clone());
+    let checkpoint = bench.backend.checkpoint().unwrap().unwrap();
+    for records in [bench.records.clone(), checkpoint] {
+        let content = DiskContent::read(records).unwrap();
+        let mut again = Backend::new(MemberId(ME), content, settings(0), 2);
+        let moment = Moment { steady: Duration::ZERO, unix_ms: 0 };
+        again.handle(moment, BackendEvent::Started, &mut Vec::new());
+        assert_eq!(store(&again), store(&bench.backend));
+    }
+}
