Relay: seeds of the tests by environment; nothing may go while a core is awaited

Without the time of grace all sessions went at once after a long absence of the core, and no test saw it: the test now looks in the 20 s before stores announce themselves too.

--- a/system/relay/tests/faults.rs
+++ b/system/relay/tests/faults.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use gingerledge_wire::{Entry, Role};
-use world::{gone, ms, store, World};
+use world::{gone, ms, seeds, store, World};
 use yare::parameterized;
 
 const CONTROL: usize = 5;
@@ -104,7 +104,7 @@
 
 #[test]
 fn any_faults_leave_copies_sound_and_the_tree_heals() {
-    for seed in 0..SEEDS {
+    for seed in seeds(SEEDS) {
         let mut world = calm(seed);
         let mut versions = 0;
         for _ in 0..150 {
@@ -156,7 +156,7 @@
     cut_off_one_way = { Failure::CutOffOneWay },
 )]
 fn what_a_fresh_root_learns_reaches_all_others_in_time(failure: Failure) {
-    for seed in 0..SEEDS {
+    for seed in seeds(SEEDS) {
         let mut world = calm(seed);
         let mut versions = 0;
         let mut nodes: Vec<SocketAddr> = world.nodes.keys().copied().collect();
@@ -187,7 +187,7 @@
 
 #[test]
 fn a_standstill_of_the_control_chain_leaves_the_tree_nearly_as_it_is() {
-    for seed in 0..SEEDS {
+    for seed in seeds(SEEDS) {
         let mut world = calm(seed);
         world.run(Duration::from_secs(2));
         let parents =
@@ -211,7 +211,7 @@
 
 #[test]
 fn an_island_without_a_root_is_soon_stale_and_stays_so_until_the_cut_heals() {
-    for seed in 0..SEEDS {
+    for seed in seeds(SEEDS) {
         let mut world = calm(seed);
         let mut edges = world.with_role(Role::Edge);
         world.rng.shuffle(&mut edges);
@@ -235,7 +235,7 @@
 
 #[test]
 fn a_core_that_starts_again_with_nothing_deletes_nothing() {
-    for seed in 0..SEEDS {
+    for seed in seeds(SEEDS) {
         let mut world = calm(seed);
         for number in 0..STORES {
             world.learn(store(number, 1));
@@ -253,7 +253,7 @@
 
 #[test]
 fn everything_can_start_again_at_once() {
-    for seed in 0..SEEDS {
+    for seed in seeds(SEEDS) {
         let mut world = calm(seed);
         for number in 0..STORES {
             world.learn(store(number, 1));
--- a/system/relay/tests/tombstones.rs
+++ b/system/relay/tests/tombstones.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use gingerledge_wire::Role;
-use world::{gone, ms, store, store_key, World};
+use world::{gone, ms, seeds, store, store_key, World};
 use yare::parameterized;
 
 const SEEDS: u64 = 8;
@@ -36,7 +36,7 @@
 
 #[test]
 fn a_tombstone_is_let_go_everywhere_while_nodes_come_and_go() {
-    for seed in 0..SEEDS {
+    for seed in seeds(SEEDS) {
         let mut world = calm(seed);
         world.learn(store(1, 1));
         world.run(Duration::from_secs(1));
@@ -60,7 +60,7 @@
     for_longer_than_the_retention = { 200 },
 )]
 fn a_node_that_was_cut_off_loses_what_is_gone_and_keeps_the_rest(seconds: u64) {
-    for seed in 0..SEEDS {
+    for seed in seeds(SEEDS) {
         let mut world = calm(seed);
         for number in 0..10 {
             world.learn(store(number, 1));
@@ -87,7 +87,7 @@
 
 #[test]
 fn a_long_standstill_of_the_control_chain_deletes_nothing() {
-    for seed in 0..SEEDS {
+    for seed in seeds(SEEDS) {
         let mut world = calm(seed);
         for number in 0..10 {
             world.learn(store(number, 1));
@@ -110,7 +110,7 @@
 
 #[test]
 fn after_a_long_absence_of_the_core_stores_that_announce_themselves_in_time_are_never_missing() {
-    for seed in 0..SEEDS {
+    for seed in seeds(SEEDS) {
         let mut world = calm(seed);
         for number in 0..10 {
             world.learn(store(number, 1));
@@ -121,11 +121,15 @@
         world.learned.clear();
         world.run(Duration::from_secs(100));
         control.iter().for_each(|at| world.start(*at));
-        world.run(Duration::from_secs(20));
+        let edges = world.with_role(Role::Edge);
+        for _ in 0..20 {
+            world.run(Duration::from_secs(1));
+            let all = edges.iter().all(|at| world.relay(*at).registry().stores().count() == 10);
+            world.expect(all, "nothing goes before stores had time to announce themselves");
+        }
         for number in 0..9 {
             world.learn(store(number, 2));
         }
-        let edges = world.with_role(Role::Edge);
         for _ in 0..80 {
             world.run(Duration::from_secs(1));
             for at in &edges {
--- a/system/relay/tests/world/mod.rs
+++ b/system/relay/tests/world/mod.rs
@@ -10,6 +10,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::ops::Range;
 use std::time::Duration;
 
 use fastrand::Rng;
@@ -24,6 +25,13 @@
 /// After this time without acknowledgement, a connection is reported as lost.
 const USER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The seeds to try: so many as usual, or as many as `RELAY_SEEDS` says; from 0 on, or from `RELAY_FIRST_SEED`.
+pub fn seeds(usual: u64) -> Range<u64> {
+    let number = |name| std::env::var(name).ok().and_then(|text| text.parse().ok());
+    let first = number("RELAY_FIRST_SEED").unwrap_or(0);
+    first..first + number("RELAY_SEEDS").unwrap_or(usual)
+}
+
 /// Milliseconds.
 pub fn ms(value: u64) -> Duration {
     Duration::from_millis(value)
