Relay: let a tombstone's age go along with it

Each copy used to count a tombstone's time from when it took it, and to offer it for three quarters of that: in a deep tree whose nodes kept starting anew, tombstones were handed round beyond their time. An update now says for how long each has been gone, and all copies let go of it together; a copy that still had the entry keeps its tombstone for at least half the time.

--- a/system/relay/examples/cost.rs
+++ b/system/relay/examples/cost.rs
@@ -51,8 +51,14 @@
         self.sequence += 1;
         self.now += Duration::from_millis(25);
         let tick = Tick { epoch: 1, number: self.sequence };
-        let message =
-            RelayMessage::Update { subscription, sequence: self.sequence, entries, tick, tick_age_ms: 1 };
+        let message = RelayMessage::Update {
+            subscription,
+            sequence: self.sequence,
+            entries,
+            tick,
+            gone_for_ms: Vec::new(),
+            tick_age_ms: 1,
+        };
         self.handle(Event::Message { from: address(PARENT), message });
     }
 }
--- a/system/relay/src/feed.rs
+++ b/system/relay/src/feed.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
-use gingerledge_wire::{Entry, Key, RelayMessage, Tick};
+use gingerledge_wire::{Entry, Key, RelayMessage, Tick, Value};
 
 use crate::digest::{bucket_of, BUCKETS};
 use crate::freshness::Freshness;
@@ -115,6 +115,7 @@
         Ok(RelayMessage::Update {
             subscription: self.subscription,
             sequence: self.sequence,
+            gone_for_ms: gone_for_ms(&frame.entries, now, source.replica),
             entries: frame.entries,
             tick: self.tick,
             tick_age_ms: age_ms(source.freshness.age(now)),
@@ -162,7 +163,7 @@
                 snapshot.after = last;
                 return;
             }
-            if snapshot.covers(&entry.key) && source.replica.offers(entry) {
+            if snapshot.covers(&entry.key) {
                 frame.add(entry);
             }
             last = Some(entry.key.clone());
@@ -210,6 +211,11 @@
     }
 }
 
+fn gone_for_ms(entries: &[Entry], now: Duration, replica: &Replica) -> Vec<u32> {
+    let gone = entries.iter().filter(|entry| matches!(entry.value, Value::Gone));
+    gone.map(|entry| age_ms(replica.gone_for(&entry.key, now))).collect()
+}
+
 fn age_ms(age: Duration) -> u32 {
     u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
 }
--- a/system/relay/src/relay.rs
+++ b/system/relay/src/relay.rs
@@ -38,8 +38,9 @@
     subscription: u64,
     sequence: u64,
     entries: Vec<Entry>,
+    gone_for_ms: Vec<u32>,
     tick: Tick,
-    tick_age: Duration,
+    tick_age_ms: u32,
 }
 
 impl Relay {
@@ -66,7 +67,7 @@
             Event::Started => self.started = true,
             Event::Message { from, message } => self.on_message(from, message, now, actions),
             Event::Lost { peer } => self.on_lost(peer, now),
-            Event::Learned(entries) => self.merge(entries, now, actions),
+            Event::Learned(entries) => self.merge(entries, Vec::new(), now, actions),
             Event::Tick(tick) => self.freshness.confirmed(tick, now),
             Event::ControlKnown(seeds) => self.upstream.set_seeds(seeds, now),
             Event::Timer => {}
@@ -148,9 +149,8 @@
             RelayMessage::Declined { subscription, others } => {
                 self.upstream.declined(from, subscription, others, now);
             }
-            RelayMessage::Update { subscription, sequence, entries, tick, tick_age_ms } => {
-                let tick_age = Duration::from_millis(u64::from(tick_age_ms));
-                let update = Update { from, subscription, sequence, entries, tick, tick_age };
+            RelayMessage::Update { subscription, sequence, entries, gone_for_ms, tick, tick_age_ms } => {
+                let update = Update { from, subscription, sequence, entries, gone_for_ms, tick, tick_age_ms };
                 self.on_update(update, now, actions);
             }
             RelayMessage::Received { subscription, sequence, room } => {
@@ -198,8 +198,9 @@
             return;
         }
         let rises = link.take_tick(update.tick);
-        self.merge(update.entries, now, actions);
-        self.freshness.relayed(update.tick, update.tick_age, rises, now);
+        self.merge(update.entries, update.gone_for_ms, now, actions);
+        let tick_age = Duration::from_millis(u64::from(update.tick_age_ms));
+        self.freshness.relayed(update.tick, tick_age, rises, now);
     }
 
     fn on_lost(&mut self, peer: SocketAddr, now: Duration) {
@@ -207,12 +208,20 @@
         self.children.remove(&peer);
     }
 
-    /// Takes in what is new, for this node and its children.
-    fn merge(&mut self, entries: Vec<Entry>, now: Duration, actions: &mut Vec<Action>) {
+    /// Takes in what is new, for this node and its children. The ages belong to the entries that say "gone"; what has none is new.
+    fn merge(
+        &mut self,
+        entries: Vec<Entry>,
+        gone_for_ms: Vec<u32>,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut ages = gone_for_ms.into_iter();
         let mut changed = Vec::new();
         for entry in entries {
             self.suspects.confirm(&entry.key);
-            if !self.replica.merge(&entry, now) {
+            let age_ms = if matches!(entry.value, Value::Gone) { ages.next().unwrap_or(0) } else { 0 };
+            if !self.replica.merge(&entry, Duration::from_millis(u64::from(age_ms)), now) {
                 continue;
             }
             if self.children.len() > 0 {
@@ -255,7 +264,7 @@
         let keys = self.suspects.judge(self.fresh(now), self.doubt_after(), now);
         let known = keys.into_iter().filter_map(|key| self.registry().entry(&key).cloned());
         let gone: Vec<Entry> = known.map(|entry| Entry { value: Value::Gone, ..entry }).collect();
-        self.merge(gone, now, actions);
+        self.merge(gone, Vec::new(), now, actions);
     }
 
     /// Looks for a parent if need be, and tells the one there is how far this node is.
--- a/system/relay/src/replica.rs
+++ b/system/relay/src/replica.rs
@@ -1,23 +1,20 @@
 //! This node's copy of the registry with what belongs to it: digest, age of tombstones, addresses of nodes.
 //!
-//! A tombstone is kept for [`RelaySettings::tombstone_retention`] after this copy took it, but offered to children and counted in
-//! the digest only for the first three quarters of that. In a connected tree all copies take a tombstone at nearly the same time,
-//! so nobody who has let go of it is offered it again; and a copy that was cut off for less than half the time still finds it at
-//! any parent. A copy cut off for longer doubts its entries (see [`crate::suspects`]). One that comes back all the same is
-//! harmless: it says "gone" of a version that is, and fades again.
+//! A tombstone is kept for [`RelaySettings::tombstone_retention`] from when it was first learned at a root: its age goes along with
+//! it, so that all copies let go of it at about the same time, and nobody who has is given it anew, however often nodes come and
+//! go. Only a copy that still had the entry itself keeps its tombstone for at least half the time, so that its own children hear
+//! of it. A copy that was cut off for less than half the time finds every tombstone that it missed at any parent; one that was
+//! cut off for longer doubts its entries (see [`crate::suspects`]).
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use gingerledge_wire::{Entry, Key, Registry, Value, MAX_ENTRIES};
+use gingerledge_wire::{Entry, Key, Registry, Value};
 
 use crate::digest::{fingerprint, BUCKETS};
 use crate::directory::Directory;
 use crate::settings::RelaySettings;
 
-/// More tombstones than this are not aged; the oldest go early.
-const MAX_TOMBSTONES: usize = 2 * MAX_ENTRIES;
-
 /// The registry, kept together with what is derived from it.
 #[derive(Debug)]
 pub(crate) struct Replica {
@@ -25,16 +22,10 @@
     digest: Vec<u64>,
     directory: Directory,
     retention: Duration,
-    offered: VecDeque<Tombstone>,
-    held: VecDeque<Tombstone>,
-    held_back: BTreeSet<Key>,
-}
-
-#[derive(Debug)]
-struct Tombstone {
-    key: Key,
-    version: u64,
-    taken_at: Duration,
+    /// When each tombstone is let go.
+    tombstones: BTreeMap<Key, Duration>,
+    /// The same in the order of time.
+    expiries: BTreeSet<(Duration, Key)>,
 }
 
 impl Replica {
@@ -45,9 +36,8 @@
             digest: vec![0; BUCKETS],
             directory: Directory::new(settings.zone.clone()),
             retention: settings.tombstone_retention,
-            offered: VecDeque::new(),
-            held: VecDeque::new(),
-            held_back: BTreeSet::new(),
+            tombstones: BTreeMap::new(),
+            expiries: BTreeSet::new(),
         }
     }
 
@@ -66,81 +56,54 @@
         &self.directory
     }
 
-    /// Takes an entry in if it is newer than what is known; says whether it was.
-    pub fn merge(&mut self, entry: &Entry, now: Duration) -> bool {
+    /// Takes an entry in if it is newer than what is known; says whether it was. `gone_for` is the age of a tombstone.
+    pub fn merge(&mut self, entry: &Entry, gone_for: Duration, now: Duration) -> bool {
         if !self.registry.accepts(entry) {
             return false;
         }
+        let was_there = self.registry.entry(&entry.key).is_some();
         self.uncount(&entry.key);
-        self.held_back.remove(&entry.key);
+        self.dig_up(&entry.key);
         self.count(entry);
         self.directory.update(entry);
         if matches!(entry.value, Value::Gone) {
-            self.note_tombstone(entry, now);
+            let age = if was_there { gone_for.min(self.retention / 2) } else { gone_for };
+            self.bury(entry.key.clone(), now + self.retention.saturating_sub(age));
         }
         self.registry.merge(entry.clone())
     }
 
-    /// Whether an entry may be offered to children: all but tombstones that are about to be let go.
-    pub fn offers(&self, entry: &Entry) -> bool {
-        !matches!(entry.value, Value::Gone) || !self.held_back.contains(&entry.key)
+    /// How long ago an entry was first said to be gone; zero if it isn't.
+    pub fn gone_for(&self, key: &Key, now: Duration) -> Duration {
+        self.tombstones.get(key).map_or(Duration::ZERO, |until| (now + self.retention).saturating_sub(*until))
     }
 
-    /// Ages the tombstones.
+    /// Lets go of tombstones whose time is over.
     pub fn expire(&mut self, now: Duration) {
-        let offer_for = self.offer_for();
-        while self.offered.front().is_some_and(|oldest| oldest.taken_at + offer_for <= now) {
-            self.hold_back_oldest();
-        }
-        while self.held.front().is_some_and(|oldest| oldest.taken_at + self.retention <= now) {
-            self.forget_oldest();
+        while self.next_expiry().is_some_and(|at| at <= now) {
+            let Some((_, key)) = self.expiries.pop_first() else { return };
+            self.uncount(&key);
+            self.tombstones.remove(&key);
+            self.registry.forget(&key);
         }
     }
 
     /// When [`Replica::expire`] has something to do.
     pub fn next_expiry(&self) -> Option<Duration> {
-        let offered = self.offered.front().map(|oldest| oldest.taken_at + self.offer_for());
-        let held = self.held.front().map(|oldest| oldest.taken_at + self.retention);
-        offered.into_iter().chain(held).min()
-    }
-
-    fn offer_for(&self) -> Duration {
-        self.retention * 3 / 4
+        self.expiries.first().map(|(until, _)| *until)
     }
 
-    fn note_tombstone(&mut self, entry: &Entry, now: Duration) {
-        let (key, version) = (entry.key.clone(), entry.version);
-        self.offered.push_back(Tombstone { key, version, taken_at: now });
-        if self.offered.len() > MAX_TOMBSTONES {
-            self.hold_back_oldest();
-        }
+    fn bury(&mut self, key: Key, until: Duration) {
+        self.tombstones.insert(key.clone(), until);
+        self.expiries.insert((until, key));
     }
 
-    fn hold_back_oldest(&mut self) {
-        let Some(tombstone) = self.offered.pop_front() else { return };
-        if self.still_buried(&tombstone) {
-            self.uncount(&tombstone.key);
-            self.held_back.insert(tombstone.key.clone());
-            self.held.push_back(tombstone);
-        }
-        if self.held.len() > MAX_TOMBSTONES {
-            self.forget_oldest();
+    fn dig_up(&mut self, key: &Key) {
+        if let Some((key, until)) = self.tombstones.remove_entry(key) {
+            self.expiries.remove(&(until, key));
         }
     }
 
-    fn forget_oldest(&mut self) {
-        let Some(tombstone) = self.held.pop_front() else { return };
-        if self.still_buried(&tombstone) {
-            self.held_back.remove(&tombstone.key);
-            self.registry.forget(&tombstone.key);
-        }
-    }
-
-    fn still_buried(&self, tombstone: &Tombstone) -> bool {
-        let entry = self.registry.entry(&tombstone.key);
-        entry.is_some_and(|entry| entry.version == tombstone.version && matches!(entry.value, Value::Gone))
-    }
-
     fn count(&mut self, entry: &Entry) {
         let (bucket, hash) = fingerprint(entry);
         if let Some(sum) = self.digest.get_mut(bucket) {
@@ -148,9 +111,9 @@
         }
     }
 
-    /// Takes the known entry of a key out of the digest, if it is counted.
+    /// Takes the known entry of a key out of the digest.
     fn uncount(&mut self, key: &Key) {
-        let Some(entry) = self.registry.entry(key).filter(|entry| self.offers(entry)) else { return };
+        let Some(entry) = self.registry.entry(key) else { return };
         let (bucket, hash) = fingerprint(entry);
         if let Some(sum) = self.digest.get_mut(bucket) {
             *sum ^= hash;
--- a/system/wire/src/relay.rs
+++ b/system/wire/src/relay.rs
@@ -47,6 +47,8 @@
         sequence: u64,
         /// What is new.
         entries: Vec<Entry>,
+        /// For each entry that says "gone", in order, for how long it has; such an entry is let go everywhere at the same time.
+        gone_for_ms: Vec<u32>,
         /// The newest tick for which the child has, with this update, all that the parent had when it saw the tick.
         tick: Tick,
         /// For how long the parent has had that tick, as counted along the whole path from the root.
