--- a/system/chain/tests/world/faults.rs
+++ b/system/chain/tests/world/faults.rs
@@ -11,6 +11,7 @@
 impl World {
     /// Begins to make trouble now and then.
     pub fn start_trouble(&mut self) {
+        self.striking = true;
         let delay = millis(self.rng.u64(500..3000));
         self.after(delay, Happens::Trouble);
     }
@@ -38,6 +39,20 @@
         self.after(millis(delay), Happens::Trouble);
     }
 
+    /// Trouble at a place that has just voted or acknowledged.
+    pub fn strike(&mut self, place: usize, wipe: bool) {
+        if !self.troubled {
+            return;
+        }
+        match self.rng.u8(0..6) {
+            0 | 1 => self.lose_power(place),
+            2 => self.freeze(place),
+            3 => self.isolate(place),
+            _ if wipe => self.wipe(place),
+            _ => self.all_die(),
+        }
+    }
+
     fn lost(&mut self, place: usize, span: Duration) {
         let until = self.now + span + CATCH_UP;
         self.hosts[place].lost_until = self.hosts[place].lost_until.max(until);
--- a/system/chain/tests/world/mod.rs
+++ b/system/chain/tests/world/mod.rs
@@ -32,6 +32,8 @@
     Client,
     /// Trouble, if there is any left.
     Trouble,
+    /// Trouble at a place that has just done something that matters.
+    Strike { place: usize, wipe: bool },
     /// Hosts tell each other who they are.
     Announce,
 }
@@ -83,6 +85,8 @@
     pub loss: f64,
     /// Whether trouble still comes.
     pub troubled: bool,
+    /// Whether those that vote or acknowledge are struck now and then.
+    pub striking: bool,
     pub clients_every: Duration,
     trace: bool,
     trace_messages: bool,
@@ -95,6 +99,18 @@
     founders: Vec<MemberId>,
 }
 
+/// One in so many messages of a vote has its sender struck.
+const STRIKE_VOTES: u64 = 40;
+/// One in so many acknowledgements has the tail struck.
+const STRIKE_ACKNOWLEDGEMENTS: u64 = 400;
+
+/// Whether a message is one of a vote.
+fn matters(message: &ChainMessage) -> bool {
+    use gingerledge_chain::AgreementMessage as Vote;
+    let ChainMessage::Agreement(vote) = message else { return false };
+    matches!(vote, Vote::Promise { .. } | Vote::Accept { .. } | Vote::Accepted { .. } | Vote::ViewIs { .. })
+}
+
 pub fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -119,6 +135,7 @@
             cut: HashSet::new(),
             loss: 0.0,
             troubled: true,
+            striking: false,
             clients_every: millis(20),
             trace_messages: std::env::var_os("CHAIN_TRACE_MESSAGES").is_some(),
             trace: std::env::var_os("CHAIN_TRACE").is_some(),
@@ -184,6 +201,7 @@
             Happens::Starts { place } => self.start(place),
             Happens::Client => self.client(),
             Happens::Trouble => self.trouble(),
+            Happens::Strike { place, wipe } => self.strike(place, wipe),
             Happens::Announce => self.announce(),
         }
     }
@@ -326,6 +344,10 @@
     fn send(&mut self, place: usize, to: MemberId, message: ChainMessage) {
         let from = self.hosts[place].identity;
         self.ledger.sent(from, &message);
+        if matters(&message) && self.striking && self.rng.u64(0..STRIKE_VOTES) == 0 {
+            let delay = Duration::from_micros(self.rng.u64(0..3000));
+            self.after(delay, Happens::Strike { place, wipe: false });
+        }
         if self.trace_messages {
             self.note(place, &format!("to {to:?}: {message:?}"));
         }
--- a/system/lease/src/lease.rs
+++ b/system/lease/src/lease.rs
@@ -169,14 +169,12 @@
     fn on_started(&mut self, now: Duration, founding: bool) {
         self.started = true;
         self.founding = founding;
-        if !founding {
-            self.granter.be_silent(now, &self.settings);
-        }
         self.holder.ask_at = now + self.settings.stagger * self.rank();
     }
 
     /// Takes up the voters of a newer epoch. Where they differ, or may have differed in between, a majority of the old
-    /// ones and one of the new ones need not meet: then this voter waits until all old grants have ended.
+    /// ones and one of the new ones need not meet: then this voter waits until all old grants have ended. So it does
+    /// after a start, since it remembers no grants of its life before.
     fn on_voters(&mut self, now: Duration, epoch: u64, mut voters: Vec<Voter>) {
         if epoch <= self.epoch {
             return;
