Relay: test that older entries change nothing, and that declined nodes ask more rarely

Two safeguards taken out by hand had passed unseen: an older entry taken in place of a newer one (no fresh parent offers one, so the simulation never met it), and the growing pause between rounds.

--- a/system/relay/tests/machine.rs
+++ b/system/relay/tests/machine.rs
@@ -7,7 +7,7 @@
 
 use gingerledge_relay::{Action, Event, Relay, RelaySettings};
 use gingerledge_wire::{Entry, RelayMessage, Role, Tick};
-use world::{ms, store};
+use world::{gone, ms, store, store_key};
 use yare::parameterized;
 
 const ME: u16 = 1;
@@ -241,6 +241,37 @@
     edge.asked();
 }
 
+#[test]
+fn what_is_older_changes_nothing() {
+    let (mut edge, parent, subscription) = Lone::fresh_edge();
+    edge.update(parent, subscription, 2, vec![store(1, 5), gone(2, 5)], tick(2));
+    edge.update(parent, subscription, 3, vec![store(1, 4), gone(1, 4), store(2, 5), store(2, 4)], tick(3));
+    let known: Vec<Entry> = edge.relay.registry().entries().cloned().collect();
+    assert_eq!(known, vec![store(1, 5), gone(2, 5)]);
+    edge.update(parent, subscription, 4, vec![gone(1, 5), store(2, 6)], tick(4));
+    let known: Vec<Entry> = edge.relay.registry().entries().cloned().collect();
+    assert_eq!(known, vec![gone(1, 5), store(2, 6)]);
+}
+
+#[test]
+fn a_tombstone_goes_when_its_time_is_over_wherever_it_came_from() {
+    let (mut edge, parent, subscription) = Lone::fresh_edge();
+    let update = |sequence, entries, gone_for_ms| {
+        let (tick, tick_age_ms) = (tick(sequence), 0);
+        RelayMessage::Update { subscription, sequence, entries, gone_for_ms, tick, tick_age_ms }
+    };
+    edge.message(parent, update(2, vec![store(3, 1)], Vec::new()));
+    edge.message(parent, update(3, vec![gone(1, 1), gone(2, 1), gone(3, 2)], vec![0, 100_000, 100_000]));
+    let held =
+        |edge: &Lone| [1, 2, 3].map(|number| edge.relay.registry().entry(&store_key(number)).is_some());
+    for (seconds, expected) in
+        [(19, [true, true, true]), (2, [true, false, true]), (40, [true, false, false]), (60, [false; 3])]
+    {
+        edge.run(Duration::from_secs(seconds));
+        assert_eq!(held(&edge), expected);
+    }
+}
+
 #[test]
 fn a_silent_parent_is_left_and_the_other_asked_at_once() {
     let (mut edge, parent, _) = Lone::fresh_edge();
@@ -470,3 +501,21 @@
     edge.message(asked, RelayMessage::Declined { subscription, others: vec![address(70)] });
     assert_eq!(edge.asked().0, address(70));
 }
+
+#[test]
+fn a_node_that_all_decline_asks_ever_more_rarely() {
+    let (mut edge, mut asked, mut subscription) = Lone::edge();
+    let mut attempts = 1;
+    let end = edge.now + Duration::from_secs(10);
+    while edge.now < end {
+        edge.message(asked, RelayMessage::Declined { subscription, others: Vec::new() });
+        while edge.now < end && edge.sent.is_empty() {
+            edge.run(ms(5));
+        }
+        if !edge.sent.is_empty() {
+            attempts += 1;
+            (asked, subscription) = edge.asked();
+        }
+    }
+    assert!((20..80).contains(&attempts), "{attempts} attempts in 10 s");
+}
