--- a/system/jobs/src/partition/mod.rs
+++ b/system/jobs/src/partition/mod.rs
@@ -5,6 +5,7 @@
 
 mod asks;
 mod creations;
+mod driving;
 mod holds;
 mod output;
 mod reads;
@@ -13,18 +14,18 @@
 use std::time::Duration;
 
 use gingerledge_chain::{LogRecord, MemberId, Replica, ReplicaAction, ReplicaEvent, ReplicaMessage, View};
-use gingerledge_wire::{JobsAnswer, JobsMessage, PartitionRecord};
+use gingerledge_wire::{JobsAnswer, PartitionRecord};
 
 pub use holds::Edges;
 pub use output::{Context, Moment, PartitionAction};
 
 use crate::error::JobsError;
 use crate::settings::JobsSettings;
-use crate::store::{Command, Outcome, Proposal, Store};
+use crate::store::{Command, Proposal, Store};
 use asks::Renewals;
 pub use asks::Room;
 use creations::Creations;
-use holds::{HoldAction, Holds, Timeouts};
+use holds::Holds;
 use output::answer;
 use reads::Reads;
 
@@ -36,10 +37,14 @@
 pub struct Partition {
     me: MemberId,
     settings: JobsSettings,
+    seed: u64,
     replica: Replica,
     store: Store,
     /// The last entry in `store`.
     applied: u64,
+    /// The last token given out, and the one after which those of the present replica start.
+    last_token: u64,
+    first_token: u64,
     /// The state could not be read; this replica takes part in nothing.
     broken: bool,
     is_head: bool,
@@ -57,22 +62,25 @@
     /// A partition that nothing is known of.
     pub fn new(me: MemberId, settings: JobsSettings, seed: u64) -> Self {
         let replica = Replica::new(me, settings.replica.clone(), seed);
-        Self::with_replica(me, settings, replica)
+        Self::with_replica(me, settings, replica, seed)
     }
 
     /// A partition with what the disk holds of it.
     pub fn recover(me: MemberId, records: &[LogRecord], settings: JobsSettings, seed: u64) -> Self {
         let replica = Replica::recover(me, records, settings.replica.clone(), seed);
-        Self::with_replica(me, settings, replica)
+        Self::with_replica(me, settings, replica, seed)
     }
 
-    fn with_replica(me: MemberId, settings: JobsSettings, replica: Replica) -> Self {
+    fn with_replica(me: MemberId, settings: JobsSettings, replica: Replica, seed: u64) -> Self {
         Self {
             me,
             settings,
+            seed,
             replica,
             store: Store::default(),
             applied: 0,
+            last_token: 0,
+            first_token: 0,
             broken: false,
             is_head: false,
             is_tail: false,
@@ -130,7 +138,10 @@
 
     /// All records up to those of this token are synced.
     pub fn durable(&mut self, context: &mut Context<'_>, token: u64) {
-        self.replicate(context, ReplicaEvent::Durable { token });
+        // A replica that was given up since waits for nothing any more.
+        if let Some(token) = token.checked_sub(self.first_token).filter(|token| *token > 0) {
+            self.replicate(context, ReplicaEvent::Durable { token });
+        }
     }
 
     /// The time of [`Partition::next_timer`] has come.
@@ -177,10 +188,6 @@
         Ok(self.replica.checkpoint(self.store.encode()?))
     }
 
-    fn timeouts(&self) -> Timeouts {
-        Timeouts { driver: self.settings.driver_timeout, tell_again: self.settings.drive_again }
-    }
-
     /// Gives the replica an event, and carries out all that follows.
     fn replicate(&mut self, context: &mut Context<'_>, event: ReplicaEvent) {
         if self.broken {
@@ -208,9 +215,7 @@
             ReplicaAction::Send { to, message } => {
                 context.out.push(PartitionAction::SendMember { to, message })
             }
-            ReplicaAction::Persist { token, records } => {
-                context.out.push(PartitionAction::Persist { token, records })
-            }
+            ReplicaAction::Persist { token, records } => self.persist(context, token, records),
             ReplicaAction::Apply { seq, command, reply } => self.apply(context, seq, &command, reply),
             ReplicaAction::TakeSnapshot => self.take_snapshot(context),
             ReplicaAction::InstallSnapshot { seq, bytes } => self.install_snapshot(seq, &bytes),
@@ -219,8 +224,8 @@
             ReplicaAction::NotHead { command, .. } | ReplicaAction::Busy { command } => {
                 self.not_taken(context, &command)
             }
-            ReplicaAction::Installed { .. }
-            | ReplicaAction::BecameFull { .. }
+            ReplicaAction::Installed { .. } => self.drop_copy_if_left(context),
+            ReplicaAction::BecameFull { .. }
             | ReplicaAction::Sealed { .. }
             | ReplicaAction::LearnerProgress { .. }
             | ReplicaAction::Barrier { .. }
@@ -249,25 +254,6 @@
         }
     }
 
-    /// What the head does once a command is committed.
-    fn follow_driver(&mut self, context: &mut Context<'_>, id: &str, outcome: &Outcome) {
-        match (self.store.job(id), outcome) {
-            (Some(_), Outcome::Ended { stopped: Some((edge, term)) }) => {
-                self.holds.drop(id);
-                if let Some(to) = context.edges.address(*edge) {
-                    let message = JobsMessage::Stop { job: id.to_owned(), term: *term };
-                    context.out.push(PartitionAction::SendEdge { to, message });
-                }
-            }
-            (Some(job), _) => {
-                if self.holds.follow(context.now.steady, id, job) {
-                    self.tell_driver(context, id);
-                }
-            }
-            (None, _) => self.holds.drop(id),
-        }
-    }
-
     fn take_snapshot(&mut self, context: &mut Context<'_>) {
         match self.store.encode() {
             Ok(bytes) => self.feed(context.now, ReplicaEvent::SnapshotReady { seq: self.applied, bytes }),
@@ -287,6 +273,28 @@
         }
     }
 
+    fn persist(&mut self, context: &mut Context<'_>, token: u64, records: Vec<LogRecord>) {
+        self.last_token = self.first_token + token;
+        context.out.push(PartitionAction::Persist { token: self.last_token, records });
+    }
+
+    /// Outside the chain a copy is worth nothing: whoever comes back into it catches up anew. The view stays known, so that
+    /// an older chain never brings this member back.
+    fn drop_copy_if_left(&mut self, context: &mut Context<'_>) {
+        let Some(view) = self.replica.view().filter(|view| !view.contains(self.me)).cloned() else { return };
+        if self.replica.last() == 0 {
+            return;
+        }
+        let records =
+            vec![LogRecord::Snapshot { seq: 0, bytes: Vec::new() }, LogRecord::View { view, full: false }];
+        let seed = self.seed.wrapping_add(self.last_token);
+        self.replica = Replica::recover(self.me, &records, self.settings.replica.clone(), seed);
+        self.actions.clear();
+        self.persist(context, self.last_token + 1 - self.first_token, records);
+        self.first_token = self.last_token;
+        self.feed(context.now, ReplicaEvent::Started);
+    }
+
     /// What every replica holds alike can't be read here: going on could only make this copy differ from the others.
     fn fail(&mut self, error: &JobsError) {
         log::error!("a partition stops here: {error}");
@@ -317,43 +325,6 @@
         self.is_tail = is_tail;
     }
 
-    fn look_after_holds(&mut self, context: &mut Context<'_>) {
-        for action in self.holds.due(context.now.steady, self.timeouts(), context.edges) {
-            match action {
-                HoldAction::Replace { job, term, edge } => {
-                    let command = Command::Drive { job, term, edge };
-                    self.propose(context, Proposal { asker: None, command });
-                }
-                HoldAction::Tell { job } => self.tell_driver(context, &job),
-            }
-        }
-    }
-
-    fn look_for_forgotten(&mut self, context: &mut Context<'_>) {
-        if context.now.steady < self.next_forget {
-            return;
-        }
-        self.next_forget = context.now.steady + self.settings.forget_every;
-        let retention_ms = u64::try_from(self.settings.retention.as_millis()).unwrap_or(u64::MAX);
-        let over = self.store.jobs().filter(|(_, job)| {
-            job.is_ended() && job.record().accepted_unix_ms.saturating_add(retention_ms) < context.now.unix_ms
-        });
-        let over: Vec<_> = over.map(|(id, _)| id.clone()).collect();
-        for job in over {
-            self.propose(context, Proposal { asker: None, command: Command::Forget { job } });
-        }
-    }
-
-    fn tell_driver(&mut self, context: &mut Context<'_>, id: &str) {
-        let Some(job) = self.store.job(id) else { return };
-        self.holds.told(context.now.steady, id);
-        if let Some(to) = context.edges.address(job.driver()) {
-            let record = std::sync::Arc::new(job.record().clone());
-            let message = JobsMessage::Drive { job: record, term: job.term(), listed: job.listed_items() };
-            context.out.push(PartitionAction::SendEdge { to, message });
-        }
-    }
-
     /// Proposes a command at the head.
     fn propose(&mut self, context: &mut Context<'_>, proposal: Proposal) {
         match proposal.encode() {
--- a/system/jobs/tests/simulation.rs
+++ b/system/jobs/tests/simulation.rs
@@ -27,6 +27,10 @@
 fn check_copies(world: &World, edges: &Edges) {
     for partition in 0..PARTITIONS {
         let chain = world.chain(partition);
+        let outside = world.backends().filter(|(member, _)| !chain.chain.contains(member));
+        for copy in outside.filter_map(|(_, backend)| backend.partition(partition)) {
+            assert_eq!(copy.bytes(), 0, "a copy outside the chain is kept");
+        }
         let in_chain = world.backends().filter(|(member, _)| chain.chain.contains(member));
         let copies: Vec<_> = in_chain.filter_map(|(_, backend)| backend.partition(partition)).collect();
         assert_eq!(copies.len(), chain.chain.len());
