--- a/system/control/src/coordinator/weights.rs
+++ b/system/control/src/coordinator/weights.rs
@@ -1,6 +1,6 @@
 //! Which stores should load which version of a model's weights.
 //!
-//! Each model has home stores: its share of the stores of its engine, as many as stores by models, spread over zones, and each
+//! Each model has home stores: somewhat more than its even share of the stores of its engine, spread over zones, and each
 //! store home of few models. Home stores are kept at the newest named version. A home store that goes is replaced by one that has
 //! the version already, if there is one.
 
@@ -9,6 +9,9 @@
 
 use super::{hash_name, rendezvous};
 
+/// How many times its even share of the stores are home of a model, as a fraction.
+const SHARE: (usize, usize) = (5, 4);
+
 /// A store that can be ordered about.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EngineStore {
@@ -134,12 +137,12 @@
     }
 }
 
-/// As many stores as the trainer of one model has loads for free.
+/// A model's even share of the stores and a quarter more, so that its batch jobs can borrow room from the others' and the loss
+/// of a store does not leave it short; each home beyond the even share costs a load for each version.
 fn homes_per_model(service: &EngineService) -> usize {
-    if service.stores.is_empty() {
-        return 0;
-    }
-    (service.stores.len() / service.models.len().max(1)).max(1)
+    let (numerator, denominator) = SHARE;
+    let share = (service.stores.len() * numerator).div_ceil(service.models.len().max(1) * denominator);
+    share.min(service.stores.len())
 }
 
 /// Gives up home stores that are home of other models too where a store that is home of none has as new a version: the first
