--- a/system/jobs/tests/backend.rs
+++ b/system/jobs/tests/backend.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gingerledge_chain::MemberId;
+use gingerledge_chain::{LogRecord, MemberId};
 use gingerledge_jobs::backend::{Backend, BackendAction, BackendEvent, DiskContent};
 use gingerledge_jobs::partition::Moment;
 use gingerledge_jobs::store::Asker;
@@ -340,3 +340,22 @@
         assert_eq!(store(&again), store(&bench.backend));
     }
 }
+
+#[test]
+fn outside_the_chain_nothing_is_kept_in_memory_or_comes_back_from_the_disk() {
+    let mut bench = Bench::new(0);
+    bench.ask(create(10));
+    let record = PartitionRecord { epoch: 2, chain: vec![9], full: vec![9] };
+    bench.handle(BackendEvent::Chain { partition: PARTITION, record });
+    bench.sync();
+    assert_eq!(bench.backend.report(bench.now).bytes, 0);
+    let again = Backend::new(MemberId(ME), DiskContent::read(bench.records).unwrap(), settings(0), 2);
+    let mut kept = DiskContent::read(again.checkpoint().unwrap().unwrap()).unwrap();
+    let kept = kept.partitions.remove(&PARTITION).unwrap();
+    assert!(kept.iter().all(|record| !matches!(record, LogRecord::Entry { .. })), "{kept:?}");
+    assert!(kept.iter().any(|record| matches!(record, LogRecord::Snapshot { seq: 0, .. })), "{kept:?}");
+    assert!(
+        kept.iter().any(|record| matches!(record, LogRecord::View { view, .. } if view.epoch == 2)),
+        "{kept:?}"
+    );
+}
