--- a/system/control/src/node/coordinate.rs
+++ b/system/control/src/node/coordinate.rs
@@ -170,7 +170,9 @@
     /// Whether the holder before may still be at work: it may have sent orders until its lease ended. Stores that check fencing
     /// tokens refuse it from now on, so there only a process that is known to live is waited for.
     fn must_wait_for(&self, previous: Option<&Coordinator>, now: Duration) -> bool {
-        let Some(previous) = previous.filter(|previous| previous.address != self.me.address) else { return false };
+        let Some(previous) = previous.filter(|previous| previous.address != self.me.address) else {
+            return false;
+        };
         let heard_since = now.saturating_sub(HOLDER_SILENCE);
         !self.settings.bounds.fencing || self.book.lives(previous.address, previous.incarnation, heard_since)
     }
--- a/system/control/src/node/requests.rs
+++ b/system/control/src/node/requests.rs
@@ -15,6 +15,8 @@
 
 /// Before this, the sessions may lack backends that live.
 const SESSIONS_SETTLED: Duration = Duration::from_secs(5);
+/// A node that has had no confirmed tick for this long sends stores to other control nodes.
+const CUT_OFF_AFTER: Duration = Duration::from_millis(1_800);
 /// Most reads that wait for the chain.
 const MAX_READS: usize = 256;
 /// Most answers that wait until a change is shared.
@@ -40,7 +42,9 @@
             Request::Deregister { id, reply } => {
                 let key = Key::Store(id);
                 self.end_session(key.clone());
-                self.answer_later(key, reply);
+                if !self.is_cut_off() {
+                    self.answer_later(key, reply);
+                }
             }
             Request::Status { reply } => {
                 let _ = reply.send(self.status());
@@ -90,7 +94,9 @@
         if is_new {
             self.end_former_stores(&key, address);
         }
-        if draining {
+        if self.is_cut_off() {
+            // Dropping it answers that another control node should be called.
+        } else if draining {
             self.answer_later(key, reply);
         } else {
             let _ = reply.send(());
@@ -114,6 +120,12 @@
         }
     }
 
+    /// Whether the chain has confirmed nothing here for a while. Stores that kept to this node would be lost to the others; what they
+    /// say is taken all the same.
+    fn is_cut_off(&self) -> bool {
+        self.now().saturating_sub(self.relay.last_tick_at().unwrap_or_default()) > CUT_OFF_AFTER
+    }
+
     fn answer_later(&mut self, key: Key, reply: Sender<()>) {
         if self.answers.len() < MAX_ANSWERS {
             self.answer_when_shared(key, reply);
--- a/system/control/tests/nodes/coordination.rs
+++ b/system/control/tests/nodes/coordination.rs
@@ -172,6 +172,10 @@
     Store::start(settings, (0..3).map(|node| world.address(node)).collect()).await.expect("a store")
 }
 
+/// Stores of the engine, and how many of them are home of each of its two models.
+const STORES: usize = 4;
+const HOMES: usize = 3;
+
 /// How many stores have a version of a model in a node's status.
 fn loaded(status: &Value, model: &str, version: u64) -> usize {
     let stores = status["stores"].as_array().cloned().unwrap_or_default();
@@ -183,19 +187,19 @@
     run(async {
         let mut world = World::start(23);
         let mut stores = Vec::new();
-        for number in 0..4 {
+        for number in 0..STORES as u8 {
             stores.push(store(&world, number).await);
         }
         world.until(0, &Call::post("/configuration/replace", "Base-Version: 0\r\n", &engine()), 200).await;
         world.until(1, &Call::post("/version-put", "", r#"{"model":"a","version":2}"#), 200).await;
-        let status = world.status_until(2, |status| loaded(status, "a", 2) == 2).await;
-        assert_eq!(loaded(&status, "a", 1), 2, "only the homes load");
+        let status = world.status_until(2, |status| loaded(status, "a", 2) == HOMES).await;
+        assert_eq!(loaded(&status, "a", 1), STORES - HOMES, "only the homes load");
         // The coordinator goes, and another one takes over after the time that holders keep apart.
         let holder = holder(&world).await;
         world.kill(holder).await;
         let other = (holder + 1) % 3;
         world.until(other, &Call::post("/version-put", "", r#"{"model":"a","version":3}"#), 200).await;
-        world.status_until(other, |status| loaded(status, "a", 3) == 2).await;
+        world.status_until(other, |status| loaded(status, "a", 3) == HOMES).await;
         for store in &stores {
             let orders = store.ledger().orders.clone();
             let fences: Vec<u64> = orders.iter().map(|(_, fence, _, _)| *fence).collect();
--- a/system/control/tests/nodes/exchanges.rs
+++ b/system/control/tests/nodes/exchanges.rs
@@ -197,8 +197,13 @@
         world.call(0, &Call::post(REPLACE, "Base-Version: 5\r\n", &second), Some(&transcript)).await;
         world.call(0, &Call::get(READ), Some(&transcript)).await;
         transcript.check("no-majority");
+        // Stores are sent on to other control nodes; what they say is kept all the same.
+        let alive = heartbeat(4, "ready");
+        world.until(0, &Call::post(HEARTBEAT, "", &alive), 503).await;
+        assert_eq!(state_at(&world, 0).await.as_deref(), Some("ready"));
         world.start_node(1, false);
         world.until(0, &Call::post(REPLACE, "Base-Version: 5\r\n", &second), 200).await;
+        world.until(0, &Call::post(HEARTBEAT, "", &alive), 200).await;
     });
 }
 
--- a/system/control/tests/sessions.rs
+++ b/system/control/tests/sessions.rs
@@ -98,6 +98,14 @@
     assert_eq!(entry.version, 9);
 }
 
+#[test]
+fn a_heartbeat_that_is_late_behind_one_that_changed_nothing_changes_nothing_either() {
+    let mut node = Node::new(1);
+    node.hear(INTERVAL, 4, ready());
+    node.hear(INTERVAL * 2, 9, ready());
+    assert_eq!(node.hear(INTERVAL * 3, 8, store(StoreState::Draining)), None);
+}
+
 #[test]
 fn a_late_heartbeat_changes_nothing() {
     let mut node = Node::new(1);
@@ -137,6 +145,7 @@
     node.registry.merge(entry);
     assert_eq!(node.hear(INTERVAL, 7, ready()), None);
     assert!(!node.is_there());
+    assert!(node.expire(INTERVAL * 9).is_empty(), "a late heartbeat opens no session");
 }
 
 #[test]
