--- a/system/control/tests/weights.rs
+++ b/system/control/tests/weights.rs
@@ -148,6 +148,19 @@
     }
 }
 
+#[parameterized(first = { 0 }, middle = { 4 }, last = { 8 })]
+fn a_new_coordinator_takes_whichever_stores_have_the_version(first: usize) {
+    let mut services = world(stores(12), &[("a", 2), ("b", 1), ("c", 1)], LoadMethod::Blocking);
+    let have: BTreeSet<String> = (first..first + 4).map(|at| format!("i-{at:02}")).collect();
+    let loaded = services.values_mut().flat_map(|service| &mut service.stores);
+    for store in loaded.filter(|store| have.contains(&store.id)) {
+        store.versions.insert("a".to_owned(), 2);
+    }
+    let mut homes = Homes::default();
+    homes.plan(&services);
+    assert!(have.is_subset(&homes_of(&homes, "a")), "{:?}", homes_of(&homes, "a"));
+}
+
 #[test]
 fn a_lost_home_is_replaced_where_the_version_is_there_already() {
     let mut services = world(stores(12), &[("a", 2), ("b", 1), ("c", 1)], LoadMethod::Blocking);
