--- a/system/relay/tests/machine.rs
+++ b/system/relay/tests/machine.rs
@@ -519,3 +519,23 @@
     }
     assert!((20..80).contains(&attempts), "{attempts} attempts in 10 s");
 }
+
+#[test]
+fn a_copy_that_let_go_of_everything_describes_itself_as_empty() {
+    let (mut edge, parent, subscription) = Lone::fresh_edge();
+    edge.update(parent, subscription, 2, vec![store(1, 1), store(2, 1)], tick(2));
+    edge.update(parent, subscription, 3, vec![gone(1, 2), gone(2, 2)], tick(3));
+    edge.run(Duration::from_secs(121));
+    assert!(edge.relay.registry().is_empty());
+    let digest = |relay: &mut Lone| {
+        relay.sent.clear();
+        relay.handle(Event::Tick(tick(9)));
+        relay.run(ms(2000));
+        relay.sent.iter().rev().find_map(|(_, message)| match message {
+            RelayMessage::Subscribe { digest, .. } if !digest.is_empty() => Some(digest.clone()),
+            _ => None,
+        })
+    };
+    let (mut empty, _, _) = Lone::edge();
+    assert_eq!(digest(&mut edge).expect("asks"), digest(&mut empty).expect("asks"));
+}
