--- a/system/jobs/tests/common/fate.rs
+++ b/system/jobs/tests/common/fate.rs
@@ -10,8 +10,9 @@
     pub(super) fn coordinate(&mut self) {
         self.after(100, Happening::Coordinate);
         let alive: Vec<u64> = self.machines.iter().filter(|it| it.is_well()).map(|it| it.member).collect();
+        // Reports come one by one.
         for machine in self.machines.iter().filter(|it| it.is_well()) {
-            if let Some(backend) = &machine.backend {
+            if let Some(backend) = machine.backend.as_ref().filter(|_| self.rng.u8(..100) < 30) {
                 self.coordinator.report(machine.member, &backend.report(self.now).full);
             }
         }
