Give a tick after the entries that it stands for, and say when applied() is ahead of the host

The tail's confirmation was given to the host before the entries of the same event, so that a host which compares it with applied() would pass the tick on before its state had them.

--- a/system/chain/src/control_chain.rs
+++ b/system/chain/src/control_chain.rs
@@ -91,7 +91,9 @@
         /// Whether this member committed it as the tail, so that it answers whoever asked.
         reply: bool,
     },
-    /// Encode the state and give [`ChainEvent::SnapshotReady`], now or later.
+    /// Encode the state and give [`ChainEvent::SnapshotReady`] with the number of the last [`ChainAction::Apply`] or
+    /// [`ChainAction::InstallSnapshot`] that was carried out, now or later. [`ControlChain::applied`] may be ahead of that
+    /// while actions are still to be carried out.
     TakeSnapshot,
     /// Replace the state. Given after a start from a disk that holds a snapshot, and in catching up.
     InstallSnapshot {
@@ -221,7 +223,7 @@
         self.replica.is_serving()
     }
 
-    /// The last entry applied here.
+    /// The last entry given to the host to apply. It is in the host's state once all actions so far are carried out.
     pub fn applied(&self) -> u64 {
         self.replica.applied()
     }
--- a/system/chain/src/replica/barrier.rs
+++ b/system/chain/src/replica/barrier.rs
@@ -101,6 +101,9 @@
             return;
         }
         self.barriers.confirmed = number;
+        // What the confirmation stands for comes first, as far as it is here.
+        self.log.commit(committed);
+        self.apply(out);
         let epoch = self.epoch();
         out.push(ReplicaAction::Barrier { epoch, number, committed });
         if let Some(to) = self.view.as_ref().and_then(|view| view.predecessor(self.me)) {
