--- a/system/control/src/node/chain.rs
+++ b/system/control/src/node/chain.rs
@@ -45,10 +45,10 @@
             }
             ChainAction::Apply { seq, command, reply } => self.apply(seq, &command, reply),
             ChainAction::TakeSnapshot => {
-                let (seq, bytes) = (self.chain.applied(), self.state.snapshot());
+                let (seq, bytes) = (self.applied, self.state.snapshot());
                 self.chain_event(ChainEvent::SnapshotReady { seq, bytes });
             }
-            ChainAction::InstallSnapshot { bytes, .. } => self.install(&bytes),
+            ChainAction::InstallSnapshot { seq, bytes } => self.install(seq, &bytes),
             ChainAction::ReadReady { token, .. } => self.finish_read(token, true),
             ChainAction::ReadFailed { token } => self.finish_read(token, false),
             ChainAction::NotHead { command, .. } | ChainAction::Busy { command } => self.not_taken(&command),
@@ -74,6 +74,7 @@
     }
 
     fn apply(&mut self, sequence: u64, bytes: &[u8], reply: bool) {
+        self.applied = sequence;
         let Some(Submission { request, reply_to, command }) = decode_submission(bytes) else {
             log::error!("entry {sequence} of the chain is unreadable");
             return;
@@ -91,7 +92,8 @@
         }
     }
 
-    fn install(&mut self, bytes: &[u8]) {
+    fn install(&mut self, sequence: u64, bytes: &[u8]) {
+        self.applied = sequence;
         match ControlState::restore(bytes) {
             Ok(state) => self.state = state,
             Err(error) => log::error!("{error}"),
@@ -113,7 +115,7 @@
     fn pass_ticks_on(&mut self) {
         let mut newest = None;
         while let Some(&(tick, committed)) = self.unapplied_ticks.front() {
-            if committed > self.chain.applied() {
+            if committed > self.applied {
                 break;
             }
             newest = Some(tick);
--- a/system/control/src/node/mod.rs
+++ b/system/control/src/node/mod.rs
@@ -74,6 +74,8 @@
     chain: ControlChain,
     chain_actions: Vec<ChainAction>,
     unapplied_ticks: VecDeque<(Tick, u64)>,
+    /// The last entry of the chain in `state`; the chain itself may have given out more by now.
+    applied: u64,
     state: ControlState,
     founders: Vec<u64>,
     disk: DiskDriver,
--- a/system/control/src/node/start.rs
+++ b/system/control/src/node/start.rs
@@ -110,6 +110,7 @@
         chain,
         chain_actions: Vec::new(),
         unapplied_ticks: VecDeque::new(),
+        applied: 0,
         state: ControlState::default(),
         founders: identity.founders,
         disk,
