Test that a full table of pending requests refuses at once

Its bound taken out went unseen once the test's long time-out was shortened; the refusal must now be there at the first poll.

--- a/system/transport/tests/pending.rs
+++ b/system/transport/tests/pending.rs
@@ -77,7 +77,9 @@
         let pending = Pending::new(1);
         let (first, first_reply) = pending.begin(LONG);
         let (_, second_reply) = pending.begin(LONG);
-        assert_eq!(second_reply.await, None);
+        assert_eq!(pending.len(), 1);
+        let at_once = tokio::time::timeout(Duration::ZERO, second_reply).await;
+        assert_eq!(at_once.expect("it does not wait for its time-out"), None);
         assert!(pending.complete(first, 1));
         assert_eq!(first_reply.await, Some(1));
         let (third, third_reply) = pending.begin(LONG);
