--- a/system/control/src/node/mod.rs
+++ b/system/control/src/node/mod.rs
@@ -181,6 +181,7 @@
             log::warn!("this process did not run for {:?}", now - self.last_housekeeping);
             self.sessions.resumed(now);
             self.coordination.resumed(now);
+            self.reachable.values_mut().for_each(|heard| *heard = now);
         }
         self.last_housekeeping = now;
         self.repair_disk(now);
