--- a/system/bin/tests/common/mod.rs
+++ b/system/bin/tests/common/mod.rs
@@ -4,7 +4,9 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use gingerledge_system_standin::{call, configuration, Answer, Fleet, Operator, Step, Store, StoreSettings, Trainer};
+use gingerledge_system_standin::{
+    call, configuration, Answer, Fleet, Operator, Step, Store, StoreSettings, Trainer,
+};
 use hyper::Method;
 
 /// A bound that only a fault reaches.
@@ -24,7 +26,8 @@
 impl World {
     /// Starts everything and sends the first configuration. `network` keeps the addresses of tests apart.
     pub async fn start(network: u8) -> World {
-        let programs = Path::new(env!("CARGO_BIN_EXE_gingerledge-edge")).parent().expect("folder of the programs");
+        let programs =
+            Path::new(env!("CARGO_BIN_EXE_gingerledge-edge")).parent().expect("folder of the programs");
         let folder = std::env::temp_dir().join(format!("gingerledge-{}-{network}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("folder for disks and logs");
         let mut fleet = Fleet::new(programs, &folder, network, (3, 3, 2)).expect("fleet");
@@ -48,7 +51,11 @@
     }
 
     /// Waits for a condition.
-    pub async fn until<F: std::future::Future<Output = bool>>(&self, what: &str, mut holds: impl FnMut() -> F) {
+    pub async fn until<F: std::future::Future<Output = bool>>(
+        &self,
+        what: &str,
+        mut holds: impl FnMut() -> F,
+    ) {
         let began = Instant::now();
         while !holds().await {
             assert!(began.elapsed() < PATIENCE, "{what}: not within {PATIENCE:?}\n{}", self.logs());
--- a/system/bin/tests/processes.rs
+++ b/system/bin/tests/processes.rs
@@ -22,6 +22,8 @@
         assert_eq!(result.text, text.join("\n"));
         assert!(result.versions.iter().all(|&version| version >= min_version), "{result:?}");
         assert!(result.score.starts_with("stamp."), "{result:?}");
+        let (texts, rewards) = (world.runs(&result.id), world.runs(&format!("r-{}", result.id)));
+        assert!(texts >= 1 && rewards >= 1, "{}: {texts} runs, {rewards} reward calls", result.id);
     }
     assert!(world.trainer.end(&step.id, PATIENCE).await);
 }
@@ -57,7 +59,8 @@
         let stale = world.operator.replace(1, &configuration(6, &["m0"]), PATIENCE).await;
         assert_eq!(stale.map(|status| status.as_u16()), Some(412), "{}", world.logs());
         for edge in world.fleet.edges() {
-            let moved = || async move { ask(edge, "/moved/7").await.is_some_and(|answer| answer.status == 200) };
+            let moved =
+                || async move { ask(edge, "/moved/7").await.is_some_and(|answer| answer.status == 200) };
             world.until("moved route served", moved).await;
             let dropped = ask(edge, "/weights/7").await.map(|answer| answer.status.as_u16());
             assert_eq!(dropped, Some(404), "{}", world.logs());
@@ -78,7 +81,12 @@
         let taken = world.operator.replace(5, &third, PATIENCE).await;
         assert_eq!(taken.map(|status| status.as_u16()), Some(200), "{}", world.logs());
         let read = world.operator.read(PATIENCE).await.expect("configuration");
-        assert_eq!(serde_json::from_slice::<serde_json::Value>(&read.body).ok(), Some(third), "{}", world.logs());
+        assert_eq!(
+            serde_json::from_slice::<serde_json::Value>(&read.body).ok(),
+            Some(third),
+            "{}",
+            world.logs()
+        );
     });
 }
 
