--- a/system/chain/src/record.rs
+++ b/system/chain/src/record.rs
@@ -14,6 +14,14 @@
         /// Whether this member holds everything that was committed before.
         full: bool,
     },
+    /// A view has been installed in which this member doesn't count, and entries it doesn't know to be committed are void.
+    /// Both in one record, so that no loss of power comes between.
+    Rejoined {
+        /// The view.
+        view: View,
+        /// The last entry that stays.
+        after: u64,
+    },
     /// This member has caught up in a view, and counts in it from here on.
     Full {
         /// The view's epoch.
@@ -35,11 +43,6 @@
         /// The command.
         command: Vec<u8>,
     },
-    /// The entries after this number are void.
-    Truncate {
-        /// The last entry that stays.
-        after: u64,
-    },
     /// The state after an entry; everything before is void.
     Snapshot {
         /// The last entry in the state.
--- a/system/chain/src/replica/install.rs
+++ b/system/chain/src/replica/install.rs
@@ -22,11 +22,12 @@
             return;
         }
         let full = self.counts_in(&view);
-        let mut records = vec![LogRecord::View { view: view.clone(), full }];
-        if !full && self.log.last() > self.log.committed() {
+        let record = if full {
+            LogRecord::View { view: view.clone(), full }
+        } else {
             self.log.truncate(self.log.committed());
-            records.push(LogRecord::Truncate { after: self.log.committed() });
-        }
+            LogRecord::Rejoined { view: view.clone(), after: self.log.committed() }
+        };
         let epoch = view.epoch;
         self.view = Some(view);
         self.installed = false;
@@ -36,7 +37,7 @@
         self.feeds.clear();
         self.snapshot = None;
         self.barriers.reset();
-        self.persist(records, Pending::View { epoch }, out);
+        self.persist(vec![record], Pending::View { epoch }, out);
     }
 
     /// Whether this member holds all that was committed before a view: it counted in the view just before, and all that
--- a/system/chain/src/replica/recovery.rs
+++ b/system/chain/src/replica/recovery.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{Replica, ReplicaAction};
-use crate::{LogRecord, MemberId, ReplicaSettings};
+use crate::{LogRecord, MemberId, ReplicaSettings, View};
 
 impl Replica {
     /// A replica that starts again with the records on its disk, in the order written. Records of the control group's
@@ -19,19 +19,16 @@
 
     fn restore(&mut self, record: &LogRecord) {
         match record {
-            LogRecord::View { view, full } => {
-                if view.epoch != self.epoch() {
-                    self.barriers.reset();
-                }
-                self.view = Some(view.clone());
-                self.full = *full;
+            LogRecord::View { view, full } => self.restore_view(view, *full),
+            LogRecord::Rejoined { view, after } => {
+                self.restore_view(view, false);
+                self.log.truncate(*after);
             }
             LogRecord::Full { epoch } if *epoch == self.epoch() => self.full = true,
             LogRecord::Sealed { epoch } => self.seal_in_memory(*epoch),
             LogRecord::Entry { epoch, seq, committed, command } => {
                 self.log.restore(*epoch, *seq, *committed, command.clone())
             }
-            LogRecord::Truncate { after } => self.log.truncate(*after),
             LogRecord::Snapshot { seq, bytes } => {
                 self.log.reset(*seq);
                 self.stored_state = Some(bytes.clone());
@@ -45,6 +42,14 @@
         }
     }
 
+    fn restore_view(&mut self, view: &View, full: bool) {
+        if view.epoch != self.epoch() {
+            self.barriers.reset();
+        }
+        self.view = Some(view.clone());
+        self.full = full;
+    }
+
     /// Everything that must stay on the disk once the state after [`Replica::applied`] is encoded as `state`. The host
     /// writes it after all that was to be persisted before, and may then drop all of that. None while a snapshot from
     /// another member is being written; ask again later.
--- /dev/null
+++ b/system/chain/tests/partition/main.rs
@@ -0,0 +1,59 @@
+//! Replicas whose views are decided elsewhere, as the partitions of batch jobs use them. The decider is never wrong, but its
+//! news is late or lost: it follows the contract of [`Replica`], and keeps only members that counted in the present view.
+
+#[path = "../world/disk.rs"]
+mod disk;
+#[path = "../world/ledger.rs"]
+mod ledger;
+mod trouble;
+mod world;
+
+use std::time::Duration;
+
+use gingerledge_chain::{LogRecord, MemberId, Replica, ReplicaAction, ReplicaEvent, ReplicaSettings, View};
+use world::Partition;
+
+#[yare::parameterized(three_backends = { 3 }, five_backends = { 5 })]
+fn a_partition_survives_late_news_of_its_views(places: usize) {
+    let seeds = std::env::var("CHAIN_SEEDS").ok().and_then(|value| value.parse().ok()).unwrap_or(100);
+    for seed in 0..seeds {
+        let mut partition = Partition::new(seed, places);
+        partition.run(Duration::from_secs(30));
+        partition.troubled = false;
+        partition.heal();
+        partition.run(Duration::from_secs(10));
+        let before = partition.ledger.acknowledgements;
+        partition.run(Duration::from_secs(1));
+        let after = partition.ledger.acknowledgements;
+        if after == before {
+            partition.dump();
+        }
+        assert!(after > before, "seed {seed}: nothing is committed in {:?}", partition.view);
+        assert!(partition.ledger.reads_done > 0, "seed {seed}: no read was answered");
+    }
+}
+
+#[test]
+fn records_of_a_log_are_read_back_as_they_were() {
+    let view = |epoch| View { epoch, chain: vec![MemberId(1)] };
+    let records = vec![
+        LogRecord::View { view: view(1), full: true },
+        LogRecord::Entry { epoch: 1, seq: 1, committed: 0, command: vec![1] },
+        LogRecord::Entry { epoch: 1, seq: 2, committed: 1, command: vec![2] },
+        LogRecord::Rejoined { view: view(3), after: 1 },
+        LogRecord::Entry { epoch: 3, seq: 2, committed: 1, command: vec![3] },
+        LogRecord::Full { epoch: 3 },
+    ];
+    let settings = ReplicaSettings { min_chain: 1, ..ReplicaSettings::default() };
+    let mut replica = Replica::recover(MemberId(1), &records, settings, 1);
+    let mut out = Vec::new();
+    replica.handle(Duration::ZERO, ReplicaEvent::Started, &mut out);
+    let applied: Vec<_> = out
+        .into_iter()
+        .filter_map(|action| match action {
+            ReplicaAction::Apply { seq, command, .. } => Some((seq, command)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(applied, [(1, vec![1]), (2, vec![3])]);
+}
--- a/system/chain/tests/partition.rs
+++ b/system/chain/tests/partition/world.rs
@@ -1,22 +1,17 @@
-//! Replicas whose views are decided elsewhere, as the partitions of batch jobs use them. The decider is never wrong, but its
-//! news is late or lost: it follows the contract of [`Replica`], and keeps only members that counted in the present view.
-
-#[path = "world/disk.rs"]
-mod disk;
-#[path = "world/ledger.rs"]
-mod ledger;
+//! A simulated partition: replicas on machines with disks, and a decider of their views that is never wrong but late.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashSet};
 use std::time::Duration;
 
-use disk::{Disk, Write};
 use gingerledge_chain::{
-    LogRecord, MemberId, Replica, ReplicaAction, ReplicaEvent, ReplicaMessage, ReplicaSettings, View,
+    MemberId, Replica, ReplicaAction, ReplicaEvent, ReplicaMessage, ReplicaSettings, View,
 };
-use ledger::{mix, Ledger};
 
-enum Happens {
+use crate::disk::{Disk, Write};
+use crate::ledger::{mix, Ledger};
+
+pub enum Happens {
     Arrives {
         place: usize,
         from: MemberId,
@@ -48,50 +43,50 @@
     Trouble,
 }
 
-struct Place {
-    identity: MemberId,
-    replica: Option<Replica>,
-    started_at: Duration,
-    life: u64,
-    disk: Disk,
-    applied: u64,
-    hash: u64,
-    timer: Option<Duration>,
-    frozen_until: Duration,
+pub struct Place {
+    pub identity: MemberId,
+    pub replica: Option<Replica>,
+    pub started_at: Duration,
+    pub life: u64,
+    pub disk: Disk,
+    pub applied: u64,
+    pub hash: u64,
+    pub timer: Option<Duration>,
+    pub frozen_until: Duration,
     /// In trouble, or not long enough out of it, until then.
-    lost_until: Duration,
+    pub lost_until: Duration,
 }
 
-struct Partition {
-    seed: u64,
-    rng: fastrand::Rng,
-    now: Duration,
-    settings: ReplicaSettings,
-    places: Vec<Place>,
-    lost_disks: Vec<Disk>,
-    ledger: Ledger,
-    cut: HashSet<(usize, usize)>,
-    queue: BinaryHeap<Reverse<(Duration, u64)>>,
-    what: BTreeMap<u64, Happens>,
-    number: u64,
+pub struct Partition {
+    pub seed: u64,
+    pub rng: fastrand::Rng,
+    pub now: Duration,
+    pub settings: ReplicaSettings,
+    pub places: Vec<Place>,
+    pub lost_disks: Vec<Disk>,
+    pub ledger: Ledger,
+    pub cut: HashSet<(usize, usize)>,
+    pub queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    pub what: BTreeMap<u64, Happens>,
+    pub number: u64,
     /// The decider's state: the view, and who counts in it.
-    view: View,
-    full: BTreeSet<MemberId>,
-    troubled: bool,
-    commands: u64,
-    reads: u64,
-    identities: u64,
+    pub view: View,
+    pub full: BTreeSet<MemberId>,
+    pub troubled: bool,
+    pub commands: u64,
+    pub reads: u64,
+    pub identities: u64,
 }
 
-const CHAIN: usize = 2;
-const CATCH_UP: Duration = Duration::from_secs(5);
+pub const CHAIN: usize = 2;
+pub const CATCH_UP: Duration = Duration::from_secs(5);
 
-fn millis(ms: u64) -> Duration {
+pub fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
 impl Partition {
-    fn new(seed: u64, places: usize) -> Self {
+    pub fn new(seed: u64, places: usize) -> Self {
         let settings = ReplicaSettings {
             min_chain: CHAIN,
             batch_entries: 4,
@@ -141,13 +136,13 @@
         partition
     }
 
-    fn after(&mut self, delay: Duration, what: Happens) {
+    pub fn after(&mut self, delay: Duration, what: Happens) {
         self.number += 1;
         self.what.insert(self.number, what);
         self.queue.push(Reverse((self.now + delay, self.number)));
     }
 
-    fn run(&mut self, span: Duration) {
+    pub fn run(&mut self, span: Duration) {
         let end = self.now + span;
         while let Some(Reverse((at, number))) =
             self.queue.peek().copied().filter(|Reverse((at, _))| *at <= end)
@@ -161,7 +156,7 @@
         self.now = end;
     }
 
-    fn happens(&mut self, what: Happens) {
+    pub fn happens(&mut self, what: Happens) {
         let place = match &what {
             Happens::Arrives { place, .. }
             | Happens::Synced { place, .. }
@@ -201,7 +196,7 @@
         }
     }
 
-    fn start(&mut self, place: usize) {
+    pub fn start(&mut self, place: usize) {
         let seed = self.rng.u64(..);
         let now = self.now;
         let settings = self.settings.clone();
@@ -218,7 +213,7 @@
         self.event(place, ReplicaEvent::Learn);
     }
 
-    fn event(&mut self, place: usize, event: ReplicaEvent) {
+    pub fn event(&mut self, place: usize, event: ReplicaEvent) {
         let now = self.now;
         let host = &mut self.places[place];
         let Some(replica) = &mut host.replica else { return };
@@ -239,7 +234,7 @@
         self.schedule_timer(place);
     }
 
-    fn schedule_timer(&mut self, place: usize) {
+    pub fn schedule_timer(&mut self, place: usize) {
         let now = self.now;
         let host = &mut self.places[place];
         let Some(at) = host.replica.as_ref().and_then(Replica::next_timer) else { return };
@@ -252,7 +247,7 @@
         self.after(at - now, Happens::Timer { place, life });
     }
 
-    fn act(&mut self, place: usize, action: ReplicaAction) {
+    pub fn act(&mut self, place: usize, action: ReplicaAction) {
         let me = self.places[place].identity;
         match action {
             ReplicaAction::Send { to, message } => self.send(place, to, message),
@@ -289,7 +284,7 @@
         }
     }
 
-    fn checkpoint(&mut self, place: usize) {
+    pub fn checkpoint(&mut self, place: usize) {
         let host = &mut self.places[place];
         let Some(replica) = &host.replica else { return };
         if replica.applied() != host.applied {
@@ -301,7 +296,7 @@
         }
     }
 
-    fn sync(&mut self, place: usize) {
+    pub fn sync(&mut self, place: usize) {
         if self.places[place].disk.start_sync() {
             let life = self.places[place].life;
             let delay = Duration::from_micros(self.rng.u64(2000..6000)) + self.places[place].disk.slow;
@@ -309,7 +304,7 @@
         }
     }
 
-    fn send(&mut self, place: usize, to: MemberId, message: ReplicaMessage) {
+    pub fn send(&mut self, place: usize, to: MemberId, message: ReplicaMessage) {
         let Some(target) = self.place_of(to) else { return };
         if self.cut.contains(&(place, target)) {
             return;
@@ -320,11 +315,11 @@
         self.after(delay, Happens::Arrives { place: target, from, message });
     }
 
-    fn place_of(&self, member: MemberId) -> Option<usize> {
+    pub fn place_of(&self, member: MemberId) -> Option<usize> {
         self.places.iter().position(|host| host.identity == member)
     }
 
-    fn client(&mut self) {
+    pub fn client(&mut self) {
         let place = self.rng.usize(..self.places.len());
         if self.rng.bool() {
             self.commands += 1;
@@ -338,165 +333,10 @@
         let delay = millis(self.rng.u64(2..20));
         self.after(delay, Happens::Client);
     }
-
-    /// Whether the decider believes that a place is there; it may well be wrong.
-    fn seems_well(&mut self, member: MemberId) -> bool {
-        let now = self.now;
-        let Some(place) = self.place_of(member) else { return false };
-        let host = &self.places[place];
-        let well = host.replica.is_some() && host.frozen_until <= now;
-        well && (!self.troubled || self.rng.u8(0..50) > 0)
-    }
-
-    /// Changes the chain where that is needed and possible, and tells the present view to everybody.
-    fn decide(&mut self) {
-        let members = self.view.chain.clone();
-        let well: Vec<_> = members.iter().copied().filter(|member| self.seems_well(*member)).collect();
-        let keep: Vec<_> = well.iter().copied().filter(|member| self.full.contains(member)).collect();
-        let changes = well.len() < members.len() || members.len() < CHAIN;
-        if changes && !keep.is_empty() {
-            let mut chain = keep;
-            let mut others: Vec<_> =
-                (0..self.places.len()).map(|place| self.places[place].identity).collect();
-            self.rng.shuffle(&mut others);
-            for other in others {
-                if chain.len() < CHAIN && !chain.contains(&other) && self.seems_well(other) {
-                    chain.push(other);
-                }
-            }
-            self.view = View { epoch: self.view.epoch + 1, chain };
-            self.full.clear();
-        }
-        for place in 0..self.places.len() {
-            if self.rng.u8(0..4) > 0 {
-                let slow = if self.rng.u8(0..8) == 0 { self.rng.u64(0..2000) } else { 0 };
-                let delay = millis(self.rng.u64(1..100) + slow);
-                let view = self.view.clone();
-                self.after(delay, Happens::Told { place, view });
-            }
-        }
-        self.after(millis(300), Happens::Decider);
-    }
-
-    fn kill(&mut self, place: usize, back: Duration) {
-        let host = &mut self.places[place];
-        if host.replica.take().is_none() {
-            return;
-        }
-        host.life += 1;
-        host.applied = 0;
-        host.hash = 0;
-        host.frozen_until = Duration::ZERO;
-        host.disk.lose(&mut self.rng);
-        self.lost(place, back);
-        self.after(back, Happens::Starts { place });
-    }
-
-    fn lost(&mut self, place: usize, span: Duration) {
-        self.places[place].lost_until = self.places[place].lost_until.max(self.now + span + CATCH_UP);
-    }
-
-    fn trouble(&mut self) {
-        if !self.troubled {
-            return;
-        }
-        let place = self.rng.usize(..self.places.len());
-        let span = millis(self.rng.u64(50..3000));
-        match self.rng.u8(0..8) {
-            0 | 1 => self.kill(place, span),
-            2 => (0..self.places.len()).for_each(|place| self.kill(place, millis(300))),
-            3 => {
-                self.places[place].frozen_until = self.now + span;
-                self.lost(place, span);
-            }
-            4 => {
-                let other = self.rng.usize(..self.places.len());
-                self.cut.insert((place, other));
-                self.lost(place, Duration::from_secs(3600));
-            }
-            5 => self.heal(),
-            _ => self.wipe(place),
-        }
-        let delay = millis(self.rng.u64(20..4000));
-        self.after(delay, Happens::Trouble);
-    }
-
-    /// Prints all there is to know, for a run of one seed.
-    fn dump(&self) {
-        println!("{:?}: {:?} with {:?}", self.now, self.view, self.full);
-        for host in &self.places {
-            println!("{:?}: {:?}", host.identity, host.replica);
-        }
-    }
-
-    fn heal(&mut self) {
-        self.cut.clear();
-        let until = self.now + CATCH_UP;
-        for host in self.places.iter_mut().filter(|host| host.lost_until > self.now) {
-            host.lost_until = until;
-        }
-    }
-
-    /// A disk is lost, where all others are well and the chain is whole.
-    fn wipe(&mut self, place: usize) {
-        let whole = self.view.chain.len() == CHAIN && self.full.len() == CHAIN;
-        if !whole || self.places.iter().any(|host| host.lost_until > self.now) || self.now < CATCH_UP {
-            return;
-        }
-        self.kill(place, millis(500));
-        self.identities += 1;
-        self.places[place].identity = MemberId(self.identities);
-        let disk = std::mem::take(&mut self.places[place].disk);
-        self.lost_disks.push(disk);
-    }
 }
 
-fn encode(host: &Place) -> Vec<u8> {
+pub fn encode(host: &Place) -> Vec<u8> {
     let mut bytes = host.hash.to_le_bytes().to_vec();
     bytes.resize(8 + (host.applied % 150) as usize, 7);
     bytes
 }
-
-#[yare::parameterized(three_backends = { 3 }, five_backends = { 5 })]
-fn a_partition_survives_late_news_of_its_views(places: usize) {
-    let seeds = std::env::var("CHAIN_SEEDS").ok().and_then(|value| value.parse().ok()).unwrap_or(100);
-    for seed in 0..seeds {
-        let mut partition = Partition::new(seed, places);
-        partition.run(Duration::from_secs(30));
-        partition.troubled = false;
-        partition.heal();
-        partition.run(Duration::from_secs(10));
-        let before = partition.ledger.acknowledgements;
-        partition.run(Duration::from_secs(1));
-        let after = partition.ledger.acknowledgements;
-        if after == before {
-            partition.dump();
-        }
-        assert!(after > before, "seed {seed}: nothing is committed in {:?}", partition.view);
-        assert!(partition.ledger.reads_done > 0, "seed {seed}: no read was answered");
-    }
-}
-
-#[test]
-fn records_of_a_log_are_read_back_as_they_were() {
-    let view = View { epoch: 1, chain: vec![MemberId(1)] };
-    let records = vec![
-        LogRecord::View { view, full: true },
-        LogRecord::Entry { epoch: 1, seq: 1, committed: 0, command: vec![1] },
-        LogRecord::Entry { epoch: 1, seq: 2, committed: 1, command: vec![2] },
-        LogRecord::Truncate { after: 1 },
-        LogRecord::Entry { epoch: 1, seq: 2, committed: 1, command: vec![3] },
-    ];
-    let settings = ReplicaSettings { min_chain: 1, ..ReplicaSettings::default() };
-    let mut replica = Replica::recover(MemberId(1), &records, settings, 1);
-    let mut out = Vec::new();
-    replica.handle(Duration::ZERO, ReplicaEvent::Started, &mut out);
-    let applied: Vec<_> = out
-        .into_iter()
-        .filter_map(|action| match action {
-            ReplicaAction::Apply { seq, command, .. } => Some((seq, command)),
-            _ => None,
-        })
-        .collect();
-    assert_eq!(applied, [(1, vec![1]), (2, vec![3])]);
-}
