Give a change of view more time after each failed attempt, for slow disks

With syncs of half a second both rounds of the vote take longer than one attempt. The time doubles twice at most; a test changes the view with such disks.

--- a/system/chain/src/agreement/proposer.rs
+++ b/system/chain/src/agreement/proposer.rs
@@ -38,16 +38,26 @@
     /// Since when something has to change.
     wanted_since: Option<Duration>,
     highest_counter: u64,
+    /// Attempts given up since the last change of the view.
+    failures: u32,
 }
 
+/// How many times the time of an attempt is doubled at most: disks may be slow.
+const MOST_DOUBLINGS: u32 = 2;
+
 impl Proposer {
     pub fn reset(&mut self) {
         *self = Self::default();
     }
 
+    fn attempt_span(&self, settings: &Settings) -> Duration {
+        settings.attempt * (1 << self.failures.min(MOST_DOUBLINGS))
+    }
+
     pub fn next_timer(&self, settings: &Settings) -> Option<Duration> {
         let attempt = self.attempt.as_ref()?;
-        let mut at = (attempt.sent_at + settings.heartbeat).min(attempt.started_at + settings.attempt);
+        let given_up_at = attempt.started_at + self.attempt_span(settings);
+        let mut at = (attempt.sent_at + settings.heartbeat).min(given_up_at);
         if let Phase::Preparing { majority_at: Some(majority_at), .. } = attempt.phase {
             at = at.min(majority_at + settings.promise_grace);
         }
@@ -271,13 +281,15 @@
 
     fn give_up(&mut self, now: Duration) {
         self.proposer.attempt = None;
+        self.proposer.failures += 1;
         let retry = self.settings.retry;
         self.proposer.pause_until = now + retry + retry.mul_f64(2.0 * self.rng.f64());
     }
 
     pub(super) fn proposer_tick(&mut self, now: Duration, status: Status, out: &mut Vec<AgreementAction>) {
+        let span = self.proposer.attempt_span(&self.settings);
         let Some(attempt) = &mut self.proposer.attempt else { return };
-        if attempt.started_at + self.settings.attempt <= now {
+        if attempt.started_at + span <= now {
             self.give_up(now);
             return;
         }
--- a/system/chain/src/settings.rs
+++ b/system/chain/src/settings.rs
@@ -78,7 +78,7 @@
     pub disk_suspect: Duration,
     /// How long a proposer with a majority waits for the other members that live.
     pub promise_grace: Duration,
-    /// An attempt to change the view is given up after this.
+    /// An attempt to change the view is given up after this; after failures after up to four times this.
     pub attempt: Duration,
     /// Shortest pause before the next attempt; the pause is drawn up to three times this. Also the lead of each member
     /// of the chain over the next one in proposing.
--- a/system/chain/tests/control_chain_faults.rs
+++ b/system/chain/tests/control_chain_faults.rs
@@ -168,3 +168,19 @@
         assert_eq!(world.ledger.acknowledgements, acknowledged, "seed {seed}: committed by one disk");
     }
 }
+
+#[test]
+fn the_view_changes_with_disks_that_take_half_a_second() {
+    for seed in SEEDS {
+        let mut world = calm(seed, THREE);
+        world.hosts.iter_mut().for_each(|host| host.disk.slow = millis(450));
+        world.run(Duration::from_secs(1));
+        let lost = world.rng.usize(..3);
+        world.kill(lost, Duration::from_secs(3600));
+        world.run(Duration::from_secs(12));
+        assert_eq!(chain_of(&world).len(), 2, "seed {seed}");
+        let acknowledged = world.ledger.acknowledgements;
+        world.run(Duration::from_secs(3));
+        assert!(world.ledger.acknowledgements > acknowledged, "seed {seed}: nothing is committed");
+    }
+}
