Move streams off a store that turned slow or silent, where another has room

Each batch job's streams are looked at after 20 usual pauses, 500 ms at least; one whose pauses are 2.5 times the usual goes on at a store with room (Last-Event-Id), 8 at most at once, none where nearly all are slow or this process was held up. Costs one counter an event. Tests of the hold are stricter: a stop is told apart from a hold that runs out.

--- a/system/data/src/rollout/drive.rs
+++ b/system/data/src/rollout/drive.rs
@@ -9,6 +9,7 @@
 use tokio::task::JoinSet;
 
 use super::plan::{Ended, JobPlan, RewardEnded, Rules, Text};
+use super::watch::Watch;
 use crate::Shared;
 
 /// The most batch jobs that one edge drives at a time.
@@ -45,6 +46,8 @@
     pub(super) results: Vec<ResultRecord>,
     /// Results are on their way to the backends.
     pub(super) appending: bool,
+    /// Its streams under way.
+    pub(super) watch: Watch,
     /// Its generations, reward calls and hand-ins; dropped, they end.
     pub(super) tasks: JoinSet<()>,
 }
--- a/system/data/src/rollout/driver.rs
+++ b/system/data/src/rollout/driver.rs
@@ -16,6 +16,7 @@
 use super::generation::{self, Order};
 use super::hold;
 use super::plan::{Ended, JobPlan, Placement, Rules, Step};
+use super::watch::Watch;
 use super::{results, reward, stores};
 use crate::index::KnownStore;
 use crate::stores::CountGuard;
@@ -79,6 +80,7 @@
         rules: None,
         results: Vec::new(),
         appending: false,
+        watch: Watch::default(),
         tasks: JoinSet::new(),
     });
     shared.rollout.renew.notify_one();
@@ -187,6 +189,7 @@
     let Some(rules) = drive.rules else { return };
     let (item, step) = match outcome {
         Outcome::Generation { item, carried, ended, .. } => {
+            drive.watch.end(item);
             (item, drive.plan.generation_ended(now, item, carried.take(), ended, rules))
         }
         Outcome::Reward { item, ended, .. } => (item, drive.plan.reward_ended(now, item, ended, rules)),
@@ -227,7 +230,8 @@
     };
     results::hand_in(shared, key, drive);
     let look = wanting.then_some(now + LOOK_AGAIN);
-    [look, drive.plan.next_due(now), Some(drive.held_until)].into_iter().flatten().min()
+    let watch = drive.watch.due(shared.rollout.paces.borrow().usual());
+    [look, watch, drive.plan.next_due(now), Some(drive.held_until)].into_iter().flatten().min()
 }
 
 /// The route that this edge saw is gone. One that it never saw may be newer than its configuration.
@@ -254,10 +258,15 @@
     for item in drive.plan.due_rewards(now) {
         reward::start(shared, key, drive, item);
     }
-    if !drive.plan.wants_places(now) {
+    let usual_pause = shared.rollout.paces.borrow().usual();
+    let look = drive.watch.due(usual_pause).is_some_and(|due| due <= now);
+    if !look && !drive.plan.wants_places(now) {
         return false;
     }
     let (known, mut views) = stores::views(shared, service_of(route, &job.id), &job.model);
+    if look {
+        drive.watch.look(shared, &known, &views, job.min_version, rules);
+    }
     for placement in drive.plan.place(now, &mut views, rules) {
         if let Some(store) = known.get(placement.store) {
             start(shared, key, drive, placement, Rc::clone(store), rules);
@@ -304,10 +313,11 @@
     let job = Arc::clone(drive.plan.job());
     let Some(item) = job.items.get(placement.item as usize) else { return };
     let counted = CountGuard::on(&store.out);
+    let stream = drive.watch.begin(placement.item, store);
     let mut carried = Carried::new(shared, &job.model, &item.id, placement.text);
     let order = Order {
         item: placement.item,
-        store,
+        stream,
         only_version: placement.only_version,
         single_version: rules.single_version,
         retained: rules.retained_until.map(|until| until.saturating_sub(shared.now())),
--- a/system/data/src/rollout/generation.rs
+++ b/system/data/src/rollout/generation.rs
@@ -1,5 +1,6 @@
 //! Runs one generation: one request to one store, whose events are added to the text of its item.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,8 +14,8 @@
 
 use super::events::{Event, EventReader, StreamError};
 use super::plan::{Added, Ended, Text};
+use super::watch::Stream;
 use crate::headers;
-use crate::index::KnownStore;
 use crate::stores::{Attempt, Cause, Refusal, StoreAnswer, Timings};
 use crate::Shared;
 
@@ -37,14 +38,14 @@
 const SILENCE: Duration = Duration::from_secs(2);
 const SILENT_PAUSES: u32 = 12;
 /// A store may take so much longer to begin, since a request waits there for a slot.
-const FIRST_EVENT_FACTOR: u32 = 3;
+const LONGER_TO_BEGIN: f64 = 1.5;
 
 /// What one generation needs.
 pub(super) struct Order {
     pub(super) job: Arc<JobRecord>,
     /// The index of its item.
     pub(super) item: u32,
-    pub(super) store: Rc<KnownStore>,
+    pub(super) stream: Rc<Stream>,
     /// The version that the store must have, where only one will do.
     pub(super) only_version: Option<u64>,
     /// All events of the text must be made under one version.
@@ -71,15 +72,15 @@
 pub(super) async fn run(shared: &Rc<Shared>, order: &Order, text: &mut Text) -> Ended {
     let Some(request) = request(order, text) else { return Ended::Impossible };
     let silence = SILENCE.max(order.usual_pause * SILENT_PAUSES);
-    let timings = Timings { connect: CONNECT_TIMEOUT, head: silence * FIRST_EVENT_FACTOR, silence };
-    match shared.stores.send(&order.store.target, request, timings).await {
+    let timings = Timings { connect: CONNECT_TIMEOUT, head: silence.mul_f64(LONGER_TO_BEGIN), silence };
+    match shared.stores.send(&order.stream.store.target, request, timings).await {
         Err(attempt) => not_answered(shared, order, attempt),
         Ok(answer) if answer.status.is_success() => {
-            shared.health.answered(&order.store.target.id);
+            shared.health.answered(&order.stream.store.target.id);
             let (began, had) = (shared.now(), text.last_id().unwrap_or(0));
             let ended = read(order, answer, text).await;
             let events = text.last_id().unwrap_or(0).saturating_sub(had);
-            learn(shared, &order.store.target.id, ended, events, began);
+            learn(shared, &order.stream.store.target.id, ended, events, began);
             ended
         }
         Ok(answer) => match answer.status {
@@ -122,7 +123,7 @@
         Cause::Refused(refusal) => note_refusal(shared, order, refusal),
         Cause::Busy => note_full(shared, order),
         Cause::Connect | Cause::Broken | Cause::Garbled | Cause::Silent => {
-            shared.health.failed(&order.store.target.id, shared.now());
+            shared.health.failed(&order.stream.store.target.id, shared.now());
         }
     }
     match attempt.verdict {
@@ -134,20 +135,20 @@
 fn note_refusal(shared: &Shared, order: &Order, refusal: Refusal) {
     if refusal.status != StatusCode::MISDIRECTED_REQUEST {
         if let Some(load) = refusal.load {
-            order.store.note_load(load, shared.now());
+            order.stream.store.note_load(load, shared.now());
         }
         note_full(shared, order);
     } else if order.only_version.is_none() {
         // The address is another store's now. With a version expected, it may only have another version.
-        shared.health.failed(&order.store.target.id, shared.now());
+        shared.health.failed(&order.stream.store.target.id, shared.now());
     }
 }
 
 /// The store has no room beyond what this edge has out there already.
 fn note_full(shared: &Shared, order: &Order) {
-    let others = order.store.out.get().saturating_sub(1);
+    let others = order.stream.store.out.get().saturating_sub(1);
     let others = u32::try_from(others).unwrap_or(u32::MAX);
-    shared.rollout.rooms.borrow_mut().refused(&order.store.target.id, others, shared.now());
+    shared.rollout.rooms.borrow_mut().refused(&order.stream.store.target.id, others, shared.now());
 }
 
 /// Remembers what a stream told of its store.
@@ -174,17 +175,29 @@
     }
     let mut reader = EventReader::default();
     let mut body = answer.body;
-    while let Some(piece) = body.next().await {
-        let Ok(piece) = piece else { return Ended::Cut };
+    let mut moved = pin!(order.stream.moved.notified());
+    loop {
+        let piece = tokio::select! {
+            biased;
+            piece = body.next() => piece,
+            () = &mut moved => return Ended::Moved,
+        };
+        let piece = match piece {
+            None => break,
+            Some(Err(_)) => return Ended::Cut,
+            Some(Ok(piece)) => piece,
+        };
         let taken = reader.feed(&piece, |event: Event<'_>| {
             version = event.version.or(version);
             if !fits(order, text, version) {
                 return Err(Stop::WrongVersion);
             }
             match text.add(event, version) {
-                Added::Appended | Added::Known => Ok(()),
-                Added::Gap => Err(Stop::Gap),
+                Added::Appended => order.stream.events.set(order.stream.events.get() + 1),
+                Added::Known => {}
+                Added::Gap => return Err(Stop::Gap),
             }
+            Ok(())
         });
         match taken {
             Ok(()) => {}
--- a/system/data/src/rollout/mod.rs
+++ b/system/data/src/rollout/mod.rs
@@ -17,6 +17,7 @@
 mod reward;
 mod stores;
 mod submission;
+mod watch;
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
--- a/system/data/src/rollout/plan/item.rs
+++ b/system/data/src/rollout/plan/item.rs
@@ -22,6 +22,8 @@
     Impossible,
     /// The stream broke off, fell silent, or an event was missing.
     Cut,
+    /// It was taken from a slow store, to go on elsewhere.
+    Moved,
     /// The weights there, or from some event on, are not of a version that fits.
     WrongVersion,
     /// No store has the version of the text so far any more.
@@ -149,6 +151,7 @@
                 self.start_over();
                 self.wait(now);
             }
+            Ended::Moved => self.wait(now),
             Ended::Cut if self.text.last_id() > self.had => {
                 self.fruitless = 0;
                 self.wait(now);
--- a/system/data/src/rollout/plan/mod.rs
+++ b/system/data/src/rollout/plan/mod.rs
@@ -6,6 +6,7 @@
 
 mod groups;
 mod item;
+mod moves;
 mod pace;
 mod placement;
 mod room;
@@ -19,6 +20,7 @@
 pub use groups::Groups;
 pub use item::{Ended, RewardEnded};
 use item::{Item, State};
+pub use moves::{slow_streams, window, StreamView};
 pub use pace::Paces;
 pub use placement::{Placement, StoreView};
 pub use room::Rooms;
--- a/system/data/src/rollout/plan/pace.rs
+++ b/system/data/src/rollout/plan/pace.rs
@@ -8,7 +8,7 @@
 /// The most stores that are remembered.
 const MAX_STORES: usize = 8_192;
 /// Generations of fewer events say too little.
-const FEWEST_EVENTS: u64 = 4;
+const FEWEST_EVENTS: u64 = 3;
 const USUAL_PERCENT: u32 = 100;
 const MOST_PERCENT: f64 = 1_000.0;
 
@@ -37,6 +37,15 @@
             if self.usual_ms > 0.0 { self.usual_ms + share * (pause_ms - self.usual_ms) } else { pause_ms };
     }
 
+    /// A stream there was so slow that it was moved: it brought so many events in that time, maybe none.
+    pub fn seen_slow(&mut self, id: &str, events: u64, took: Duration) {
+        self.seen(
+            id,
+            FEWEST_EVENTS,
+            took * FEWEST_EVENTS as u32 / u32::try_from(events.max(1)).unwrap_or(u32::MAX),
+        );
+    }
+
     /// How long a store takes, in percent of what is usual.
     pub fn percent(&self, id: &str) -> u32 {
         match self.stores.get(id) {
--- a/system/data/tests/rollout_front.rs
+++ b/system/data/tests/rollout_front.rs
@@ -218,7 +218,7 @@
 #[test]
 fn an_ended_batch_job_is_dropped_at_once() {
     run(async {
-        let world = World::start_with(Route::default(), 60_000).await;
+        let world = World::start_with(Route::default(), 600_000).await;
         let engine = Engine::start("a", 2, |_| Does::HangAfter(1)).await;
         world.learn_engine(&engine);
         world.status(hand_in("j", submitted(&job("j", 1, 2)), 5_000)).await;
--- a/system/data/tests/rollout_hold.rs
+++ b/system/data/tests/rollout_hold.rs
@@ -11,11 +11,17 @@
 const TERM: u64 = 4;
 /// `cancelMs` of these tests, of which a hold is half.
 const CANCEL_MS: u64 = 600;
+/// One whose holds last longer than what is waited for.
+const LONG_CANCEL_MS: u64 = 9_000;
 const HOLD: Duration = Duration::from_millis(CANCEL_MS / 2);
 
 /// A batch job of two items whose texts never end, under way.
 async fn under_way() -> (World, Engine) {
-    let world = World::start_with(Route::default(), CANCEL_MS).await;
+    under_way_with(CANCEL_MS).await
+}
+
+async fn under_way_with(cancel_ms: u64) -> (World, Engine) {
+    let world = World::start_with(Route::default(), cancel_ms).await;
     let engine = Engine::start("a", 2, |_| Does::HangAfter(2)).await;
     world.learn_engine(&engine);
     world.backend.tell_to_drive(world.shared.address(), job("j", 1, 2), TERM, Vec::new());
@@ -74,16 +80,17 @@
     the_end_is_told_at_a_renewal = { |world| world.backend.end("j") },
     another_drives_it = { |world| world.backend.give_to_another("j") },
     the_head_says_stop = { |world| {
-        world.backend.end("j");
         let stop = JobsMessage::Stop { job: "j".to_owned(), term: TERM };
         world.backend.send(world.shared.address(), stop);
     } },
 )]
 fn all_is_dropped_when(what: fn(&World)) {
     run(async move {
-        let (world, engine) = under_way().await;
+        let (world, engine) = under_way_with(LONG_CANCEL_MS).await;
+        let renewed = world.backend.renewed().expect("a renewal");
         what(&world);
         all_is_dropped(&world, &engine).await;
+        assert!(renewed.elapsed() < Duration::from_millis(LONG_CANCEL_MS / 2), "not for want of renewals");
         assert!(world.backend.results("j").is_empty());
     });
 }
