--- a/system/control/tests/book.rs
+++ b/system/control/tests/book.rs
@@ -37,6 +37,7 @@
     assert_eq!(book.introduced(NOW, &control(3, 30, 2)).replaces, Some(2));
     assert_eq!(book.address(2), None);
     assert!(!book.told(control(2, 20, 2)), "others may not know yet");
+    assert!(!book.told(control(2, 20, 7)), "a disk that is gone is nowhere");
     assert!(!book.introduced(NOW, &control(2, 20, 2)).changed, "a late message of the former life");
     assert_eq!(book.address(3), Some(([10, 0, 0, 2], 7380).into()));
 }
