--- a/system/chain/src/replica/intake.rs
+++ b/system/chain/src/replica/intake.rs
@@ -106,7 +106,7 @@
         if records.is_empty() {
             self.intake.acknowledged = None;
         } else {
-            let pending = Pending::Entries { up_to: self.log.last(), generation: self.log.generation() };
+            let pending = Pending::Entries { up_to: self.log.last() };
             self.persist(records, pending, out);
         }
         self.commit_as_told();
--- a/system/chain/src/replica/log.rs
+++ b/system/chain/src/replica/log.rs
@@ -24,8 +24,6 @@
     durable: u64,
     committed: u64,
     applied: u64,
-    /// Counts truncations and snapshots, so that a sync that ends after one isn't taken for that of later entries.
-    generation: u64,
 }
 
 impl Log {
@@ -54,11 +52,6 @@
         self.offset
     }
 
-    /// Changes whenever entries become void.
-    pub fn generation(&self) -> u64 {
-        self.generation
-    }
-
     /// Bytes of the commands that aren't applied.
     pub fn unapplied_bytes(&self) -> usize {
         self.unapplied_bytes
@@ -88,11 +81,10 @@
         self.entries.get(usize::try_from(index).ok()?)
     }
 
-    /// The entries up to here are synced, if none became void since they were written.
-    pub fn synced(&mut self, up_to: u64, generation: u64) {
-        if generation == self.generation {
-            self.durable = self.durable.max(up_to.min(self.last()));
-        }
+    /// The entries up to here are synced. Entries that have become void since are no matter: no others are appended before
+    /// the record that voids them is synced as well.
+    pub fn synced(&mut self, up_to: u64) {
+        self.durable = self.durable.max(up_to.min(self.last()));
     }
 
     /// The entries up to here are committed; what isn't durable here doesn't count yet.
@@ -125,7 +117,6 @@
             }
         }
         self.durable = self.durable.min(after);
-        self.generation += 1;
     }
 
     /// Starts again from a state.
@@ -137,7 +128,6 @@
         self.durable = seq;
         self.committed = seq;
         self.applied = seq;
-        self.generation += 1;
     }
 
     /// Drops applied entries beyond the bounds, the oldest first.
--- a/system/chain/src/replica/mod.rs
+++ b/system/chain/src/replica/mod.rs
@@ -34,7 +34,7 @@
 /// What a sync that is under way will have made durable.
 #[derive(Debug)]
 enum Pending {
-    Entries { up_to: u64, generation: u64 },
+    Entries { up_to: u64 },
     View { epoch: u64 },
     Full { epoch: u64 },
     Sealed { epoch: u64 },
@@ -215,7 +215,7 @@
             return;
         }
         let record = self.log.append(self.epoch(), command);
-        let pending = Pending::Entries { up_to: self.log.last(), generation: self.log.generation() };
+        let pending = Pending::Entries { up_to: self.log.last() };
         self.persist(vec![record], pending, out);
     }
 
@@ -295,7 +295,7 @@
 
     fn made_durable(&mut self, now: Duration, pending: Pending, out: &mut Vec<ReplicaAction>) {
         match pending {
-            Pending::Entries { up_to, generation } => self.log.synced(up_to, generation),
+            Pending::Entries { up_to } => self.log.synced(up_to),
             Pending::View { epoch } if epoch == self.epoch() => self.in_force(now, out),
             Pending::Full { epoch } if epoch == self.epoch() => self.now_full(epoch, out),
             Pending::Sealed { epoch } => {
