Start a text over that no store goes on with after five fruitless tries

Found by reading, not by a run: a text that was kept may be one that no store takes up (another answer each time, or a cut before any new event), and its item would wait until it is no longer retained. Refusals and versions that don't fit do not count. A text cut after its last event is shown to be completed by a resumed run without events.

--- a/system/data/src/rollout/plan/item.rs
+++ b/system/data/src/rollout/plan/item.rs
@@ -48,6 +48,9 @@
     Other,
 }
 
+/// After so many outcomes in a row that brought nothing, it is the text so far that may be at fault: no store goes on with it.
+const FRUITLESS_ENOUGH: u32 = 5;
+
 /// Where an item stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum State {
@@ -157,6 +160,10 @@
                 self.wait(now);
             }
             Ended::NeverRan => self.wait(now + Duration::from_millis(random.u64(REFUSED_PAUSE_MS))),
+            Ended::Cut | Ended::Other if self.fruitless >= FRUITLESS_ENOUGH => {
+                self.start_over();
+                self.back_off(now, random);
+            }
             Ended::Cut | Ended::WrongVersion | Ended::Other | Ended::Whole => self.back_off(now, random),
         }
         self.if_retained(now, rules)
--- a/system/data/tests/rollout_driver.rs
+++ b/system/data/tests/rollout_driver.rs
@@ -98,6 +98,7 @@
 /// What the first request of an item meets; later ones are streamed.
 #[parameterized(
     cut_between_events = { || Does::CutAfter(3), Some(3) },
+    cut_after_the_last_event = { || Does::CutAfter(5), Some(5) },
     cut_within_an_event = { || Does::CutWithin(2), Some(2) },
     cut_before_the_first_event = { || Does::CutAfter(0), None },
     an_event_is_missing = { || Does::LeaveOut(4), Some(3) },
--- a/system/data/tests/rollout_outcomes.rs
+++ b/system/data/tests/rollout_outcomes.rs
@@ -52,6 +52,26 @@
     assert_eq!(carried, text(events, 1));
 }
 
+#[parameterized(
+    odd_answers = { Ended::Other, true },
+    cuts_without_a_new_event = { Ended::Cut, true },
+    refusals = { Ended::NeverRan, false },
+    weights_that_do_not_fit = { Ended::WrongVersion, false },
+)]
+fn text_that_no_store_goes_on_with_starts_over_after_many(ended: Ended, starts_over: bool) {
+    let (mut plan, mut stores) = at_store(rules(false));
+    plan.generation_ended(ms(0), 0, text(3, 1), Ended::Cut, rules(false));
+    let mut now = 0;
+    for turn in 0..12 {
+        let (at, carried) = placed_again(&mut plan, &mut stores, now, rules(false)).unwrap();
+        assert!(turn > 4 || !carried.is_empty(), "not before it was tried often enough");
+        now = at;
+        plan.generation_ended(ms(now), 0, carried, ended, rules(false));
+    }
+    let (_, carried) = placed_again(&mut plan, &mut stores, now, rules(false)).unwrap();
+    assert_eq!(carried.is_empty(), starts_over);
+}
+
 #[test]
 fn refusals_are_no_attempts() {
     let (mut plan, mut stores) = at_store(rules(false));
