--- a/system/data/src/rollout/generation.rs
+++ b/system/data/src/rollout/generation.rs
@@ -157,7 +157,7 @@
     match ended {
         Ended::Whole => {
             shared.rollout.rooms.borrow_mut().succeeded(id);
-            shared.rollout.paces.borrow_mut().seen(id, events, now.saturating_sub(began));
+            shared.rollout.paces.borrow_mut().seen(id, events, now.saturating_sub(began), now);
         }
         Ended::Cut => shared.health.failed(id, now),
         _ => {}
--- a/system/data/src/rollout/stores.rs
+++ b/system/data/src/rollout/stores.rs
@@ -54,7 +54,7 @@
         limit: rooms.limit(id, u32::try_from(store.slots).unwrap_or(u32::MAX), now),
         avoided: shared.health.avoid(id, now),
         own_zone: store.own_zone,
-        pace_percent: paces.percent(id),
+        pace_percent: paces.percent(id, now),
     });
     let views = views.collect();
     if cache.lists.len() >= MAX_LISTS {
--- a/system/data/src/rollout/watch.rs
+++ b/system/data/src/rollout/watch.rs
@@ -73,7 +73,7 @@
             let view = streams.iter().find(|view| view.item == item);
             let events = view.and_then(|view| view.events).unwrap_or(0);
             let id = &stream.store.target.id;
-            shared.rollout.paces.borrow_mut().seen_slow(id, events, watched);
+            shared.rollout.paces.borrow_mut().seen_slow(id, events, watched, now);
             shared.health.failed(id, now);
             stream.moved.notify_one();
         }
--- a/system/data/tests/rollout_room.rs
+++ b/system/data/tests/rollout_room.rs
@@ -57,24 +57,38 @@
 }
 
 #[test]
-fn a_store_is_slow_by_the_time_for_one_event() {
+fn a_store_is_slow_by_the_time_for_one_event_until_it_is_forgotten() {
     let mut paces = Paces::default();
     for _ in 0..50 {
         for store in ["a", "b", "c"] {
-            paces.seen(store, 20, ms(1_000));
+            paces.seen(store, 20, ms(1_000), ms(0));
         }
-        paces.seen("slow", 20, ms(4_000));
+        paces.seen("slow", 20, ms(4_000), ms(0));
     }
-    assert!(paces.percent("a") < 100);
-    assert!(paces.percent("slow") > 175, "{}", paces.percent("slow"));
-    assert_eq!(paces.percent("unknown"), 100);
+    assert!(paces.percent("a", ms(0)) < 100);
+    assert!(paces.percent("slow", ms(0)) > 175, "{}", paces.percent("slow", ms(0)));
+    assert_eq!(paces.percent("unknown", ms(0)), 100);
     assert!(paces.usual() > ms(50) && paces.usual() < ms(200), "{:?}", paces.usual());
+    // Without news it is taken to be as fast as any before long.
+    assert!(paces.percent("slow", ms(2_000)) < 175);
+    assert!(paces.percent("slow", ms(10_000)) <= 100);
 }
 
 #[test]
 fn a_short_text_tells_nothing_of_the_pace() {
     let mut paces = Paces::default();
-    paces.seen("a", 20, ms(1_000));
-    paces.seen("b", 1, ms(4_000));
-    assert_eq!(paces.percent("b"), 100);
+    paces.seen("a", 20, ms(1_000), ms(0));
+    paces.seen("b", 1, ms(4_000), ms(0));
+    assert_eq!(paces.percent("b", ms(0)), 100);
+}
+
+#[test]
+fn a_store_that_streams_were_taken_from_is_slow() {
+    let mut paces = Paces::default();
+    paces.seen("a", 20, ms(1_000), ms(0));
+    paces.seen("b", 20, ms(1_000), ms(0));
+    for _ in 0..3 {
+        paces.seen_slow("b", 0, ms(800), ms(0));
+    }
+    assert!(paces.percent("b", ms(0)) > 175, "{}", paces.percent("b", ms(0)));
 }
