--- a/system/wire/src/registry.rs
+++ b/system/wire/src/registry.rs
@@ -29,7 +29,7 @@
     Weights(String, String),
     /// A node of the system, by incarnation; the entry's version is its heartbeat's sequence at its last change.
     Node(u64),
-    /// Who keeps a partition of the batch jobs; the entry's version is the epoch.
+    /// Who keeps a partition of the batch jobs; the entry's version is the epoch x 256 + the number of full members.
     Partition(u16),
     /// Who holds the coordinator's lease; the entry's version is its fencing token.
     Coordinator,
