Tell the end of a batch job apart from a hold or a stream that runs out, in the tests

Taking out the stop at a renewal's answer, or the stop at an acknowledged end, went unseen: the hold ran out, or the stream fell silent, within the bound of the test. Both are bounded more tightly now.

--- a/system/data/tests/rollout_front.rs
+++ b/system/data/tests/rollout_front.rs
@@ -227,6 +227,8 @@
             assert_eq!(world.status(call(Method::DELETE, "/lots/j")).await, StatusCode::OK);
         }
         until("the connections are closed", || engine.open() == 0).await;
+        let silence = std::time::Duration::from_secs(2);
+        assert!(engine.heard()[0].at.elapsed() < silence, "before they are closed because nothing comes");
         assert_eq!(world.status(call(Method::DELETE, "/lots/other")).await, StatusCode::NOT_FOUND);
     });
 }
--- a/system/data/tests/rollout_hold.rs
+++ b/system/data/tests/rollout_hold.rs
@@ -90,7 +90,7 @@
         let renewed = world.backend.renewed().expect("a renewal");
         what(&world);
         all_is_dropped(&world, &engine).await;
-        assert!(renewed.elapsed() < Duration::from_millis(LONG_CANCEL_MS / 2), "not for want of renewals");
+        assert!(renewed.elapsed() < Duration::from_millis(LONG_CANCEL_MS / 3), "not for want of renewals");
         assert!(world.backend.results("j").is_empty());
     });
 }
