Let the three programs start by one function

Cause: each repeated the dispatch of the command line, the enum of failures and the exit code. Change: launch and Failure in the library of the programs; what only they use is private now.

--- a/system/bin/src/bin/gingerledge-backend.rs
+++ b/system/bin/src/bin/gingerledge-backend.rs
@@ -1,53 +1,17 @@
 //! Starts the backend program: `gingerledge-backend` runs it, `gingerledge-backend check [SETTINGS]` only reads its settings.
 
-use std::fmt::Display;
 use std::process::ExitCode;
 
 use gingerledge_jobs::{node, JobsError};
-use gingerledge_system::{check_settings, command_line, init_log, read_settings, Action, StartError};
-use snafu::Snafu;
-
-/// Why the program ends with a failure.
-#[derive(Debug, Snafu)]
-enum Failure {
-    /// It could not start.
-    #[snafu(display("{source}"), context(false))]
-    Start {
-        /// Why.
-        source: StartError,
-    },
-    /// It could not go on.
-    #[snafu(display("{source}"), context(false))]
-    Run {
-        /// Why.
-        source: JobsError,
-    },
-    /// The runtime could not be built.
-    #[snafu(display("runtime: {source}"), context(false))]
-    Runtime {
-        /// What the system said.
-        source: std::io::Error,
-    },
-}
+use gingerledge_protocol::Settings;
+use gingerledge_system::{launch, Failure};
+use tokio::runtime::Builder;
 
 fn main() -> ExitCode {
-    let action = command_line("Keeps batch jobs and their results").run();
-    let result = match action {
-        Action::Check { settings } => check_settings(settings).map_err(Failure::from),
-        Action::Run => run(),
-    };
-    result.map_or_else(fail, |()| ExitCode::SUCCESS)
-}
-
-fn run() -> Result<(), Failure> {
-    init_log()?;
-    let settings = read_settings()?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(node::run(settings))?;
-    Ok(())
+    launch("gingerledge-backend", "Keeps batch jobs and their results", run)
 }
 
-fn fail(failure: impl Display) -> ExitCode {
-    eprintln!("gingerledge-backend: {failure}");
-    ExitCode::FAILURE
+fn run(settings: Settings) -> Result<(), Failure<JobsError>> {
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(Failure::Runtime)?;
+    runtime.block_on(node::run(settings)).map_err(Failure::Run)
 }
--- a/system/bin/src/lib.rs
+++ b/system/bin/src/lib.rs
@@ -1,7 +1,9 @@
 //! What the three programs share: the set-up of the log, the reading of the settings file, and the command line of a program
 //! that runs when it is given no arguments and only checks its settings when told `check`.
 
+use std::fmt::Display;
 use std::path::PathBuf;
+use std::process::ExitCode;
 
 use bpaf::{construct, positional, OptionParser, Parser};
 use gingerledge_protocol::{Settings, SettingsError, SETTINGS_VARIABLE};
@@ -35,9 +37,36 @@
     },
 }
 
+/// Why a program ends with a failure; `E` is why its plane can't go on.
+#[derive(Debug)]
+pub enum Failure<E> {
+    /// It could not start.
+    Start(StartError),
+    /// The runtime could not be built.
+    Runtime(std::io::Error),
+    /// It could not go on.
+    Run(E),
+}
+
+impl<E> From<StartError> for Failure<E> {
+    fn from(error: StartError) -> Self {
+        Self::Start(error)
+    }
+}
+
+impl<E: Display> Display for Failure<E> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Start(error) => error.fmt(formatter),
+            Self::Runtime(error) => write!(formatter, "runtime: {error}"),
+            Self::Run(error) => error.fmt(formatter),
+        }
+    }
+}
+
 /// What the command line asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
+enum Action {
     /// Run with the settings file that the environment names.
     Run,
     /// Read a settings file and name what is wrong with it.
@@ -48,7 +77,7 @@
 }
 
 /// The command line of a program: nothing, or `check [SETTINGS]`.
-pub fn command_line(description: &'static str) -> OptionParser<Action> {
+fn command_line(description: &'static str) -> OptionParser<Action> {
     let settings =
         positional::<PathBuf>("SETTINGS").help("Settings file, in place of the environment's").optional();
     let check = construct!(Action::Check { settings })
@@ -61,7 +90,7 @@
 }
 
 /// Logs go to standard error, from level info on.
-pub fn init_log() -> Result<(), StartError> {
+fn init_log() -> Result<(), StartError> {
     let encoder = Box::new(PatternEncoder::new(LINE_PATTERN));
     let console = ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build();
     let root = Root::builder().appender(APPENDER).build(LevelFilter::Info);
@@ -79,15 +108,40 @@
 }
 
 /// Reads a settings file: the one given, else the one that the environment names.
-pub fn read_settings_at(path: Option<PathBuf>) -> Result<Settings, StartError> {
+fn read_settings_at(path: Option<PathBuf>) -> Result<Settings, StartError> {
     let named = || std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
     let path = path.or_else(named).context(NoSettingsSnafu)?;
     Settings::read(&path).context(BadSettingsSnafu)
 }
 
 /// Reads a settings file for `check`, and says on standard output that it can be used.
-pub fn check_settings(path: Option<PathBuf>) -> Result<(), StartError> {
+fn check_settings(path: Option<PathBuf>) -> Result<(), StartError> {
     let settings = read_settings_at(path)?;
     println!("settings of {}: fine", settings.node_name);
     Ok(())
 }
+
+/// The whole of a program: does what the command line asks for, says on standard error why it failed, and gives its exit code.
+/// `run` gets the settings, with the log set up.
+pub fn launch<E: Display>(
+    program: &str,
+    description: &'static str,
+    run: impl FnOnce(Settings) -> Result<(), Failure<E>>,
+) -> ExitCode {
+    let ended = match command_line(description).run() {
+        Action::Check { settings } => check_settings(settings).map_err(Failure::from),
+        Action::Run => start(run),
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("{program}: {failure}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start<E>(run: impl FnOnce(Settings) -> Result<(), Failure<E>>) -> Result<(), Failure<E>> {
+    init_log()?;
+    run(read_settings()?)
+}
