Let promising and accepting take a ballot by one function

Cause: the refusal of lower ballots, and what follows a ballot that is taken (make way, remember it, seal the epoch before), stood in both handlers of the voter. The actions come in the same order as before.

--- a/system/chain/src/agreement/voter.rs
+++ b/system/chain/src/agreement/voter.rs
@@ -19,25 +19,40 @@
         self.members.as_ref().is_some_and(|members| members.is_voter(self.me) && members.is_voter(from))
     }
 
-    pub(super) fn on_prepare(
+    /// Takes a ballot if this member may vote and has promised no higher one; the epoch before it is sealed with it.
+    fn take_ballot(
         &mut self,
         now: Duration,
         from: MemberId,
         epoch: u64,
         ballot: Ballot,
         out: &mut Vec<AgreementAction>,
-    ) {
+    ) -> bool {
         if !self.may_vote(from, epoch, out) {
-            return;
+            return false;
         }
         if let Some(promised) = self.promised.filter(|promised| *promised > ballot) {
             let message = AgreementMessage::Rejected { epoch, promised };
             out.push(AgreementAction::Send { to: from, message });
-            return;
+            return false;
         }
         self.make_way(now, from);
         self.promised = Some(ballot);
         out.push(AgreementAction::Seal { epoch: epoch - 1 });
+        true
+    }
+
+    pub(super) fn on_prepare(
+        &mut self,
+        now: Duration,
+        from: MemberId,
+        epoch: u64,
+        ballot: Ballot,
+        out: &mut Vec<AgreementAction>,
+    ) {
+        if !self.take_ballot(now, from, epoch, ballot, out) {
+            return;
+        }
         out.push(AgreementAction::Persist {
             record: LogRecord::Promise { epoch, ballot },
             vote: Vote::Promised { to: from, epoch, ballot },
@@ -53,18 +68,10 @@
         out: &mut Vec<AgreementAction>,
     ) {
         let epoch = members.epoch;
-        if !self.may_vote(from, epoch, out) {
+        if !self.take_ballot(now, from, epoch, ballot, out) {
             return;
         }
-        if let Some(promised) = self.promised.filter(|promised| *promised > ballot) {
-            let message = AgreementMessage::Rejected { epoch, promised };
-            out.push(AgreementAction::Send { to: from, message });
-            return;
-        }
-        self.make_way(now, from);
-        self.promised = Some(ballot);
         self.accepted = Some((ballot, members.clone()));
-        out.push(AgreementAction::Seal { epoch: epoch - 1 });
         out.push(AgreementAction::Persist {
             record: LogRecord::Accepted { ballot, members },
             vote: Vote::Accepted { to: from, epoch, ballot },
