Keep every store at a version of the weights that the next batch job may use

Change: a store loads once its version is below the oldest that the next step may use, which follows from the minVersion of the batch jobs (edges tell it with ModelUsed); where the version before will do, half of the stores load for each version. Homes are gone, and with them their tests; the tests of the new planner ask for as much: which stores load, once, in which order, at what floor.

--- a/system/control/src/coordinator/uses.rs
+++ b/system/control/src/coordinator/uses.rs
@@ -1,5 +1,7 @@
-//! Which routes use which models, as edges have seen it in batch jobs: it decides how requests that run end when a store loads a new
-//! version. A route that wants each text made under one version lets them run to their end first; where all known routes of a model
+//! How batch jobs use models, as edges have seen it: it decides how requests that run end when a store loads a new version, and
+//! which versions the next batch job may use.
+//!
+//! A route that wants each text made under one version lets requests run to their end first; where all known routes of a model
 //! take texts of several versions, nothing has to wait.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,33 +18,79 @@
 /// Host and path prefix of a route: what stays when its other properties change.
 type Place = (String, String);
 
-/// The routes that use each model.
+/// What is known of one model.
+#[derive(Clone, Debug, Default)]
+struct ModelUse {
+    places: BTreeSet<Place>,
+    /// The oldest version that the newest batch job allows; none before one was seen.
+    min_version: Option<u64>,
+    /// The newest version named at the last look, and the oldest that was wanted with it.
+    wanted: Option<Wanted>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Wanted {
+    named: u64,
+    floor: u64,
+}
+
+/// How batch jobs use each model.
 #[derive(Clone, Debug, Default)]
 pub struct ModelUses {
-    places: BTreeMap<String, BTreeSet<Place>>,
+    models: BTreeMap<String, ModelUse>,
 }
 
 impl ModelUses {
-    /// A batch job for a model has come to a host and path.
-    pub fn seen(&mut self, configuration: &Configuration, model: &str, host: &str, path: &str) {
+    /// A batch job for a model has come to a host and path, which allows versions from this one on.
+    pub fn seen(
+        &mut self,
+        configuration: &Configuration,
+        model: &str,
+        host: &str,
+        path: &str,
+        min_version: u64,
+    ) {
         let Some(route) = configuration.route(host, path) else { return };
-        if self.places.len() >= MAX_MODELS && !self.places.contains_key(model) {
-            return;
+        let Some(known) = self.entry(model) else { return };
+        known.min_version = known.min_version.max(Some(min_version));
+        if known.places.len() < MAX_PLACES {
+            known.places.insert((route.host.clone(), route.path_prefix.clone()));
         }
-        let places = self.places.entry(model.to_owned()).or_default();
-        if places.len() < MAX_PLACES {
-            places.insert((route.host.clone(), route.path_prefix.clone()));
+    }
+
+    /// The oldest version of a model that the next batch job may use, given the newest named version.
+    ///
+    /// Each step of a trainer allows versions from one higher on than the step before, and asks once a further version is named. So
+    /// the oldest version that is wanted rises by one above that of the newest batch job when a version is named, and not before:
+    /// until then the batch job may still use the stores that are at its oldest version. While no batch job was seen, only the
+    /// newest version is sure to do.
+    pub fn floor(&mut self, model: &str, named: u64) -> u64 {
+        let Some(known) = self.entry(model) else { return named };
+        let floor = match (known.min_version, known.wanted) {
+            (None, _) => return named,
+            (Some(min), Some(wanted)) if wanted.named == named => wanted.floor.max(min),
+            (Some(min), _) => min.saturating_add(1),
+        };
+        let floor = floor.min(named);
+        known.wanted = Some(Wanted { named, floor });
+        floor
+    }
+
+    fn entry(&mut self, model: &str) -> Option<&mut ModelUse> {
+        if self.models.len() >= MAX_MODELS && !self.models.contains_key(model) {
+            return None;
         }
+        Some(self.models.entry(model.to_owned()).or_default())
     }
 
     /// How requests of a model end at the stores of a service. While nothing is known of the model, the strictest route of the
     /// service counts.
     pub fn method(&self, configuration: &Configuration, service: &str, model: &str) -> LoadMethod {
         let known: Vec<&Route> = self
-            .places
+            .models
             .get(model)
             .into_iter()
-            .flatten()
+            .flat_map(|known| &known.places)
             .filter_map(|place| configuration.routes.iter().find(|route| is_at(route, place)))
             .collect();
         let strict = if known.is_empty() {
--- a/system/control/src/node/coordinate.rs
+++ b/system/control/src/node/coordinate.rs
@@ -16,7 +16,6 @@
 use crate::coordinator::backends::{BackendReports, BackendSettings};
 use crate::coordinator::loads::{LoadSettings, Loads};
 use crate::coordinator::uses::ModelUses;
-use crate::coordinator::weights::Homes;
 
 use weights::Engines;
 
@@ -66,7 +65,6 @@
     completion_under_way: bool,
     engines: Engines,
     uses: ModelUses,
-    homes: Homes,
     loads: Loads,
     weights_dirty: bool,
     gate: OrderGate,
@@ -82,7 +80,6 @@
             completion_under_way: false,
             engines: Engines::default(),
             uses: ModelUses::default(),
-            homes: Homes::default(),
             loads: Loads::new(LoadSettings::default()),
             weights_dirty: true,
             gate,
@@ -107,7 +104,6 @@
         self.leadership = Leadership::None;
         self.gate.close();
         self.loads.clear();
-        self.homes = Homes::default();
     }
 }
 
--- a/system/control/src/node/coordinate/weights.rs
+++ b/system/control/src/node/coordinate/weights.rs
@@ -11,7 +11,7 @@
 use super::super::Node;
 use super::Coordination;
 use crate::coordinator::loads::LoadEnd;
-use crate::coordinator::weights::{EngineService, EngineStore, Load, WantedModel};
+use crate::coordinator::weights::{due, EngineService, EngineStore, Load, WantedModel};
 
 /// The configuration as read for the weights, as of one change.
 #[derive(Clone, Debug, Default)]
@@ -32,21 +32,15 @@
 
 impl Node {
     pub(super) fn keep_weights(&mut self, now: Duration, token: u64) {
-        let retry_due = self.coordination.loads.next_retry().is_some_and(|at| at <= now);
+        let retry_due = self.coordination.loads.next_look().is_some_and(|at| at <= now);
         if !self.coordination.weights_dirty && !retry_due {
             return;
         }
         self.coordination.weights_dirty = false;
         self.read_engines();
         let services = self.engine_services();
-        let due = self.coordination.homes.plan(&services);
         for (name, service) in &services {
-            let here: Vec<Load> = due
-                .iter()
-                .filter(|load| service.stores.iter().any(|store| store.id == load.id))
-                .cloned()
-                .collect();
-            for load in self.coordination.loads.start(now, name, &here) {
+            for load in self.coordination.loads.start(now, name, &due(service)) {
                 self.order(&load, token);
             }
         }
@@ -64,19 +58,22 @@
     }
 
     /// An edge has seen a batch job.
-    pub(in crate::node) fn model_used(&mut self, model: &str, host: &str, path: &str) {
+    pub(in crate::node) fn model_used(&mut self, model: &str, host: &str, path: &str, min_version: u64) {
         self.read_engines();
         let Coordination { uses, engines, .. } = &mut self.coordination;
-        uses.seen(&engines.configuration, model, host, path);
+        uses.seen(&engines.configuration, model, host, path, min_version);
+        self.coordination.weights_changed();
     }
 
     /// What is known of the services whose stores hold models.
-    fn engine_services(&self) -> BTreeMap<String, EngineService> {
+    fn engine_services(&mut self) -> BTreeMap<String, EngineService> {
         let versions = self.state.versions();
-        let Coordination { uses, engines, .. } = &self.coordination;
-        let wanted = |service: &Service, model: &Model| WantedModel {
-            version: versions.get(&model.name).copied().unwrap_or(1),
-            method: uses.method(&engines.configuration, &service.name, &model.name),
+        let Coordination { uses, engines, .. } = &mut self.coordination;
+        let mut wanted = |service: &Service, model: &Model| {
+            let version = versions.get(&model.name).copied().unwrap_or(1);
+            let floor = uses.floor(&model.name, version);
+            let method = uses.method(&engines.configuration, &service.name, &model.name);
+            WantedModel { version, floor, method }
         };
         let mut services: BTreeMap<String, EngineService> = engines
             .services()
@@ -93,9 +90,7 @@
                     .models
                     .keys()
                     .map(|model| (model.clone(), registry.loaded_version(id, store, model)));
-                let store =
-                    EngineStore { id: id.to_owned(), zone: store.zone.clone(), versions: versions.collect() };
-                service.stores.push(store);
+                service.stores.push(EngineStore { id: id.to_owned(), versions: versions.collect() });
             }
         }
         services
--- a/system/control/src/node/messages.rs
+++ b/system/control/src/node/messages.rs
@@ -59,7 +59,9 @@
             ControlMessage::Submitted { request, outcome } => self.finish_submission(request, outcome),
             ControlMessage::Share { number, entries } => self.take_share(from, number, entries),
             ControlMessage::Shared { number } => self.sharing.acknowledged(from, number),
-            ControlMessage::ModelUsed { model, host, path } => self.model_used(&model, &host, &path),
+            ControlMessage::ModelUsed { model, host, path, min_version } => {
+                self.model_used(&model, &host, &path, min_version);
+            }
             ControlMessage::HeartbeatTaken { .. } => {}
         }
     }
--- a/system/data/src/rollout/front.rs
+++ b/system/data/src/rollout/front.rs
@@ -106,7 +106,10 @@
         shared.registry(|registry| registry.coordinator().map(|coordinator| coordinator.address));
     let Some(coordinator) = coordinator else { return };
     let (model, host, path) = (job.model.clone(), job.host.clone(), job.path.clone());
-    shared.send(coordinator, &Envelope::Control(ControlMessage::ModelUsed { model, host, path }));
+    shared.send(
+        coordinator,
+        &Envelope::Control(ControlMessage::ModelUsed { model, host, path, min_version: job.min_version }),
+    );
 }
 
 async fn results(shared: &Rc<Shared>, job: &str, query: &str, headers: &HeaderMap) -> Reply {
--- a/system/wire/src/control.rs
+++ b/system/wire/src/control.rs
@@ -89,5 +89,7 @@
         host: String,
         /// The path that it was sent to.
         path: String,
+        /// The oldest version of the weights that it allows.
+        min_version: u64,
     },
 }
