Replace no driver that renews, and end no session at a control node that is cut off

Cause: a control node that was cut off took everybody to be silent and said so once it was back. Ruled out: versions that do not fit (none), refusals of full stores (a few hundred), slow streams.

Change: backends tell an edge that said farewell from one that fell silent; the first is replaced at once, the second once it does not renew, and it counts again when it is heard. A member of the chain without fresh ticks ends no session, and gives all of them a new grace when it is back. An end is told to the driver at the address kept with the batch job.

--- a/system/control/src/coordinator/uses.rs
+++ b/system/control/src/coordinator/uses.rs
@@ -69,7 +69,8 @@
         let floor = match (known.min_version, known.wanted) {
             (None, _) => return named,
             (Some(min), Some(wanted)) if wanted.named == named => wanted.floor.max(min),
-            (Some(min), _) => min.saturating_add(1),
+            (Some(min), None) => min,
+            (Some(min), Some(_)) => min.saturating_add(1),
         };
         let floor = floor.min(named);
         known.wanted = Some(Wanted { named, floor });
--- a/system/control/src/node/sharing.rs
+++ b/system/control/src/node/sharing.rs
@@ -95,8 +95,13 @@
         }
     }
 
+    /// A member that is cut off from the chain hears nobody, and lets no session end: it is the sources' silence only to itself.
     pub(super) fn expire_sessions(&mut self, now: Duration) {
         self.announce_self();
+        if self.is_member() && !self.relay.fresh(now) {
+            self.sessions.resumed(now);
+            return;
+        }
         for entry in self.sessions.expire(now) {
             log::info!("silent for too long: {:?}", entry.key);
             self.learn_and_share(entry);
@@ -127,6 +132,12 @@
         }
     }
 
+    fn is_member(&self) -> bool {
+        self.chain
+            .members()
+            .is_some_and(|members| members.chain.iter().any(|member| member.0 == self.me.member))
+    }
+
     /// Whether the sharing knows all members of the chain: one that has not introduced itself yet would be passed over.
     pub(super) fn members_shared_with(&self) -> bool {
         let Some(members) = self.chain.members() else { return false };
--- a/system/control/src/sessions/mod.rs
+++ b/system/control/src/sessions/mod.rs
@@ -11,13 +11,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use gingerledge_wire::{Entry, Key, Value, MAX_ENTRIES};
+use gingerledge_wire::{Entry, Key, Value, ENDED_VERSION, MAX_ENTRIES};
 
 pub use sharing::{Share, Sharing, SharingSettings};
 
-/// The version of an entry that ends a session for good: its source said itself that it ends.
-pub const ENDED_VERSION: u64 = u64::MAX;
-
 /// How long sources may be silent.
 #[derive(Clone, Copy, Debug)]
 pub struct SessionSettings {
@@ -136,7 +133,7 @@
         }
     }
 
-    /// This process did not run for a while, so it could not hear anybody.
+    /// This process did not run for a while, or was cut off, so it could not hear anybody.
     pub fn resumed(&mut self, now: Duration) {
         for session in self.sessions.values_mut() {
             session.heard = now;
--- a/system/control/tests/nodes/exchanges.rs
+++ b/system/control/tests/nodes/exchanges.rs
@@ -4,6 +4,8 @@
 
 const REPLACE: &str = "/configuration/replace";
 const READ: &str = "/configuration/read";
+/// A store that is silent for so long is taken to be gone: three of its intervals.
+const SILENCE: std::time::Duration = std::time::Duration::from_millis(3 * crate::common::HEARTBEAT_MS);
 const HEARTBEAT: &str = "/instances/i-1/heartbeat";
 
 fn configuration(version: u64) -> String {
@@ -206,6 +208,27 @@
     });
 }
 
+#[test]
+fn a_node_that_is_cut_off_takes_nobody_to_be_silent() {
+    run(async {
+        let mut world = World::start(12);
+        ready(&world).await;
+        world.until(0, &Call::post(HEARTBEAT, "", &heartbeat(4, "ready")), 200).await;
+        world.kill(1).await;
+        world.kill(2).await;
+        // Far longer than a store may be silent.
+        let began = std::time::Instant::now();
+        while began.elapsed() < 2 * SILENCE {
+            assert_eq!(state_at(&world, 0).await.as_deref(), Some("ready"));
+        }
+        // Back in a chain, it waits anew, and then lets go of the store, which never comes again.
+        world.start_node(1, false);
+        world.status_until(0, |status| status["serving"] == true).await;
+        let gone = |status: &serde_json::Value| status["stores"].as_array().is_some_and(Vec::is_empty);
+        world.status_until(0, gone).await;
+    });
+}
+
 #[test]
 fn a_node_whose_disk_was_lost_comes_back_as_another_member() {
     run(async {
--- a/system/jobs/src/backend/mod.rs
+++ b/system/jobs/src/backend/mod.rs
@@ -15,7 +15,7 @@
 pub use record::{DiskContent, DiskRecord};
 
 use crate::error::JobsError;
-use crate::partition::{Context, Edges, Moment, Partition, PartitionAction, Room};
+use crate::partition::{Context, EdgeState, Edges, Moment, Partition, PartitionAction, Room};
 use crate::settings::JobsSettings;
 use crate::store::Asker;
 
@@ -31,12 +31,12 @@
         /// Its chain.
         record: PartitionRecord,
     },
-    /// An edge is there; none: it is gone.
+    /// News of an edge.
     Edge {
         /// Its incarnation.
         incarnation: u64,
-        /// Where it takes messages.
-        address: Option<SocketAddr>,
+        /// How it is.
+        state: EdgeState,
     },
     /// A replica of a partition sends a message.
     Replica {
@@ -156,7 +156,7 @@
             BackendEvent::Chain { partition, record } => {
                 self.one(now, partition, out, |partition, context| partition.install(context, &record))
             }
-            BackendEvent::Edge { incarnation, address } => self.on_edge(now, incarnation, address, out),
+            BackendEvent::Edge { incarnation, state } => self.on_edge(now, incarnation, state, out),
             BackendEvent::Replica { partition, from, message } => {
                 self.one(now, partition, out, |partition, context| partition.receive(context, from, message))
             }
@@ -245,17 +245,8 @@
         }
     }
 
-    fn on_edge(
-        &mut self,
-        now: Moment,
-        incarnation: u64,
-        address: Option<SocketAddr>,
-        out: &mut Vec<BackendAction>,
-    ) {
-        match address {
-            Some(address) => self.edges.insert(incarnation, address),
-            None => self.edges.remove(incarnation),
-        }
+    fn on_edge(&mut self, now: Moment, incarnation: u64, state: EdgeState, out: &mut Vec<BackendAction>) {
+        self.edges.set(incarnation, state);
         // Drivers that it takes the place of, or that are gone with it, are replaced at once.
         self.each(now, out, |partition, context| partition.tick(context));
     }
--- a/system/jobs/src/node/mod.rs
+++ b/system/jobs/src/node/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::backend::{Backend, BackendAction, BackendEvent};
 use crate::error::{JobsError, NetworkSnafu, NoDiskSnafu, SignalsSnafu};
-use crate::partition::Moment;
+use crate::partition::{EdgeState, Moment};
 use crate::settings::JobsSettings;
 use crate::store::Asker;
 use disk::DiskWriter;
@@ -258,12 +258,16 @@
 
     fn learn_node(&mut self, entry: Entry) {
         let Key::Node(incarnation) = entry.key else { return };
+        let ended = entry.is_ended();
         match entry.value {
             Value::Node(node) if node.role == Role::Edge => {
-                self.drive(BackendEvent::Edge { incarnation, address: Some(node.address) });
+                self.drive(BackendEvent::Edge { incarnation, state: EdgeState::There(node.address) });
             }
             Value::Node(node) if node.role == Role::Backend => self.know_member(node.member, node.address),
-            Value::Gone => self.drive(BackendEvent::Edge { incarnation, address: None }),
+            Value::Gone => {
+                let state = if ended { EdgeState::Ended } else { EdgeState::Silent };
+                self.drive(BackendEvent::Edge { incarnation, state });
+            }
             _ => {}
         }
     }
--- a/system/jobs/src/partition/driving.rs
+++ b/system/jobs/src/partition/driving.rs
@@ -12,12 +12,10 @@
     /// What the head does once a command is committed.
     pub(super) fn follow_driver(&mut self, context: &mut Context<'_>, id: &str, outcome: &Outcome) {
         match (self.store.job(id), outcome) {
-            (Some(_), Outcome::Ended { stopped: Some((edge, term)) }) => {
+            (Some(job), Outcome::Ended { stopped: Some((_, term)) }) => {
                 self.holds.drop(id);
-                if let Some(to) = context.edges.address(*edge) {
-                    let message = JobsMessage::Stop { job: id.to_owned(), term: *term };
-                    context.out.push(PartitionAction::SendEdge { to, message });
-                }
+                let message = JobsMessage::Stop { job: id.to_owned(), term: *term };
+                context.out.push(PartitionAction::SendEdge { to: job.driver().address, message });
             }
             (Some(job), _) => {
                 if self.holds.follow(context.now.steady, id, job) {
--- a/system/jobs/src/partition/holds.rs
+++ b/system/jobs/src/partition/holds.rs
@@ -3,7 +3,7 @@
 //! A hold lasts while its driver renews it. The head keeps them in memory only: a new head gives every driver the whole
 //! time-out to show itself.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,27 +15,43 @@
 /// The most drivers remembered as silent for one batch job.
 const SILENT_REMEMBERED: usize = 16;
 
+/// How an edge is, as far as the control nodes know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EdgeState {
+    /// It is there, and takes messages at this address.
+    There(SocketAddr),
+    /// Nothing was heard of it for a while. It may live: a control node that is cut off hears nobody.
+    Silent,
+    /// It has said itself that it ends.
+    Ended,
+}
+
 /// The edges that are there, by incarnation.
 #[derive(Clone, Debug, Default)]
 pub struct Edges {
     addresses: BTreeMap<u64, SocketAddr>,
-    gone: std::collections::BTreeSet<u64>,
+    ended: BTreeSet<u64>,
 }
 
 impl Edges {
-    /// The most edges remembered as gone.
-    const GONE_REMEMBERED: usize = 4096;
-
-    /// An edge is there.
-    pub fn insert(&mut self, incarnation: u64, address: SocketAddr) {
-        self.addresses.insert(incarnation, address);
-    }
+    /// The most edges remembered as ended.
+    const ENDED_REMEMBERED: usize = 4096;
 
-    /// An edge is gone for good.
-    pub fn remove(&mut self, incarnation: u64) {
-        self.addresses.remove(&incarnation);
-        if self.gone.len() < Self::GONE_REMEMBERED {
-            self.gone.insert(incarnation);
+    /// Takes up news of an edge.
+    pub fn set(&mut self, incarnation: u64, state: EdgeState) {
+        match state {
+            EdgeState::There(address) => {
+                self.addresses.insert(incarnation, address);
+            }
+            EdgeState::Silent => {
+                self.addresses.remove(&incarnation);
+            }
+            EdgeState::Ended => {
+                self.addresses.remove(&incarnation);
+                if self.ended.len() < Self::ENDED_REMEMBERED {
+                    self.ended.insert(incarnation);
+                }
+            }
         }
     }
 
@@ -53,9 +69,9 @@
         there.map(|(&incarnation, &address)| EdgeProcess { incarnation, address })
     }
 
-    /// Whether an edge said or was found to be gone.
-    pub fn is_gone(&self, incarnation: u64) -> bool {
-        self.gone.contains(&incarnation)
+    /// Whether an edge has said that it ends.
+    pub fn has_ended(&self, incarnation: u64) -> bool {
+        self.ended.contains(&incarnation)
     }
 
     /// The first edge in the batch job's own order that is not among these.
@@ -206,7 +222,7 @@
 
     fn due(&mut self, now: Duration, timeouts: Timeouts, id: &str, edges: &Edges) -> Option<HoldAction> {
         let successor = edges.successor(self.edge);
-        let silent = now >= self.renewed + timeouts.driver || edges.is_gone(self.edge.incarnation);
+        let silent = now >= self.renewed + timeouts.driver || edges.has_ended(self.edge.incarnation);
         if (silent || successor.is_some()) && !self.replacing {
             return self.replace(now, timeouts, id, edges, successor);
         }
--- a/system/jobs/src/partition/mod.rs
+++ b/system/jobs/src/partition/mod.rs
@@ -16,7 +16,7 @@
 use gingerledge_chain::{LogRecord, MemberId, Replica, ReplicaAction, ReplicaEvent, ReplicaMessage, View};
 use gingerledge_wire::{JobsAnswer, PartitionRecord};
 
-pub use holds::Edges;
+pub use holds::{EdgeState, Edges};
 pub use output::{Context, Moment, PartitionAction};
 
 use crate::error::JobsError;
--- a/system/wire/src/lib.rs
+++ b/system/wire/src/lib.rs
@@ -21,7 +21,8 @@
 };
 pub use node::{NodeRecord, Role};
 pub use registry::{
-    Coordinator, Entry, Key, PartitionRecord, Registry, StoreRecord, Value, MAX_ENTRIES, TOMBSTONE_RANK,
+    Coordinator, Entry, Key, PartitionRecord, Registry, StoreRecord, Value, ENDED_VERSION, MAX_ENTRIES,
+    TOMBSTONE_RANK,
 };
 pub use relay::{RelayMessage, Tick};
 
--- a/system/wire/src/registry.rs
+++ b/system/wire/src/registry.rs
@@ -93,6 +93,9 @@
     pub address: SocketAddr,
 }
 
+/// The version of an entry that ends a session for good: its source said itself that it ends.
+pub const ENDED_VERSION: u64 = u64::MAX;
+
 /// One entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
@@ -105,6 +108,11 @@
 }
 
 impl Entry {
+    /// Whether its source has said itself that it ends. One that only fell silent may come back.
+    pub fn is_ended(&self) -> bool {
+        self.version == ENDED_VERSION && matches!(self.value, Value::Gone)
+    }
+
     /// The order among entries of one key.
     pub fn rank(&self) -> (u64, u8) {
         (self.version, if matches!(self.value, Value::Gone) { TOMBSTONE_RANK } else { 0 })
