Save texts so far with their batch job, so that the next driver goes on from there

Cause: a text under way was known to its edge alone. Weighed: the texts in memory at the head only (lost with the head, and with a stop of everything); with each renewal (four times as many writes); nothing but whole texts, as before.

Whoever drives next is told the texts with the batch job, and asks stores for the events after them. A part counts only on top of the same beginning of the text; a text whose part may be lost is saved whole. A store that has nothing to add to a text names no version: that was taken for a fault, and the text begun anew.

Tests: rollout_saving.rs, jobs/tests/{store,backend}.rs.

--- a/system/data/src/rollout/drive.rs
+++ b/system/data/src/rollout/drive.rs
@@ -4,12 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use gingerledge_wire::{DriverTerm, JobId, ResultRecord};
+use gingerledge_wire::{DriverTerm, JobId, PartialText, ResultRecord};
 use slotmap::{new_key_type, SlotMap};
 use tokio::task::JoinSet;
 
-use super::plan::{Ended, JobPlan, RewardEnded, Rules, Text};
-use super::watch::Watch;
+use super::plan::{Ended, JobPlan, RewardEnded, Rules, SavedTexts, Text, TextView};
+use super::saving::Saving;
+use super::watch::{Stream, Watch};
 use crate::Shared;
 
 /// The most batch jobs that one edge drives at a time.
@@ -28,6 +29,8 @@
     Reward { drive: DriveKey, item: u32, ended: RewardEnded },
     /// Results were kept.
     Appended { drive: DriveKey },
+    /// Parts of texts were saved, with how long each text is with its part; none: that is not known.
+    Saved { drive: DriveKey, kept: Option<(Vec<PartialText>, Vec<usize>)> },
 }
 
 /// One batch job that this edge drives.
@@ -48,10 +51,28 @@
     pub(super) appending: bool,
     /// Its streams under way.
     pub(super) watch: Watch,
+    /// Texts that another driver has saved, until the rules are known by which they are taken over.
+    pub(super) saved_before: Vec<PartialText>,
+    /// What of its texts is saved.
+    pub(super) saving: Saving,
     /// Its generations, reward calls and hand-ins; dropped, they end.
     pub(super) tasks: JoinSet<()>,
 }
 
+impl Drive {
+    /// Parts of texts that are not saved, of so many bytes at most.
+    pub(super) fn unsaved_texts(&self, saved: &SavedTexts, most_bytes: usize) -> Vec<PartialText> {
+        let mut parts = saved.parts(self.plan.resting_texts(), most_bytes);
+        for (item, stream) in self.watch.streams() {
+            let taken: usize = parts.iter().map(|part| part.data.len()).sum();
+            let text = stream.text.borrow();
+            let view = TextView { item, origin: self.plan.origin(item), text: &text, whole: false };
+            parts.extend(saved.parts(std::iter::once(view), most_bytes.saturating_sub(taken)));
+        }
+        parts
+    }
+}
+
 /// All batch jobs that this edge drives.
 #[derive(Default)]
 pub(super) struct Drives {
@@ -93,24 +114,23 @@
     shared: Rc<Shared>,
     model: String,
     item: String,
-    /// The text so far.
-    pub(super) text: Text,
+    stream: Rc<Stream>,
 }
 
 impl Carried {
-    pub(super) fn new(shared: &Rc<Shared>, model: &str, item: &str, text: Text) -> Self {
-        Self { shared: Rc::clone(shared), model: model.to_owned(), item: item.to_owned(), text }
+    pub(super) fn new(shared: &Rc<Shared>, model: &str, item: &str, stream: Rc<Stream>) -> Self {
+        Self { shared: Rc::clone(shared), model: model.to_owned(), item: item.to_owned(), stream }
     }
 
     /// The text, at the end of the generation.
-    pub(super) fn take(mut self) -> Text {
-        std::mem::take(&mut self.text)
+    pub(super) fn take(self) -> Text {
+        self.stream.text.take()
     }
 }
 
 impl Drop for Carried {
     fn drop(&mut self) {
-        let text = std::mem::take(&mut self.text);
+        let text = self.stream.text.take();
         if !text.is_empty() {
             self.shared.rollout.kept.borrow_mut().put(&self.model, &self.item, text);
         }
--- a/system/data/src/rollout/driver.rs
+++ b/system/data/src/rollout/driver.rs
@@ -9,13 +9,14 @@
 use std::time::Duration;
 
 use gingerledge_protocol::{Configuration, Route, RouteKind};
-use gingerledge_wire::{DriverTerm, JobRecord, RenewState};
+use gingerledge_wire::{DriverTerm, JobRecord, PartialText, RenewState};
 use tokio::task::JoinSet;
 
 use super::drive::{Carried, Drive, DriveKey, Outcome, MAX_DRIVES};
 use super::generation::{self, Order};
 use super::hold;
 use super::plan::{Ended, JobPlan, Placement, Rules, Step};
+use super::saving::{self, Saving};
 use super::watch::Watch;
 use super::{results, reward, stores};
 use crate::index::KnownStore;
@@ -52,6 +53,7 @@
     job: Arc<JobRecord>,
     term: DriverTerm,
     listed: &[u32],
+    saved_before: Vec<PartialText>,
     held_until: Duration,
 ) {
     let now = shared.now();
@@ -81,6 +83,8 @@
         results: Vec::new(),
         appending: false,
         watch: Watch::default(),
+        saved_before,
+        saving: Saving::new(now),
         tasks: JoinSet::new(),
     });
     shared.rollout.renew.notify_one();
@@ -184,7 +188,8 @@
     let mut drives = shared.rollout.drives.borrow_mut();
     let (Outcome::Generation { drive: key, .. }
     | Outcome::Reward { drive: key, .. }
-    | Outcome::Appended { drive: key }) = outcome;
+    | Outcome::Appended { drive: key }
+    | Outcome::Saved { drive: key, .. }) = outcome;
     let Some(drive) = drives.all.get_mut(key) else { return };
     let Some(rules) = drive.rules else { return };
     let (item, step) = match outcome {
@@ -197,6 +202,10 @@
             drive.appending = false;
             return;
         }
+        Outcome::Saved { kept, .. } => {
+            drive.saving.ended(now, kept);
+            return;
+        }
     };
     match step {
         Step::Wait => {}
@@ -229,9 +238,11 @@
         None => false,
     };
     results::hand_in(shared, key, drive);
+    saving::save(shared, now, key, drive);
     let look = wanting.then_some(now + LOOK_AGAIN);
     let watch = drive.watch.due(shared.rollout.paces.borrow().usual());
-    [look, watch, drive.plan.next_due(now), Some(drive.held_until)].into_iter().flatten().min()
+    let save = drive.saving.due();
+    [look, watch, save, drive.plan.next_due(now), Some(drive.held_until)].into_iter().flatten().min()
 }
 
 /// The route that this edge saw is gone. One that it never saw may be newer than its configuration.
@@ -248,6 +259,7 @@
     let job = Arc::clone(drive.plan.job());
     let rules = rules(shared, &job, route);
     if drive.rules.is_none() {
+        take_up_saved(now, drive, rules);
         take_up_kept(shared, drive, rules);
     }
     drive.rules = Some(rules);
@@ -291,6 +303,13 @@
     services.last().map_or("", |&(service, _)| service)
 }
 
+/// Goes on from what the driver before has saved.
+fn take_up_saved(now: Duration, drive: &mut Drive, rules: Rules) {
+    let mut taken = std::mem::take(&mut drive.saved_before);
+    taken.retain(|text| drive.plan.take_over(now, text.clone(), rules));
+    drive.saving.begin_with(&taken);
+}
+
 fn take_up_kept(shared: &Shared, drive: &mut Drive, rules: Rules) {
     let job = Arc::clone(drive.plan.job());
     let mut kept = shared.rollout.kept.borrow_mut();
@@ -313,8 +332,8 @@
     let job = Arc::clone(drive.plan.job());
     let Some(item) = job.items.get(placement.item as usize) else { return };
     let counted = CountGuard::on(&store.out);
-    let stream = drive.watch.begin(placement.item, store);
-    let mut carried = Carried::new(shared, &job.model, &item.id, placement.text);
+    let stream = drive.watch.begin(placement.item, store, placement.text);
+    let carried = Carried::new(shared, &job.model, &item.id, Rc::clone(&stream));
     let order = Order {
         item: placement.item,
         stream,
@@ -327,7 +346,7 @@
     let shared = Rc::clone(shared);
     drive.tasks.spawn_local(async move {
         let ended = match may_send(&shared, key) {
-            true => generation::run(&shared, &order, &mut carried.text).await,
+            true => generation::run(&shared, &order).await,
             false => Ended::NeverRan,
         };
         drop(counted);
--- a/system/data/src/rollout/front.rs
+++ b/system/data/src/rollout/front.rs
@@ -88,7 +88,7 @@
         Some(JobsAnswer::Created { drive }) => {
             tell_model_use(shared, &job);
             if let Some(term) = drive {
-                driver::begin(shared, job, term, &[], asked_at + hold::hold_time(shared));
+                driver::begin(shared, job, term, &[], Vec::new(), asked_at + hold::hold_time(shared));
             }
             Ok(ReplyBody::status(StatusCode::ACCEPTED))
         }
--- a/system/data/src/rollout/generation.rs
+++ b/system/data/src/rollout/generation.rs
@@ -69,17 +69,18 @@
 }
 
 /// Runs a generation, and adds its events to the text. Dropping the future closes the connection.
-pub(super) async fn run(shared: &Rc<Shared>, order: &Order, text: &mut Text) -> Ended {
-    let Some(request) = request(order, text) else { return Ended::Impossible };
+pub(super) async fn run(shared: &Rc<Shared>, order: &Order) -> Ended {
+    let had = order.stream.text.borrow().last_id();
+    let Some(request) = request(order, had) else { return Ended::Impossible };
     let silence = SILENCE.max(order.usual_pause * SILENT_PAUSES);
     let timings = Timings { connect: CONNECT_TIMEOUT, head: silence.mul_f64(LONGER_TO_BEGIN), silence };
     match shared.stores.send(&order.stream.store.target, request, timings).await {
         Err(attempt) => not_answered(shared, order, attempt),
         Ok(answer) if answer.status.is_success() => {
             shared.health.answered(&order.stream.store.target.id);
-            let (began, had) = (shared.now(), text.last_id().unwrap_or(0));
-            let ended = read(order, answer, text).await;
-            let events = text.last_id().unwrap_or(0).saturating_sub(had);
+            let began = shared.now();
+            let ended = read(order, answer).await;
+            let events = order.stream.events.get();
             learn(shared, &order.stream.store.target.id, ended, events, began);
             ended
         }
@@ -92,7 +93,7 @@
 }
 
 /// The request of an item; none if it can't be put into HTTP, so that no store can ever take it.
-fn request(order: &Order, text: &Text) -> Option<Request<Full<Bytes>>> {
+fn request(order: &Order, last_id: Option<u64>) -> Option<Request<Full<Bytes>>> {
     let item = order.job.items.get(order.item as usize)?;
     let mut request = Request::builder().method(Method::POST).uri(&item.path);
     let headers = request.headers_mut()?;
@@ -112,7 +113,7 @@
     if let Some(version) = order.only_version {
         headers.insert(EXPECT_VERSION, version.into());
     }
-    if let Some(last) = text.last_id() {
+    if let Some(last) = last_id {
         headers.insert(headers::LAST_EVENT_ID, last.into());
     }
     request.body(Full::new(Bytes::copy_from_slice(&item.body))).ok()
@@ -165,12 +166,14 @@
 }
 
 /// Reads the events of an answer until its end.
-async fn read(order: &Order, answer: StoreAnswer, text: &mut Text) -> Ended {
+async fn read(order: &Order, answer: StoreAnswer) -> Ended {
     let mut version = version_of(&answer.headers);
-    if version.is_none() && !order.job.model.is_empty() {
+    let of_a_model = !order.job.model.is_empty();
+    // A store that has nothing to add to a text made no event, so it names no version.
+    if version.is_none() && of_a_model && order.stream.text.borrow().is_empty() {
         return Ended::Other;
     }
-    if !fits(order, text, version) {
+    if !fits(order, &order.stream.text.borrow(), version) {
         return Ended::WrongVersion;
     }
     let mut reader = EventReader::default();
@@ -189,7 +192,8 @@
         };
         let taken = reader.feed(&piece, |event: Event<'_>| {
             version = event.version.or(version);
-            if !fits(order, text, version) {
+            let mut text = order.stream.text.borrow_mut();
+            if !fits(order, &text, version) || (version.is_none() && of_a_model) {
                 return Err(Stop::WrongVersion);
             }
             match text.add(event, version) {
--- a/system/data/src/rollout/mod.rs
+++ b/system/data/src/rollout/mod.rs
@@ -15,6 +15,7 @@
 pub mod plan;
 mod results;
 mod reward;
+mod saving;
 mod stores;
 mod submission;
 mod watch;
@@ -63,7 +64,9 @@
 pub fn on_message(shared: &Rc<Shared>, _from: SocketAddr, message: JobsMessage) {
     match message {
         JobsMessage::Answer { request, body } => shared.rollout.backends.answered(request, body),
-        JobsMessage::Drive { job, term, listed } => driver::begin(shared, job, term, &listed, shared.now()),
+        JobsMessage::Drive { job, term, listed, texts } => {
+            driver::begin(shared, job, term, &listed, texts, shared.now());
+        }
         JobsMessage::Stop { job, term } => driver::stop(shared, &job, term, RenewState::Fenced),
         JobsMessage::Ask { .. } => log::warn!("an edge was asked what only backends know"),
     }
--- a/system/data/src/rollout/plan/item.rs
+++ b/system/data/src/rollout/plan/item.rs
@@ -79,6 +79,8 @@
 pub(super) struct Item {
     pub(super) state: State,
     pub(super) text: Text,
+    /// Which beginning of its text this is: drawn anew with each.
+    pub(super) origin: u64,
     /// 500s of stores to the generation.
     failures: u32,
     /// 500s of stores to the reward call.
@@ -96,6 +98,7 @@
         Self {
             state: State::Unplaced { from: Duration::ZERO },
             text: Text::default(),
+            origin: 0,
             failures: 0,
             reward_failures: 0,
             fruitless: 0,
@@ -117,13 +120,26 @@
     }
 
     /// It goes to a store; gives out the text so far, which its run carries on.
-    pub(super) fn placed(&mut self) -> Text {
+    pub(super) fn placed(&mut self, random: &mut fastrand::Rng) -> Text {
         self.state = State::Out;
+        if self.text.is_empty() {
+            self.origin = random.u64(..);
+        }
         self.begun = true;
         self.had = self.text.last_id();
         std::mem::take(&mut self.text)
     }
 
+    /// Goes on from what another driver has saved.
+    pub(super) fn take_over(&mut self, now: Duration, text: Text, origin: u64, whole: bool) {
+        self.text = text;
+        self.origin = origin;
+        self.begun = true;
+        if whole {
+            self.state = State::Whole { from: now };
+        }
+    }
+
     /// The text so far can't be used.
     pub(super) fn start_over(&mut self) {
         self.text = Text::default();
--- a/system/data/src/rollout/plan/mod.rs
+++ b/system/data/src/rollout/plan/mod.rs
@@ -10,12 +10,13 @@
 mod pace;
 mod placement;
 mod room;
+mod saving;
 mod text;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use gingerledge_wire::{JobRecord, ResultRecord};
+use gingerledge_wire::{JobRecord, PartialText, ResultRecord};
 
 pub use groups::Groups;
 pub use item::{Ended, RewardEnded};
@@ -24,6 +25,7 @@
 pub use pace::Paces;
 pub use placement::{Placement, StoreView};
 pub use room::Rooms;
+pub use saving::{SavedTexts, TextView};
 pub use text::{Added, Text, MAX_TEXT_BYTES};
 
 /// What the route of a batch job says now.
@@ -85,6 +87,32 @@
         }
     }
 
+    /// Takes over a text that another driver has saved, if the item has not begun and the versions fit; says whether it did.
+    pub fn take_over(&mut self, now: Duration, saved: PartialText, rules: Rules) -> bool {
+        let Some(item) = self.items.get_mut(saved.item as usize) else { return false };
+        let (origin, whole) = (saved.origin, saved.whole);
+        let text = Text::restored(saved);
+        if !item.is_fresh() || !text.fits(self.job.min_version, rules.single_version) {
+            return false;
+        }
+        item.take_over(now, text, origin, whole);
+        true
+    }
+
+    /// The texts so far of items that are not at a store.
+    pub fn resting_texts(&self) -> impl Iterator<Item = TextView<'_>> {
+        let resting = self.items.iter().enumerate().filter(|(_, item)| item.state != State::Listed);
+        resting.map(|(index, item)| {
+            let whole = matches!(item.state, State::Whole { .. } | State::Rewarding);
+            TextView { item: index as u32, origin: item.origin, text: &item.text, whole }
+        })
+    }
+
+    /// Which beginning of its text an item is at.
+    pub fn origin(&self, index: u32) -> u64 {
+        self.items.get(index as usize).map_or(0, |item| item.origin)
+    }
+
     /// Gives out the texts so far of the items that have no result, for whoever drives the batch job next.
     pub fn take_texts(&mut self) -> Vec<(u32, Text)> {
         let open = self.items.iter_mut().enumerate().filter(|(_, item)| item.state != State::Listed);
--- a/system/data/src/rollout/plan/placement.rs
+++ b/system/data/src/rollout/plan/placement.rs
@@ -174,7 +174,8 @@
         if let Some(group) = self.plan.groups.all.get_mut(group) {
             group.read_at(&store.id);
         }
-        self.placed.push(Placement { item: index, store: place, text: item.placed(), only_version });
+        let text = item.placed(&mut self.plan.random);
+        self.placed.push(Placement { item: index, store: place, text, only_version });
     }
 }
 
--- a/system/data/src/rollout/plan/text.rs
+++ b/system/data/src/rollout/plan/text.rs
@@ -1,5 +1,7 @@
 //! The text of one item so far: whole events only, with the versions of the weights that made them.
 
+use gingerledge_wire::PartialText;
+
 use crate::rollout::events::Event;
 
 /// The most bytes of one text.
@@ -69,6 +71,16 @@
         self.data.len()
     }
 
+    /// A text as it was saved by another driver; nothing follows from its data being there but that it was taken from a text.
+    pub fn restored(saved: PartialText) -> Self {
+        Self { data: saved.data, last_id: Some(saved.last_id), versions: saved.versions }
+    }
+
+    /// The data from a place on.
+    pub fn data_from(&self, start: usize) -> &[u8] {
+        self.data.get(start..).unwrap_or_default()
+    }
+
     /// The data of all events, parted by line feeds, and the versions.
     pub fn into_parts(self) -> (Vec<u8>, Vec<u64>) {
         (self.data, self.versions)
--- a/system/data/src/rollout/watch.rs
+++ b/system/data/src/rollout/watch.rs
@@ -1,13 +1,13 @@
 //! Watches the streams of one batch job that are under way, and has those moved that turned slow.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::sync::Notify;
 
-use super::plan::{slow_streams, window, Rules, StoreView, StreamView};
+use super::plan::{slow_streams, window, Rules, StoreView, StreamView, Text};
 use super::stores::Stores;
 use crate::index::KnownStore;
 use crate::Shared;
@@ -18,6 +18,8 @@
     pub(super) store: Rc<KnownStore>,
     /// Events that it has brought.
     pub(super) events: Cell<u64>,
+    /// The text so far of its item.
+    pub(super) text: RefCell<Text>,
     /// It is to be given up, to go on elsewhere.
     pub(super) moved: Notify,
 }
@@ -37,8 +39,9 @@
 
 impl Watch {
     /// A generation begins.
-    pub(super) fn begin(&mut self, item: u32, store: Rc<KnownStore>) -> Rc<Stream> {
-        let stream = Rc::new(Stream { store, events: Cell::new(0), moved: Notify::new() });
+    pub(super) fn begin(&mut self, item: u32, store: Rc<KnownStore>, text: Text) -> Rc<Stream> {
+        let text = RefCell::new(text);
+        let stream = Rc::new(Stream { store, events: Cell::new(0), text, moved: Notify::new() });
         self.streams.insert(item, Watched { stream: Rc::clone(&stream), seen: None });
         stream
     }
@@ -48,6 +51,11 @@
         self.streams.remove(&item);
     }
 
+    /// The streams under way, by item.
+    pub(super) fn streams(&self) -> impl Iterator<Item = (u32, &Rc<Stream>)> {
+        self.streams.iter().map(|(&item, watched)| (item, &watched.stream))
+    }
+
     /// When the next look is due; none while nothing is under way.
     pub(super) fn due(&self, usual_pause: Duration) -> Option<Duration> {
         (!self.streams.is_empty()).then(|| self.looked + window(usual_pause))
--- a/system/data/tests/rollout_common/backend.rs
+++ b/system/data/tests/rollout_common/backend.rs
@@ -9,7 +9,8 @@
 
 use gingerledge_transport::{Incoming, Network, NetworkSettings};
 use gingerledge_wire::{
-    DriverTerm, Envelope, JobRecord, JobsAnswer, JobsMessage, JobsRequest, RenewState, ResultRecord,
+    DriverTerm, Envelope, JobRecord, JobsAnswer, JobsMessage, JobsRequest, PartialText, RenewState,
+    ResultRecord,
 };
 
 /// What the backend says to one question, in place of the proper answer.
@@ -28,6 +29,8 @@
     term: DriverTerm,
     ended: bool,
     results: Vec<ResultRecord>,
+    /// Parts of texts, as they came.
+    saved: Vec<PartialText>,
 }
 
 type Script = Box<dyn Fn(&JobsRequest) -> Option<Says>>;
@@ -82,11 +85,28 @@
 
     /// Tells an edge to drive a batch job, which is kept here from now on.
     pub fn tell_to_drive(&self, edge: SocketAddr, job: JobRecord, term: DriverTerm, listed: Vec<u32>) {
+        self.tell_to_go_on(edge, job, term, listed, Vec::new());
+    }
+
+    /// The same, with texts that were saved before.
+    pub fn tell_to_go_on(
+        &self,
+        edge: SocketAddr,
+        job: JobRecord,
+        term: DriverTerm,
+        listed: Vec<u32>,
+        texts: Vec<PartialText>,
+    ) {
         let job = Arc::new(job);
         let results = listed.iter().map(|&item| listed_before(item)).collect();
-        let kept = Kept { job: Arc::clone(&job), term, ended: false, results };
+        let kept = Kept { job: Arc::clone(&job), term, ended: false, results, saved: Vec::new() };
         self.state.borrow_mut().jobs.insert(job.id.clone(), kept);
-        self.send(edge, JobsMessage::Drive { job, term, listed });
+        self.send(edge, JobsMessage::Drive { job, term, listed, texts });
+    }
+
+    /// Parts of texts that were saved, in order.
+    pub fn saved(&self, job: &str) -> Vec<PartialText> {
+        self.state.borrow().jobs.get(job).map_or_else(Vec::new, |kept| kept.saved.clone())
     }
 
     pub fn send(&self, edge: SocketAddr, message: JobsMessage) {
@@ -142,11 +162,19 @@
     fn properly(&mut self, body: JobsRequest) -> JobsAnswer {
         match body {
             JobsRequest::Create { job } => {
-                let kept = Kept { job: Arc::clone(&job), term: 1, ended: false, results: Vec::new() };
+                let (results, saved) = (Vec::new(), Vec::new());
+                let kept = Kept { job: Arc::clone(&job), term: 1, ended: false, results, saved };
                 let kept = self.jobs.entry(job.id.clone()).or_insert(kept);
                 JobsAnswer::Created { drive: (!kept.ended).then_some(kept.term) }
             }
             JobsRequest::Append { job, term, results } => self.append(&job, term, results),
+            JobsRequest::Save { job, term, texts } => match self.jobs.get_mut(&job) {
+                Some(kept) if kept.term == term => {
+                    kept.saved.extend(texts);
+                    JobsAnswer::Appended
+                }
+                _ => JobsAnswer::Fenced,
+            },
             JobsRequest::End { job } => match self.jobs.get_mut(&job) {
                 Some(kept) => {
                     kept.ended = true;
--- a/system/data/tests/rollout_common/engine.rs
+++ b/system/data/tests/rollout_common/engine.rs
@@ -42,6 +42,8 @@
     LeaveOut(u64),
     /// These bytes in chunks, as they are, and the proper end.
     Chunks(Vec<String>),
+    /// The proper end at once, and no version, since no event was made.
+    NothingMore,
     /// A whole answer of this status with the stamp `stamp of ID`.
     Answer(&'static str),
     /// 503 with `Not-Executed`.
@@ -161,6 +163,13 @@
                 );
                 say(stream, &answer).await
             }
+            Does::NothingMore => {
+                let answer = format!(
+                    "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: stamp of {id}\r\n\
+                     Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+                );
+                say(stream, &answer).await
+            }
             Does::Silence => hang(stream).await,
             Does::Stream => self.stream(asked, stream, version, &events(EVENTS)).await,
             Does::Chunks(pieces) => self.stream(asked, stream, version, &pieces).await,
--- a/system/data/tests/rollout_hold.rs
+++ b/system/data/tests/rollout_hold.rs
@@ -178,7 +178,12 @@
 fn an_older_term_does_not_replace_the_newer() {
     run(async {
         let (world, engine) = under_way().await;
-        let older = JobsMessage::Drive { job: job("j", 1, 2).into(), term: TERM - 1, listed: vec![0, 1] };
+        let older = JobsMessage::Drive {
+            job: job("j", 1, 2).into(),
+            term: TERM - 1,
+            listed: vec![0, 1],
+            texts: Vec::new(),
+        };
         world.backend.send(world.shared.address(), older);
         let heard = world.backend.heard().len();
         until("it is renewed on", || world.backend.heard().len() >= heard + 3).await;
--- /dev/null
+++ b/system/data/tests/rollout_saving.rs
@@ -0,0 +1,198 @@
+//! Texts so far are saved with their batch job, and whoever drives it next goes on from there.
+
+mod rollout_common;
+
+use std::borrow::Cow;
+
+use gingerledge_data::rollout::events::Event;
+use gingerledge_data::rollout::plan::{SavedTexts, Text, TextView};
+use gingerledge_wire::PartialText;
+use rollout_common::*;
+use yare::parameterized;
+
+const TERM: u64 = 4;
+const ORIGIN: u64 = 11;
+const PLENTY: usize = 1 << 20;
+
+/// A text of the events from 1 to `last`, as the engines of these tests make it.
+fn text(item: &str, last: u64) -> Text {
+    let mut text = Text::default();
+    for id in 1..=last {
+        text.add(Event { id, version: None, data: format!("{item}.{id}").as_bytes() }, Some(2));
+    }
+    text
+}
+
+fn view(text: &Text, origin: u64) -> TextView<'_> {
+    TextView { item: 0, origin, text, whole: false }
+}
+
+fn part(saved: &SavedTexts, text: &Text, origin: u64) -> Option<PartialText> {
+    saved.parts(std::iter::once(view(text, origin)), PLENTY).pop()
+}
+
+fn kept(saved: &mut SavedTexts, part: PartialText) {
+    let sizes = saved.sizes(std::slice::from_ref(&part));
+    saved.kept(&[part], &sizes);
+}
+
+fn data(part: &PartialText) -> Cow<'_, str> {
+    String::from_utf8_lossy(&part.data)
+}
+
+#[test]
+fn only_what_is_new_is_saved_and_the_parts_make_the_text() {
+    let mut saved = SavedTexts::default();
+    let mut whole = Vec::new();
+    let mut after = None;
+    for last in [2, 3, 5] {
+        let part = part(&saved, &text("i0", last), ORIGIN).expect("a part");
+        assert_eq!((part.after, part.last_id), (after, last));
+        whole.extend_from_slice(&part.data);
+        kept(&mut saved, part);
+        after = Some(last);
+    }
+    assert_eq!(part(&saved, &text("i0", 5), ORIGIN), None, "nothing is new");
+    assert_eq!(whole, text("i0", 5).into_parts().0);
+}
+
+#[test]
+fn an_empty_text_is_not_saved() {
+    assert_eq!(part(&SavedTexts::default(), &Text::default(), ORIGIN), None);
+}
+
+#[test]
+fn a_text_that_began_anew_is_saved_from_its_beginning() {
+    let mut saved = SavedTexts::default();
+    let first = part(&saved, &text("i0", 3), ORIGIN).expect("a part");
+    kept(&mut saved, first);
+    let again = part(&saved, &text("other", 5), ORIGIN + 1).expect("a part");
+    assert_eq!((again.after, again.origin), (None, ORIGIN + 1));
+    assert!(data(&again).starts_with("other.1"));
+}
+
+#[test]
+fn what_may_not_have_been_kept_is_saved_from_the_beginning() {
+    let mut saved = SavedTexts::default();
+    let first = part(&saved, &text("i0", 3), ORIGIN).expect("a part");
+    kept(&mut saved, first);
+    let second = part(&saved, &text("i0", 4), ORIGIN).expect("a part");
+    saved.sent(std::slice::from_ref(&second));
+    let third = part(&saved, &text("i0", 5), ORIGIN).expect("a part");
+    assert_eq!((third.after, third.last_id), (None, 5));
+}
+
+#[test]
+fn that_a_text_is_whole_is_saved_too() {
+    let mut saved = SavedTexts::default();
+    let text = text("i0", EVENTS);
+    let first = part(&saved, &text, ORIGIN).expect("a part");
+    kept(&mut saved, first);
+    let whole = TextView { whole: true, ..view(&text, ORIGIN) };
+    let last = saved.parts(std::iter::once(whole), PLENTY).pop().expect("a part");
+    assert_eq!((last.after, last.whole, last.data.is_empty()), (Some(EVENTS), true, true));
+}
+
+#[test]
+fn parts_are_bounded_and_the_rest_comes_later() {
+    let saved = SavedTexts::default();
+    let texts = [text("i0", 3), text("i1", 3)];
+    let views =
+        texts.iter().enumerate().map(|(item, text)| TextView { item: item as u32, ..view(text, ORIGIN) });
+    let parts = saved.parts(views, texts[0].len());
+    assert_eq!(parts.iter().map(|part| part.item).collect::<Vec<_>>(), [0]);
+}
+
+/// What another driver has saved of item 0.
+fn saved_before(last_id: u64, version: u64) -> PartialText {
+    let (data, _) = text("i0", last_id).into_parts();
+    let whole = last_id == EVENTS;
+    PartialText { item: 0, origin: ORIGIN, after: None, last_id, data, versions: vec![version], whole }
+}
+
+#[test]
+fn texts_under_way_are_saved_and_go_on_being_saved() {
+    run(async {
+        let world = World::start(Route::default()).await;
+        let script = |asked: &Asked| if asked.nth == 0 { Does::HangAfter(2) } else { Does::HangAfter(3) };
+        let engine = Engine::start("a", 2, script).await;
+        world.learn_engine(&engine);
+        world.backend.tell_to_drive(world.shared.address(), job("j", 1, 2), TERM, Vec::new());
+        until("both are saved", || world.backend.saved("j").len() >= 2).await;
+        for part in world.backend.saved("j") {
+            assert_eq!((part.after, part.last_id), (None, 2));
+            assert_eq!(data(&part), format!("i{0}.1\ni{0}.2", part.item));
+        }
+    });
+}
+
+#[parameterized(
+    in_the_middle = { 3, 2 },
+    all_but_its_end = { EVENTS - 1, 2 },
+)]
+fn the_next_driver_goes_on_after_what_was_saved(last_id: u64, version: u64) {
+    run(async move {
+        let world = World::start(Route::default()).await;
+        let engine = Engine::start("a", 2, |_| Does::Stream).await;
+        world.learn_engine(&engine);
+        let texts = vec![saved_before(last_id, version)];
+        world.backend.tell_to_go_on(world.shared.address(), job("j", 1, 1), TERM, Vec::new(), texts);
+        until("a result", || world.backend.results("j").len() == 1).await;
+        let heard = engine.heard();
+        assert_eq!(heard.iter().map(|asked| asked.last_event).collect::<Vec<_>>(), [Some(last_id)]);
+        let result = world.backend.results("j").remove(0);
+        assert_eq!(String::from_utf8_lossy(&result.text), whole_text("i0"));
+        assert_eq!(result.versions, [2]);
+    });
+}
+
+#[test]
+fn a_text_that_was_saved_whole_is_only_scored() {
+    run(async {
+        let world = World::start(Route::default()).await;
+        let engine = Engine::start("a", 2, |_| Does::Silence).await;
+        world.learn_engine(&engine);
+        let texts = vec![saved_before(EVENTS, 2)];
+        world.backend.tell_to_go_on(world.shared.address(), job("j", 1, 1), TERM, Vec::new(), texts);
+        until("a result", || world.backend.results("j").len() == 1).await;
+        assert!(engine.heard().is_empty());
+        assert_eq!(world.rewards.heard().len(), 1);
+        assert_eq!(String::from_utf8_lossy(&world.backend.results("j")[0].text), whole_text("i0"));
+    });
+}
+
+#[test]
+fn a_saved_text_of_a_version_that_is_too_old_is_not_used() {
+    run(async {
+        let world = World::start(Route::default()).await;
+        let engine = Engine::start("a", 2, |_| Does::Stream).await;
+        world.learn_engine(&engine);
+        let texts = vec![saved_before(3, 1)];
+        world.backend.tell_to_go_on(world.shared.address(), job("j", 1, 1), TERM, Vec::new(), texts);
+        until("a result", || world.backend.results("j").len() == 1).await;
+        assert_eq!(engine.heard()[0].last_event, None);
+        assert_eq!(world.backend.results("j")[0].versions, [2]);
+    });
+}
+
+#[test]
+fn a_store_that_has_nothing_to_add_names_no_version_and_ends_the_text() {
+    run(async {
+        let world = World::start(Route::default()).await;
+        let engine = Engine::start("a", 2, |_| Does::NothingMore).await;
+        world.learn_engine(&engine);
+        let mut all_events = saved_before(EVENTS, 2);
+        all_events.whole = false;
+        let texts = vec![all_events];
+        world.backend.tell_to_go_on(world.shared.address(), job("j", 1, 1), TERM, Vec::new(), texts);
+        until("a result", || world.backend.results("j").len() == 1).await;
+        assert_eq!(engine.heard().len(), 1);
+        assert_eq!(String::from_utf8_lossy(&world.backend.results("j")[0].text), whole_text("i0"));
+    });
+}
+
+/// Runs a test on one thread.
+fn run(test: impl std::future::Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("runtime");
+    runtime.block_on(local(test));
+}
--- a/system/jobs/src/partition/asks.rs
+++ b/system/jobs/src/partition/asks.rs
@@ -59,6 +59,13 @@
                 let command = Command::Append { job, term, results };
                 self.ask_write(context, asker, done, command, room);
             }
+            JobsRequest::Save { job, term, texts } => {
+                let done = self.store.job(&job).and_then(|known| refused(known, term));
+                let bytes = texts.iter().map(|text| text.data.len() as u64).sum::<u64>();
+                let done = done.or((bytes > room.state_bytes).then_some(JobsAnswer::Full));
+                let command = Command::Save { job, term, texts };
+                self.ask_write(context, asker, done, command, room);
+            }
             JobsRequest::End { job } => {
                 let ended = self.store.job(&job).is_some_and(Job::is_ended);
                 let done = ended.then_some(JobsAnswer::Ended);
@@ -167,17 +174,23 @@
     }
 }
 
+/// The answer to a driver that is none any more.
+fn refused(job: &Job, term: DriverTerm) -> Option<JobsAnswer> {
+    if job.is_ended() {
+        return Some(JobsAnswer::Ended);
+    }
+    (term < job.term()).then_some(JobsAnswer::Fenced)
+}
+
 /// The answer to results that need not be written: an older term, an ended batch job, or all of them are there.
 fn append_done(
     job: &Job,
     term: DriverTerm,
     results: &[gingerledge_wire::ResultRecord],
 ) -> Option<JobsAnswer> {
-    if job.is_ended() {
-        return Some(JobsAnswer::Ended);
-    }
-    if term < job.term() {
-        return Some(JobsAnswer::Fenced);
+    let refused = refused(job, term);
+    if refused.is_some() {
+        return refused;
     }
     let listed = results.iter().all(|result| job.is_listed(result.item));
     (listed && term == job.term()).then_some(JobsAnswer::Appended)
--- a/system/jobs/src/partition/driving.rs
+++ b/system/jobs/src/partition/driving.rs
@@ -58,7 +58,8 @@
         self.holds.told(context.now.steady, id);
         if let Some(to) = context.edges.address(job.driver().incarnation) {
             let record = Arc::new(job.record().clone());
-            let message = JobsMessage::Drive { job: record, term: job.term(), listed: job.listed_items() };
+            let (listed, texts) = (job.listed_items(), job.texts());
+            let message = JobsMessage::Drive { job: record, term: job.term(), listed, texts };
             context.out.push(PartitionAction::SendEdge { to, message });
         }
     }
--- a/system/jobs/src/store/command.rs
+++ b/system/jobs/src/store/command.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use gingerledge_wire::{DriverTerm, JobId, JobRecord, JobsAnswer, ResultRecord};
+use gingerledge_wire::{DriverTerm, JobId, JobRecord, JobsAnswer, PartialText, ResultRecord};
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 
@@ -38,6 +38,15 @@
         /// The results, in order.
         results: Vec<ResultRecord>,
     },
+    /// Keep parts of texts.
+    Save {
+        /// The batch job.
+        job: JobId,
+        /// The driver's term.
+        term: DriverTerm,
+        /// The parts, in order.
+        texts: Vec<PartialText>,
+    },
     /// End a batch job.
     End {
         /// The batch job.
@@ -99,7 +108,7 @@
         /// Its driver and term; none once it has ended or all its results are there.
         driver: Option<(u64, DriverTerm)>,
     },
-    /// The results are kept, now or before.
+    /// The results are kept, now or before; or the parts of texts that fitted.
     Appended,
     /// The term is not the current one.
     Fenced,
@@ -136,9 +145,11 @@
     pub fn job(&self) -> &JobId {
         match self {
             Self::Create { job, .. } => &job.id,
-            Self::Append { job, .. } | Self::End { job } | Self::Drive { job, .. } | Self::Forget { job } => {
-                job
-            }
+            Self::Append { job, .. }
+            | Self::Save { job, .. }
+            | Self::End { job }
+            | Self::Drive { job, .. }
+            | Self::Forget { job } => job,
         }
     }
 }
--- a/system/jobs/src/store/job.rs
+++ b/system/jobs/src/store/job.rs
@@ -1,12 +1,16 @@
 //! One batch job: its items, its results by position, its driver.
 
-use gingerledge_wire::{DriverTerm, ItemRecord, JobRecord, ResultRecord};
+use std::collections::BTreeMap;
+
+use gingerledge_wire::{DriverTerm, ItemRecord, JobRecord, PartialText, ResultRecord};
 use serde::{Deserialize, Serialize};
 
 use super::EdgeProcess;
 
 /// What an item or a result takes in memory besides its strings and bodies.
 const OVERHEAD_BYTES: u64 = 160;
+/// The most bytes of a text that are kept before it is whole; what is longer begins anew at the next driver.
+const MOST_TEXT_BYTES: usize = 256 * 1024;
 
 /// A batch job as a replica keeps it. What a listed item needed for its run is dropped, and with the end all of it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -16,6 +20,8 @@
     listed: Vec<bool>,
     /// By position.
     results: Vec<ResultRecord>,
+    /// Texts so far of items that are not listed, by item; each from its first event on.
+    texts: BTreeMap<u32, PartialText>,
     driver: EdgeProcess,
     term: DriverTerm,
     ended: bool,
@@ -27,7 +33,8 @@
     pub fn new(record: JobRecord, driver: EdgeProcess) -> Self {
         let listed = vec![false; record.items.len()];
         let bytes = record_bytes(&record);
-        Self { record, listed, results: Vec::new(), driver, term: 1, ended: false, bytes }
+        let (results, texts) = (Vec::new(), BTreeMap::new());
+        Self { record, listed, results, texts, driver, term: 1, ended: false, bytes }
     }
 
     /// The batch job; items that are listed have neither body nor headers nor reward call any more.
@@ -40,6 +47,11 @@
         &self.results
     }
 
+    /// Texts so far of items that have no result.
+    pub fn texts(&self) -> Vec<PartialText> {
+        self.texts.values().cloned().collect()
+    }
+
     /// The driver.
     pub fn driver(&self) -> EdgeProcess {
         self.driver
@@ -112,13 +124,44 @@
             return;
         }
         self.bytes = self.bytes.saturating_sub(release(item)) + result_bytes(&result);
+        self.drop_text(result.item);
         self.results.push(result);
     }
 
+    /// Keeps a part of a text, if it begins the text or goes on where the kept one ends.
+    pub(super) fn save(&mut self, part: PartialText) {
+        if self.is_listed(part.item) || part.data.len() > MOST_TEXT_BYTES {
+            return;
+        }
+        if part.after.is_none() {
+            self.drop_text(part.item);
+            self.bytes += text_bytes(&part);
+            self.texts.insert(part.item, part);
+            return;
+        }
+        let Some(known) = self.texts.get_mut(&part.item) else { return };
+        let goes_on = known.origin == part.origin && Some(known.last_id) == part.after;
+        if goes_on && known.data.len() + part.data.len() <= MOST_TEXT_BYTES {
+            self.bytes -= text_bytes(known);
+            known.data.extend_from_slice(&part.data);
+            known.last_id = part.last_id;
+            known.versions = part.versions;
+            known.whole = part.whole;
+            self.bytes += text_bytes(known);
+        }
+    }
+
+    fn drop_text(&mut self, item: u32) {
+        if let Some(text) = self.texts.remove(&item) {
+            self.bytes = self.bytes.saturating_sub(text_bytes(&text));
+        }
+    }
+
     /// Ends it; says whether it was open.
     pub(super) fn end(&mut self) -> bool {
         let released: u64 = self.record.items.iter_mut().map(release).sum();
-        self.bytes = self.bytes.saturating_sub(released);
+        let texts: u64 = std::mem::take(&mut self.texts).values().map(text_bytes).sum();
+        self.bytes = self.bytes.saturating_sub(released + texts);
         !std::mem::replace(&mut self.ended, true)
     }
 
@@ -165,6 +208,10 @@
     OVERHEAD_BYTES + length(&[result.text.len(), result.score.len(), result.versions.len() * 8])
 }
 
+fn text_bytes(text: &PartialText) -> u64 {
+    OVERHEAD_BYTES + length(&[text.data.len(), text.versions.len() * 8])
+}
+
 fn length(parts: &[usize]) -> u64 {
     parts.iter().sum::<usize>() as u64
 }
--- a/system/jobs/src/store/mod.rs
+++ b/system/jobs/src/store/mod.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use gingerledge_wire::{DriverTerm, JobId, JobRecord, ResultRecord};
+use gingerledge_wire::{DriverTerm, JobId, JobRecord, PartialText, ResultRecord};
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 
@@ -31,6 +31,7 @@
         match command {
             Command::Create { job, edge } => self.create(job, edge),
             Command::Append { job, term, results } => self.append(&job, term, results),
+            Command::Save { job, term, texts } => self.save(&job, term, texts),
             Command::End { job } => self.end(&job),
             Command::Drive { job, term, edge } => self.drive(&job, term, edge),
             Command::Forget { job } => self.forget(&job),
@@ -76,6 +77,15 @@
     }
 
     fn append(&mut self, id: &str, term: DriverTerm, results: Vec<ResultRecord>) -> Outcome {
+        self.driven(id, term, |job| results.into_iter().for_each(|result| job.list(result)))
+    }
+
+    fn save(&mut self, id: &str, term: DriverTerm, texts: Vec<PartialText>) -> Outcome {
+        self.driven(id, term, |job| texts.into_iter().for_each(|text| job.save(text)))
+    }
+
+    /// Carries out what only the present driver may do.
+    fn driven(&mut self, id: &str, term: DriverTerm, change: impl FnOnce(&mut Job)) -> Outcome {
         let Some(job) = self.jobs.get_mut(id) else { return Outcome::Unknown };
         if job.is_ended() {
             return Outcome::Ended { stopped: None };
@@ -84,7 +94,7 @@
             return Outcome::Fenced;
         }
         self.bytes -= job.bytes();
-        results.into_iter().for_each(|result| job.list(result));
+        change(job);
         self.bytes += job.bytes();
         Outcome::Appended
     }
--- a/system/jobs/tests/backend.rs
+++ b/system/jobs/tests/backend.rs
@@ -11,7 +11,8 @@
 use gingerledge_jobs::JobsSettings;
 use gingerledge_protocol::Settings;
 use gingerledge_wire::{
-    ItemRecord, JobRecord, JobsAnswer, JobsMessage, JobsRequest, PartitionRecord, RenewState, ResultRecord,
+    ItemRecord, JobRecord, JobsAnswer, JobsMessage, JobsRequest, PartialText, PartitionRecord, RenewState,
+    ResultRecord,
 };
 use yare::parameterized;
 
@@ -186,6 +187,13 @@
     JobsRequest::Read { job: "j".to_owned(), start_after, wait_ms, max_bytes: 1_000_000 }
 }
 
+/// A part of the text of the second item.
+fn save(term: u64, after: Option<u64>, last_id: u64, data: &[u8]) -> JobsRequest {
+    let (data, versions) = (data.to_vec(), vec![1]);
+    let part = PartialText { item: 1, origin: 9, after, last_id, data, versions, whole: false };
+    JobsRequest::Save { job: "j".to_owned(), term, texts: vec![part] }
+}
+
 fn renew(term: u64) -> JobsRequest {
     JobsRequest::Renew { jobs: vec![("j".to_owned(), term)] }
 }
@@ -306,7 +314,7 @@
     }
     bench.pass(1_600);
     let drive = bench.sent.iter().find_map(|message| match message {
-        JobsMessage::Drive { term, listed, job } => Some((*term, listed.len(), job.items.len())),
+        JobsMessage::Drive { term, listed, job, .. } => Some((*term, listed.len(), job.items.len())),
         _ => None,
     });
     assert_eq!(drive, Some((2, 0, 2)));
@@ -370,6 +378,26 @@
     );
 }
 
+#[test]
+fn the_next_driver_is_told_the_texts_that_were_saved() {
+    let mut bench = Bench::new(0);
+    bench.ask(create(10));
+    assert!(matches!(bench.ask(save(1, None, 3, b"one"))[..], [JobsAnswer::Appended]));
+    assert!(matches!(bench.ask(save(1, Some(3), 4, b"two"))[..], [JobsAnswer::Appended]));
+    bench.restart();
+    bench.edge_is_there(NEXT_LIFE, address(EDGE));
+    let texts = bench.sent.iter().find_map(|message| match message {
+        JobsMessage::Drive { term: 2, texts, .. } => Some(texts.clone()),
+        _ => None,
+    });
+    let texts: Vec<_> = texts.unwrap().into_iter().map(|text| (text.last_id, text.data)).collect();
+    assert_eq!(texts, [(4, b"onetwo".to_vec())]);
+    bench.sent.clear();
+    assert!(matches!(bench.ask(save(1, Some(4), 5, b"late"))[..], [JobsAnswer::Fenced]));
+    bench.ask(end());
+    assert!(matches!(bench.ask(save(2, Some(4), 5, b"late"))[..], [JobsAnswer::Ended]));
+}
+
 #[test]
 fn a_driver_that_is_still_there_drives_on_when_the_head_has_started_again() {
     let mut bench = Bench::new(0);
--- a/system/jobs/tests/common/edges.rs
+++ b/system/jobs/tests/common/edges.rs
@@ -264,7 +264,7 @@
         let now = world.now;
         match message {
             JobsMessage::Answer { request, body } => self.answered(now, request, body),
-            JobsMessage::Drive { job, term, listed } => {
+            JobsMessage::Drive { job, term, listed, .. } => {
                 for item in listed {
                     assert!((item as usize) < job.items.len());
                 }
--- a/system/jobs/tests/store.rs
+++ b/system/jobs/tests/store.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use gingerledge_jobs::store::{Command, EdgeProcess, Outcome, Store};
-use gingerledge_wire::{ItemRecord, JobRecord, ResultRecord, ScoringRecord};
+use gingerledge_wire::{ItemRecord, JobRecord, PartialText, ResultRecord, ScoringRecord};
 use yare::parameterized;
 
 const EDGE: u64 = 7;
@@ -106,6 +106,77 @@
     assert_eq!(listed(&store), pairs(&[("a", "a")]));
 }
 
+/// A part of the text of item 1: from which beginning, after which event, up to which, and its data.
+type Part = (u64, Option<u64>, u64, &'static str);
+
+fn save(store: &mut Store, term: u64, (origin, after, last_id, data): Part) -> Outcome {
+    let (data, versions, whole) = (data.as_bytes().to_vec(), vec![last_id], false);
+    let part = PartialText { item: 1, origin, after, last_id, data, versions, whole };
+    store.apply(Command::Save { job: "j".to_owned(), term, texts: vec![part] })
+}
+
+fn saved(store: &Store) -> Vec<(u64, String, Vec<u64>)> {
+    let texts = store.job("j").map(|job| job.texts()).unwrap_or_default();
+    let parts = texts.into_iter().map(|text| (text.last_id, text.data, text.versions));
+    parts.map(|(last, data, versions)| (last, String::from_utf8(data).unwrap(), versions)).collect()
+}
+
+#[parameterized(
+    parts_come_together = { &[(5, None, 2, "ab"), (5, Some(2), 4, "cd")], Some((4, "abcd")) },
+    one_comes_twice = { &[(5, None, 2, "ab"), (5, Some(2), 4, "cd"), (5, Some(2), 4, "cd")], Some((4, "abcd")) },
+    one_is_missing = { &[(5, None, 2, "ab"), (5, Some(3), 4, "d")], Some((2, "ab")) },
+    the_beginning_is_missing = { &[(5, Some(2), 4, "cd")], None },
+    it_began_anew = { &[(5, None, 2, "ab"), (6, None, 1, "x")], Some((1, "x")) },
+    a_part_of_another_beginning = { &[(5, None, 2, "ab"), (6, Some(2), 3, "x")], Some((2, "ab")) },
+)]
+fn saved_texts(parts: &[Part], expected: Option<(u64, &str)>) {
+    let mut store = Store::default();
+    create(&mut store);
+    for part in parts {
+        assert_eq!(save(&mut store, 1, *part), Outcome::Appended);
+    }
+    let expected: Vec<_> =
+        expected.into_iter().map(|(last, data)| (last, data.to_owned(), vec![last])).collect();
+    assert_eq!(saved(&store), expected);
+}
+
+#[test]
+fn a_saved_text_goes_with_its_result_and_with_the_end() {
+    let part = (5, None, 2, "ab");
+    for finish in [|store: &mut Store| append(store, 1, &[(1, "b")]), end] {
+        let mut store = Store::default();
+        create(&mut store);
+        let before = store.bytes();
+        save(&mut store, 1, part);
+        assert!(store.bytes() > before, "it counts");
+        finish(&mut store);
+        assert!(saved(&store).is_empty());
+        let after = store.bytes();
+        save(&mut store, 1, part);
+        assert_eq!((saved(&store).len(), store.bytes()), (0, after), "none is kept any more");
+        let again = Store::decode(&store.encode().unwrap()).unwrap();
+        assert_eq!(again, store);
+    }
+}
+
+#[test]
+fn only_the_present_driver_saves_texts() {
+    let mut store = Store::default();
+    create(&mut store);
+    drive(&mut store, 2, 8);
+    assert_eq!(save(&mut store, 1, (5, None, 2, "ab")), Outcome::Fenced);
+    assert!(saved(&store).is_empty());
+}
+
+#[test]
+fn a_text_that_is_far_too_long_is_not_saved() {
+    let mut store = Store::default();
+    create(&mut store);
+    let long: &'static str = Box::leak("x".repeat(300 * 1024).into_boxed_str());
+    save(&mut store, 1, (5, None, 2, long));
+    assert!(saved(&store).is_empty());
+}
+
 #[parameterized(older = { 1 }, newer = { 3 })]
 fn another_term_is_fenced(term: u64) {
     let mut store = Store::default();
--- a/system/wire/src/jobs.rs
+++ b/system/wire/src/jobs.rs
@@ -91,6 +91,25 @@
     pub score: String,
 }
 
+/// A part of the text of an item that has no result yet, as its driver saves it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartialText {
+    /// The index of the item in the batch job.
+    pub item: u32,
+    /// Drawn anew whenever a text begins from its first event; parts of different ones never come together.
+    pub origin: u64,
+    /// The id of the event that this part goes on after; none if the text begins with it.
+    pub after: Option<u64>,
+    /// The id of the last event in it.
+    pub last_id: u64,
+    /// The data of its events as they stand in the text, with the line feed before the first one where the text goes on.
+    pub data: Vec<u8>,
+    /// The versions of the weights that made the text up to here.
+    pub versions: Vec<u64>,
+    /// Whether its last event is the last one of all.
+    pub whole: bool,
+}
+
 /// What an edge asks of a backend.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum JobsRequest {
@@ -108,6 +127,15 @@
         /// The results.
         results: Vec<ResultRecord>,
     },
+    /// Keep parts of texts, for whoever drives the batch job next (head).
+    Save {
+        /// The batch job.
+        job: JobId,
+        /// The driver's term.
+        term: DriverTerm,
+        /// The parts.
+        texts: Vec<PartialText>,
+    },
     /// End a batch job (head).
     End {
         /// The batch job.
@@ -157,7 +185,7 @@
         /// The term under which the asking edge drives the batch job; none if another does or it has ended.
         drive: Option<DriverTerm>,
     },
-    /// Kept by the whole chain.
+    /// Results, or parts of texts: kept by the whole chain.
     Appended,
     /// The term is an older one.
     Fenced,
@@ -218,6 +246,8 @@
         term: DriverTerm,
         /// Items that have results.
         listed: Vec<u32>,
+        /// Texts so far of others.
+        texts: Vec<PartialText>,
     },
     /// From the head: stop what is under way for a batch job.
     Stop {
--- a/system/wire/src/lib.rs
+++ b/system/wire/src/lib.rs
@@ -16,8 +16,8 @@
 pub use command::{Command, Outcome, RetireState};
 pub use control::{BackendReport, ControlMessage};
 pub use jobs::{
-    partition_of, DriverTerm, ItemRecord, JobId, JobRecord, JobsAnswer, JobsMessage, JobsRequest, RenewState,
-    ResultRecord, ScoringRecord, PARTITIONS,
+    partition_of, DriverTerm, ItemRecord, JobId, JobRecord, JobsAnswer, JobsMessage, JobsRequest,
+    PartialText, RenewState, ResultRecord, ScoringRecord, PARTITIONS,
 };
 pub use node::{NodeRecord, Role};
 pub use registry::{
