Tell the coordinator the use of models again, and load half of the stores for each version

And where the version before will do, all stores had begun at one version and loaded the same ones, all at once, while the step waited.

Stores that the next version would leave behind load now, as far as they are more than half.

--- a/system/control/src/coordinator/uses.rs
+++ b/system/control/src/coordinator/uses.rs
@@ -41,7 +41,7 @@
 }
 
 impl ModelUses {
-    /// A batch job for a model has come to a host and path, which allows versions from this one on.
+    /// A batch job for a model has come to a host and path, which allows versions from this one on. Says whether that is new.
     pub fn seen(
         &mut self,
         configuration: &Configuration,
@@ -49,13 +49,14 @@
         host: &str,
         path: &str,
         min_version: u64,
-    ) {
-        let Some(route) = configuration.route(host, path) else { return };
-        let Some(known) = self.entry(model) else { return };
+    ) -> bool {
+        let Some(route) = configuration.route(host, path) else { return false };
+        let Some(known) = self.entry(model) else { return false };
+        let risen = known.min_version < Some(min_version);
         known.min_version = known.min_version.max(Some(min_version));
-        if known.places.len() < MAX_PLACES {
-            known.places.insert((route.host.clone(), route.path_prefix.clone()));
-        }
+        let place = (route.host.clone(), route.path_prefix.clone());
+        let new_place = known.places.len() < MAX_PLACES && known.places.insert(place);
+        risen || new_place
     }
 
     /// The oldest version of a model that the next batch job may use, given the newest named version.
--- a/system/control/src/coordinator/weights.rs
+++ b/system/control/src/coordinator/weights.rs
@@ -1,8 +1,8 @@
 //! Which stores should load which version of a model's weights.
 //!
 //! Every store of a model's service is kept at a version that the next batch job may use. A store whose version is still allowed
-//! is left alone, since each load costs something and stops the store for a moment; so where batch jobs allow the version before
-//! the newest too, only every other version is loaded at a store, and about half of the stores are loaded for each version.
+//! is left alone, since each load costs something and stops the store for a moment. Where batch jobs allow the version before the
+//! newest too, each store loads every other version, half of the stores for each: the other half serves the next batch job at once.
 
 use std::collections::BTreeMap;
 
@@ -95,8 +95,13 @@
 
 fn due_of(service: &EngineService, model: &str, wanted: WantedModel) -> Vec<Load> {
     let mut behind: Vec<&EngineStore> =
-        service.stores.iter().filter(|store| store.version(model) < wanted.floor).collect();
+        service.stores.iter().filter(|store| store.version(model) < wanted.version).collect();
     behind.sort_by_key(|store| (store.version(model), rendezvous(hash_name(model), hash_name(&store.id))));
+    // Those that the next version leaves behind, as far as they are more than half of all.
+    let next_behind = behind.iter().filter(|store| store.version(model) <= wanted.floor).count();
+    let too_many = next_behind.saturating_sub(service.stores.len().div_ceil(2));
+    let must = behind.iter().filter(|store| store.version(model) < wanted.floor).count();
+    behind.truncate(must.max(too_many));
     let load = |store: &EngineStore| Load {
         id: store.id.clone(),
         model: model.to_owned(),
--- a/system/control/src/node/coordinate/weights.rs
+++ b/system/control/src/node/coordinate/weights.rs
@@ -61,8 +61,9 @@
     pub(in crate::node) fn model_used(&mut self, model: &str, host: &str, path: &str, min_version: u64) {
         self.read_engines();
         let Coordination { uses, engines, .. } = &mut self.coordination;
-        uses.seen(&engines.configuration, model, host, path, min_version);
-        self.coordination.weights_changed();
+        if uses.seen(&engines.configuration, model, host, path, min_version) {
+            self.coordination.weights_changed();
+        }
     }
 
     /// What is known of the services whose stores hold models.
--- a/system/data/src/rollout/front.rs
+++ b/system/data/src/rollout/front.rs
@@ -9,9 +9,7 @@
 
 use bytes::Bytes;
 use gingerledge_protocol::{ItemState, ListedResult, ResultPage};
-use gingerledge_wire::{
-    partition_of, ControlMessage, Envelope, JobRecord, JobsAnswer, JobsRequest, ResultRecord,
-};
+use gingerledge_wire::{partition_of, JobsAnswer, JobsRequest, ResultRecord};
 use hyper::http::header::{CONTENT_TYPE, HOST, RETRY_AFTER};
 use hyper::http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
 
@@ -86,7 +84,7 @@
     let asked = shared.rollout.backends.ask(shared, &job.id, Member::Head, question, patience).await;
     match asked.answer {
         Some(JobsAnswer::Created { drive }) => {
-            tell_model_use(shared, &job);
+            hold::tell_model_use(shared, &job);
             if let Some(term) = drive {
                 driver::begin(shared, job, term, &[], Vec::new(), asked_at + hold::hold_time(shared));
             }
@@ -100,18 +98,6 @@
     }
 }
 
-/// Tells the coordinator which route uses the weights of a model; it may be lost, as the next batch job tells again.
-fn tell_model_use(shared: &Shared, job: &JobRecord) {
-    let coordinator =
-        shared.registry(|registry| registry.coordinator().map(|coordinator| coordinator.address));
-    let Some(coordinator) = coordinator else { return };
-    let (model, host, path) = (job.model.clone(), job.host.clone(), job.path.clone());
-    shared.send(
-        coordinator,
-        &Envelope::Control(ControlMessage::ModelUsed { model, host, path, min_version: job.min_version }),
-    );
-}
-
 async fn results(shared: &Rc<Shared>, job: &str, query: &str, headers: &HeaderMap) -> Reply {
     let start_after = number(parameter(query, "startAfter")).unwrap_or(0);
     let wait =
--- a/system/data/src/rollout/hold.rs
+++ b/system/data/src/rollout/hold.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use gingerledge_wire::{partition_of, DriverTerm, JobId, JobsAnswer, JobsRequest, RenewState};
+use gingerledge_wire::{
+    partition_of, ControlMessage, DriverTerm, Envelope, JobId, JobRecord, JobsAnswer, JobsRequest, RenewState,
+};
 
 use super::backend_client::Member;
 use super::driver;
@@ -50,14 +52,30 @@
 fn renew_all(shared: &Rc<Shared>) {
     let mut partitions: BTreeMap<u16, Vec<(JobId, DriverTerm)>> = BTreeMap::new();
     for (_, drive) in &shared.rollout.drives.borrow().all {
-        let job = &drive.plan.job().id;
-        partitions.entry(partition_of(job)).or_default().push((job.clone(), drive.term));
+        let job = drive.plan.job();
+        tell_model_use(shared, job);
+        partitions.entry(partition_of(&job.id)).or_default().push((job.id.clone(), drive.term));
     }
     for (partition, jobs) in partitions {
         tokio::task::spawn_local(renew(Rc::clone(shared), partition, jobs));
     }
 }
 
+/// Tells the coordinator how a batch job uses the weights of its model. It may be lost, or the coordinator may change, so it is
+/// told with each renewal.
+pub(super) fn tell_model_use(shared: &Shared, job: &JobRecord) {
+    let coordinator =
+        shared.registry(|registry| registry.coordinator().map(|coordinator| coordinator.address));
+    let Some(coordinator) = coordinator else { return };
+    let use_of_model = ControlMessage::ModelUsed {
+        model: job.model.clone(),
+        host: job.host.clone(),
+        path: job.path.clone(),
+        min_version: job.min_version,
+    };
+    shared.send(coordinator, &Envelope::Control(use_of_model));
+}
+
 async fn renew(shared: Rc<Shared>, partition: u16, jobs: Vec<(JobId, DriverTerm)>) {
     let asked_at = shared.now();
     let hold = hold_time(&shared);
