Close a store that takes weights of a model for that model only

Cause: a store that takes new weights of one model refuses what is for it, though it has room.

Change: LoadingStores remembers such refusals by store and model, and tries with one request now and then. Tests: rollout_room.rs.

--- a/system/data/src/rollout/driver.rs
+++ b/system/data/src/rollout/driver.rs
@@ -332,6 +332,7 @@
     let job = Arc::clone(drive.plan.job());
     let Some(item) = job.items.get(placement.item as usize) else { return };
     let counted = CountGuard::on(&store.out);
+    shared.rollout.loading.borrow_mut().tried(&store.target.id, &job.model, shared.now());
     let stream = drive.watch.begin(placement.item, store, placement.text);
     let carried = Carried::new(shared, &job.model, &item.id, Rc::clone(&stream));
     let order = Order {
--- a/system/data/src/rollout/generation.rs
+++ b/system/data/src/rollout/generation.rs
@@ -77,7 +77,9 @@
     match shared.stores.send(&order.stream.store.target, request, timings).await {
         Err(attempt) => not_answered(shared, order, attempt),
         Ok(answer) if answer.status.is_success() => {
-            shared.health.answered(&order.stream.store.target.id);
+            let id = &order.stream.store.target.id;
+            shared.health.answered(id);
+            shared.rollout.loading.borrow_mut().accepted(id, &order.job.model);
             let began = shared.now();
             let ended = read(order, answer).await;
             let events = order.stream.events.get();
@@ -135,16 +137,27 @@
 
 fn note_refusal(shared: &Shared, order: &Order, refusal: Refusal) {
     if refusal.status != StatusCode::MISDIRECTED_REQUEST {
+        let has_room = refusal.load.is_some_and(|load| load.running < load.slots);
         if let Some(load) = refusal.load {
             order.stream.store.note_load(load, shared.now());
         }
-        note_full(shared, order);
+        if has_room {
+            note_loading(shared, order);
+        } else {
+            note_full(shared, order);
+        }
     } else if order.only_version.is_none() {
         // The address is another store's now. With a version expected, it may only have another version.
         shared.health.failed(&order.stream.store.target.id, shared.now());
     }
 }
 
+/// The store has room, but not for this model now.
+fn note_loading(shared: &Shared, order: &Order) {
+    let (id, model) = (&order.stream.store.target.id, &order.job.model);
+    shared.rollout.loading.borrow_mut().refused(id, model, shared.now());
+}
+
 /// The store has no room beyond what this edge has out there already.
 fn note_full(shared: &Shared, order: &Order) {
     let others = order.stream.store.out.get().saturating_sub(1);
--- a/system/data/src/rollout/mod.rs
+++ b/system/data/src/rollout/mod.rs
@@ -31,7 +31,7 @@
 pub use backend_client::{Asked, BackendClient, Member};
 use drive::{Drives, Outcome};
 use kept::KeptTexts;
-use plan::{Paces, Rooms};
+use plan::{LoadingStores, Paces, Rooms};
 use stores::StoreViews;
 
 use crate::Shared;
@@ -49,6 +49,7 @@
     /// A batch job is to be renewed at once.
     renew: Notify,
     rooms: RefCell<Rooms>,
+    loading: RefCell<LoadingStores>,
     paces: RefCell<Paces>,
     kept: RefCell<KeptTexts>,
     views: RefCell<StoreViews>,
--- a/system/data/src/rollout/plan/mod.rs
+++ b/system/data/src/rollout/plan/mod.rs
@@ -6,6 +6,7 @@
 
 mod groups;
 mod item;
+mod loading;
 mod moves;
 mod pace;
 mod placement;
@@ -21,6 +22,7 @@
 pub use groups::Groups;
 pub use item::{Ended, RewardEnded};
 use item::{Item, State};
+pub use loading::LoadingStores;
 pub use moves::{slow_streams, window, StreamView};
 pub use pace::Paces;
 pub use placement::{Placement, StoreView};
--- a/system/data/src/rollout/stores.rs
+++ b/system/data/src/rollout/stores.rs
@@ -47,14 +47,19 @@
     let mut rooms = shared.rollout.rooms.borrow_mut();
     let paces = shared.rollout.paces.borrow();
     let known = stores.iter().zip(&list.known);
-    let views = known.map(|(store, (id, version))| StoreView {
-        id: Rc::clone(id),
-        version: *version,
-        out: u32::try_from(store.out.get()).unwrap_or(u32::MAX),
-        limit: rooms.limit(id, u32::try_from(store.slots).unwrap_or(u32::MAX), now),
-        avoided: shared.health.avoid(id, now),
-        own_zone: store.own_zone,
-        pace_percent: paces.percent(id, now),
+    let loading = shared.rollout.loading.borrow();
+    let views = known.map(|(store, (id, version))| {
+        let out = u32::try_from(store.out.get()).unwrap_or(u32::MAX);
+        let limit = rooms.limit(id, u32::try_from(store.slots).unwrap_or(u32::MAX), now);
+        StoreView {
+            id: Rc::clone(id),
+            version: *version,
+            out,
+            limit: loading.limit(id, model, out, limit, now),
+            avoided: shared.health.avoid(id, now),
+            own_zone: store.own_zone,
+            pace_percent: paces.percent(id, now),
+        }
     });
     let views = views.collect();
     if cache.lists.len() >= MAX_LISTS {
--- a/system/data/tests/rollout_room.rs
+++ b/system/data/tests/rollout_room.rs
@@ -2,7 +2,7 @@
 
 mod rollout_plan_common;
 
-use gingerledge_data::rollout::plan::{Paces, Rooms};
+use gingerledge_data::rollout::plan::{LoadingStores, Paces, Rooms};
 use rollout_plan_common::ms;
 
 const SLOTS: u32 = 12;
@@ -92,3 +92,46 @@
     }
     assert!(paces.percent("b", ms(0)) > 175, "{}", paces.percent("b", ms(0)));
 }
+
+#[test]
+fn a_store_that_takes_weights_is_closed_for_that_model_only_and_tried_with_one() {
+    let mut loading = LoadingStores::default();
+    loading.refused("a", "m", ms(0));
+    assert_eq!(loading.limit("a", "m", 3, 14, ms(49)), 0);
+    assert_eq!(loading.limit("a", "other", 3, 14, ms(0)), 14);
+    assert_eq!(loading.limit("b", "m", 3, 14, ms(0)), 14);
+    assert_eq!(loading.limit("a", "m", 3, 14, ms(50)), 4, "one more than it has");
+    assert_eq!(loading.limit("a", "m", 14, 14, ms(50)), 14, "but not more than it may have");
+    loading.tried("a", "m", ms(50));
+    assert_eq!(loading.limit("a", "m", 4, 14, ms(60)), 0, "one is on its way");
+    loading.accepted("a", "m");
+    assert_eq!(loading.limit("a", "m", 4, 14, ms(60)), 14);
+}
+
+#[test]
+fn a_store_that_keeps_refusing_a_model_is_tried_less_often_up_to_a_least() {
+    let mut loading = LoadingStores::default();
+    let mut now = ms(0);
+    let mut pauses = Vec::new();
+    for _ in 0..5 {
+        loading.refused("a", "m", now);
+        // Another that was on its way tells nothing new.
+        loading.refused("a", "m", now);
+        let later = (0..1_000).find(|&later| loading.limit("a", "m", 0, 14, now + ms(later)) > 0).unwrap();
+        pauses.push(later);
+        now += ms(later);
+    }
+    assert_eq!(pauses, [50, 100, 200, 200, 200]);
+}
+
+#[test]
+fn stores_that_take_weights_are_remembered_within_bounds() {
+    let mut loading = LoadingStores::default();
+    for number in 0..20_000 {
+        loading.refused(&format!("s{number}"), "m", ms(0));
+    }
+    assert_eq!(loading.limit("s0", "m", 0, 14, ms(0)), 0);
+    assert_eq!(loading.limit("s19999", "m", 0, 14, ms(0)), 14, "there was no room for it");
+    loading.refused("s19999", "m", ms(10_000));
+    assert_eq!(loading.limit("s19999", "m", 0, 14, ms(10_000)), 0, "old ones make room");
+}
