Begin groups beyond those waited for in spare room, and give generations a priority

Cause: the tail. And at the stores no edge sees the others': a step due in 1 s waited behind one due in 12 s.

Change: once all groups that the trainer waits for have begun, further ones begin while half of the room that this edge sees stays free. Each generation carries `Priority` by the time left until its batch job is due; those of spare groups go behind all others.

--- a/system/data/src/rollout/driver.rs
+++ b/system/data/src/rollout/driver.rs
@@ -15,7 +15,7 @@
 use super::drive::{Carried, Drive, DriveKey, Outcome, MAX_DRIVES};
 use super::generation::{self, Order};
 use super::hold;
-use super::plan::{Ended, JobPlan, Placement, Rules, Step};
+use super::plan::{priority, Ended, JobPlan, Placement, Rules, Step};
 use super::saving::{self, Saving};
 use super::watch::Watch;
 use super::{results, reward, stores};
@@ -272,7 +272,7 @@
     }
     let usual_pause = shared.rollout.paces.borrow().usual();
     let look = drive.watch.due(usual_pause).is_some_and(|due| due <= now);
-    if !look && !drive.plan.wants_places(now) {
+    if !look && !drive.plan.wants_places(now) && !drive.plan.has_spare_groups() {
         return false;
     }
     let (known, mut views) = stores::views(shared, service_of(route, &job.id), &job.model);
@@ -342,6 +342,7 @@
         single_version: rules.single_version,
         retained: rules.retained_until.map(|until| until.saturating_sub(shared.now())),
         usual_pause: shared.rollout.paces.borrow().usual(),
+        priority: priority(drive.due.saturating_sub(shared.now()), placement.spare),
         job,
     };
     let shared = Rc::clone(shared);
--- a/system/data/src/rollout/generation.rs
+++ b/system/data/src/rollout/generation.rs
@@ -23,14 +23,17 @@
 const EXPECT_VERSION: HeaderName = HeaderName::from_static("expect-version");
 /// The version of the weights that a store begins with.
 const WEIGHT_VERSIONS: HeaderName = HeaderName::from_static("weight-versions");
+/// How urgent a request is among those at a store.
+const PRIORITY: HeaderName = HeaderName::from_static("priority");
 /// What is set here; such headers of an item don't go along.
-const OWN_HEADERS: [HeaderName; 6] = [
+const OWN_HEADERS: [HeaderName; 7] = [
     header::HOST,
     header::CONTENT_LENGTH,
     headers::ATTEMPT_ID,
     headers::EXPECTED_INSTANCE,
     headers::LAST_EVENT_ID,
     EXPECT_VERSION,
+    PRIORITY,
 ];
 /// How long a connection to a store may take to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -54,6 +57,8 @@
     pub(super) retained: Option<Duration>,
     /// The usual pause between two events.
     pub(super) usual_pause: Duration,
+    /// How urgent it is among the requests at its store; 0 goes first.
+    pub(super) priority: u8,
 }
 
 /// Why the reading of a stream stopped early.
@@ -112,6 +117,7 @@
         let left_ms = u64::try_from(retained.as_millis()).unwrap_or(u64::MAX);
         headers.insert(headers::DEADLINE_MS, left_ms.into());
     }
+    headers.insert(PRIORITY, u64::from(order.priority).into());
     if let Some(version) = order.only_version {
         headers.insert(EXPECT_VERSION, version.into());
     }
--- a/system/data/src/rollout/plan/groups.rs
+++ b/system/data/src/rollout/plan/groups.rs
@@ -15,6 +15,8 @@
     pub(super) items: Vec<u32>,
     /// Stores that were sent one of its items.
     readers: Vec<Rc<str>>,
+    /// It began beyond those that the trainer waits for.
+    pub(super) spare: bool,
 }
 
 impl Group {
--- a/system/data/src/rollout/plan/placement.rs
+++ b/system/data/src/rollout/plan/placement.rs
@@ -38,6 +38,8 @@
     pub text: Text,
     /// The version that the store must have, where only one will do.
     pub only_version: Option<u64>,
+    /// Whether its group is one beyond those that the trainer waits for.
+    pub spare: bool,
 }
 
 /// What is compared first: whether the store failed lately, then its requests out, counting the one to be placed.
@@ -47,6 +49,9 @@
 const SLOW_PERCENT: u32 = 175;
 const USUAL_PERCENT: u32 = 100;
 
+/// Groups that the trainer does not wait for leave this part of the room free.
+const SPARE_SHARE: u32 = 2;
+
 /// What one call of [`JobPlan::place`] works on.
 struct Turn<'a> {
     plan: &'a mut JobPlan,
@@ -58,8 +63,8 @@
 
 impl JobPlan {
     /// Places what can be placed now, and counts it at the stores. First the items of groups that have begun; then further groups,
-    /// in the trainer's order, each as a whole: one for which there is no room waits, and those behind it. No more groups begin
-    /// than the trainer waits for.
+    /// in the trainer's order, each as a whole: one for which there is no room waits, and those behind it. Groups beyond those that
+    /// the trainer waits for begin only in room that is to spare: they stand in for groups with very long texts.
     pub fn place(&mut self, now: Duration, stores: &mut [StoreView], rules: Rules) -> Vec<Placement> {
         if stores.is_empty() {
             return Vec::new();
@@ -73,16 +78,26 @@
             turn.fill(group, ready);
         }
         let more = turn.plan.groups.desired.saturating_sub(begun.len());
-        for &group in fresh.iter().take(more) {
+        for (number, &group) in fresh.iter().enumerate() {
             let ready: Vec<u32> = turn.plan.ready(group, now).collect();
-            if !turn.has_room(ready.len()) {
+            let begins =
+                if number < more { turn.has_room(ready.len()) } else { turn.has_spare_room(ready.len()) };
+            if !begins {
                 break;
             }
+            if let Some(group) = turn.plan.groups.all.get_mut(group).filter(|_| number >= more) {
+                group.spare = true;
+            }
             turn.fill(group, ready);
         }
         turn.placed
     }
 
+    /// Whether a group beyond those that the trainer waits for has not begun.
+    pub fn has_spare_groups(&self) -> bool {
+        (0..self.groups.all.len()).any(|group| self.is_fresh(group))
+    }
+
     /// Whether an item waits for a store now that may go to one: any of a group that has begun, or of one that may begin.
     pub fn wants_places(&self, now: Duration) -> bool {
         let mut begun = 0;
@@ -114,13 +129,26 @@
 impl Turn<'_> {
     /// Whether a group that has not begun may: there is room for all of it, or as much as there ever is.
     fn has_room(&self, items: usize) -> bool {
-        let fitting = self.stores.iter().filter(|store| store.version >= self.plan.job.min_version);
-        let limits: u32 = fitting.clone().map(|store| store.limit).fold(0, u32::saturating_add);
-        let room = fitting.map(|store| store.limit.saturating_sub(store.out)).fold(0, u32::saturating_add);
+        let (limits, room) = self.room();
         let needed = u32::try_from(items).unwrap_or(u32::MAX).min((limits / 2).max(1));
         room >= needed
     }
 
+    /// Whether there is room for a group that the trainer does not wait for, with plenty to spare for those that somebody does.
+    fn has_spare_room(&self, items: usize) -> bool {
+        let (limits, room) = self.room();
+        let needed = u32::try_from(items).unwrap_or(u32::MAX);
+        room >= (limits / SPARE_SHARE).saturating_add(needed)
+    }
+
+    /// How many requests the stores that fit may have of this edge, and how many of those are free.
+    fn room(&self) -> (u32, u32) {
+        let fitting = self.stores.iter().filter(|store| store.version >= self.plan.job.min_version);
+        let limits = fitting.clone().map(|store| store.limit).fold(0, u32::saturating_add);
+        let room = fitting.map(|store| store.limit.saturating_sub(store.out)).fold(0, u32::saturating_add);
+        (limits, room)
+    }
+
     /// Places the items of one group together.
     fn fill(&mut self, group: usize, items: Vec<u32>) {
         for &index in &items {
@@ -171,11 +199,13 @@
             return;
         };
         store.out += 1;
+        let mut spare = false;
         if let Some(group) = self.plan.groups.all.get_mut(group) {
             group.read_at(&store.id);
+            spare = group.spare;
         }
         let text = item.placed(&mut self.plan.random);
-        self.placed.push(Placement { item: index, store: place, text, only_version });
+        self.placed.push(Placement { item: index, store: place, text, only_version, spare });
     }
 }
 
