Replace drivers that ended before a head began, at once

Cause: a head looked at its drivers when news of an edge came, or 1.5 s after it began. Change: a head looks once as it begins. Test: jobs/tests/backend.rs.

--- a/system/jobs/src/partition/mod.rs
+++ b/system/jobs/src/partition/mod.rs
@@ -307,7 +307,8 @@
         let view = self.replica.view();
         let is_head = serving && view.is_some_and(|view| view.head() == Some(self.me));
         let is_tail = serving && view.is_some_and(|view| view.tail() == Some(self.me));
-        if is_head && !self.is_head {
+        let begins_as_head = is_head && !self.is_head;
+        if begins_as_head {
             self.holds.restart(context.now.steady, &self.store);
             self.next_forget = context.now.steady + self.settings.forget_every;
         }
@@ -323,6 +324,10 @@
         }
         self.is_head = is_head;
         self.is_tail = is_tail;
+        if begins_as_head {
+            // Drivers that have ended while there was no head are replaced at once.
+            self.look_after_holds(context);
+        }
     }
 
     /// Proposes a command at the head.
--- a/system/jobs/tests/backend.rs
+++ b/system/jobs/tests/backend.rs
@@ -64,15 +64,25 @@
 
     /// The process starts again with its disk; it knows no edges yet.
     fn restart(&mut self) {
+        self.restart_before_the_chain_is_known();
+        self.learn_chain();
+        // Askers of the life before may be answered again.
+        self.sent.clear();
+    }
+
+    fn restart_before_the_chain_is_known(&mut self) {
         let content = DiskContent::read(self.records.clone()).unwrap();
         self.backend = Backend::new(MemberId(ME), content, settings(0), 2);
         self.unsynced.clear();
+        self.sent.clear();
         self.handle(BackendEvent::Started);
+        self.sync();
+    }
+
+    fn learn_chain(&mut self) {
         let record = PartitionRecord { epoch: 1, chain: vec![ME], full: vec![ME] };
         self.handle(BackendEvent::Chain { partition: PARTITION, record });
         self.sync();
-        // Askers of the life before may be answered again.
-        self.sent.clear();
     }
 
     fn edge_is_there(&mut self, incarnation: u64, address: SocketAddr) {
@@ -378,6 +388,16 @@
     );
 }
 
+#[test]
+fn edges_that_were_there_before_the_head_began_are_not_forgotten() {
+    let mut bench = Bench::new(0);
+    bench.ask(create(10));
+    bench.restart_before_the_chain_is_known();
+    bench.edge_is_there(NEXT_LIFE, address(EDGE));
+    bench.learn_chain();
+    assert_eq!(bench.told_terms(), [2]);
+}
+
 #[test]
 fn the_next_driver_is_told_the_texts_that_were_saved() {
     let mut bench = Bench::new(0);
