Give backends 1.5 s to report to a new coordinator, half of what they had

Backends report every 300 ms and find the coordinator by the registry within one of those, so 1.5 s is what a silent one has at any other time. Ruled out: taking a new member at an old address for the old one's end; a chain keeps no addresses.

--- a/system/control/src/coordinator/backends.rs
+++ b/system/control/src/coordinator/backends.rs
@@ -22,7 +22,7 @@
     fn default() -> Self {
         Self {
             silence: Duration::from_millis(1_500),
-            grace: Duration::from_millis(3_000),
+            grace: Duration::from_millis(1_500),
             gather: Duration::from_millis(700),
         }
     }
