Keep a small edge from drowning in its own batch job

One edge drives 384 texts; the look at spare groups came with each outcome, spare groups added streams, saving copied all texts every 800 ms, and each outcome looked at whole batch jobs.

Change: spare groups are looked at every 150 ms, and begin only within 1,500 streams a core; turns of the driver gather what ends within 4 ms; an edge with less than 0.2 of a core saves less often, in proportion, at the least every 4 s. Tests: rollout_placement.rs.

--- a/system/data/src/rollout/drive.rs
+++ b/system/data/src/rollout/drive.rs
@@ -49,6 +49,8 @@
     pub(super) results: Vec<ResultRecord>,
     /// Results are on their way to the backends.
     pub(super) appending: bool,
+    /// Whether groups beyond those waited for may begin is looked at from then on.
+    pub(super) next_spare_look: Duration,
     /// Its streams under way.
     pub(super) watch: Watch,
     /// Texts that another driver has saved, until the rules are known by which they are taken over.
@@ -59,7 +61,19 @@
     pub(super) tasks: JoinSet<()>,
 }
 
+/// Whether spare groups may begin is looked at that often: it takes a look at all stores and items.
+const SPARE_LOOK_EVERY: Duration = Duration::from_millis(150);
+
 impl Drive {
+    /// Whether it is time to see if groups beyond those waited for may begin.
+    pub(super) fn is_spare_look_due(&mut self, now: Duration) -> bool {
+        if now < self.next_spare_look {
+            return false;
+        }
+        self.next_spare_look = now + SPARE_LOOK_EVERY;
+        self.plan.has_spare_groups()
+    }
+
     /// Parts of texts that are not saved, of so many bytes at most.
     pub(super) fn unsaved_texts(&self, saved: &SavedTexts, most_bytes: usize) -> Vec<PartialText> {
         let mut parts = saved.parts(self.plan.resting_texts(), most_bytes);
--- a/system/data/src/rollout/driver.rs
+++ b/system/data/src/rollout/driver.rs
@@ -23,15 +23,23 @@
 use crate::stores::CountGuard;
 use crate::Shared;
 
+/// The least time between two turns.
+const GATHER: Duration = Duration::from_millis(4);
 /// Work that waits for room at the stores is looked at again that often, since a place may fall free without this edge's doing.
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
 /// Items are given up that much later than they may be: the clocks of edges differ.
 const CLOCK_MARGIN: Duration = Duration::from_secs(2);
 
+/// A whole core carries so many streams at once, with as much to spare; with more of them, generations that nobody waits for
+/// would only delay those that somebody does.
+const SPARE_STREAMS_PER_CORE: f64 = 1_500.0;
+
 /// Drives for as long as the process lives.
 pub(super) async fn run(shared: Rc<Shared>) {
     loop {
         let next = turn(&shared);
+        // What ends meanwhile is taken in together: each turn looks at whole batch jobs.
+        tokio::time::sleep(GATHER).await;
         let wake = shared.rollout.wake.notified();
         match next {
             None => wake.await,
@@ -82,9 +90,10 @@
         rules: None,
         results: Vec::new(),
         appending: false,
+        next_spare_look: now,
         watch: Watch::default(),
         saved_before,
-        saving: Saving::new(now),
+        saving: Saving::new(now, shared.settings().limits.cpu_share),
         tasks: JoinSet::new(),
     });
     shared.rollout.renew.notify_one();
@@ -161,7 +170,13 @@
     let passed = Duration::from_millis(shared.unix_ms().saturating_sub(job.accepted_unix_ms));
     let retained_until =
         retention.map(|retention| (shared.now() + retention + CLOCK_MARGIN).saturating_sub(passed));
-    Rules { single_version: route.single_version, max_attempts: route.max_attempts, retained_until }
+    let spare_streams = shared.settings().limits.cpu_share * SPARE_STREAMS_PER_CORE;
+    Rules {
+        single_version: route.single_version,
+        max_attempts: route.max_attempts,
+        retained_until,
+        spare_streams: spare_streams as u32,
+    }
 }
 
 /// Looks at everything once; says when to look again without being woken.
@@ -272,7 +287,7 @@
     }
     let usual_pause = shared.rollout.paces.borrow().usual();
     let look = drive.watch.due(usual_pause).is_some_and(|due| due <= now);
-    if !look && !drive.plan.wants_places(now) && !drive.plan.has_spare_groups() {
+    if !look && !drive.plan.wants_places(now) && !drive.is_spare_look_due(now) {
         return false;
     }
     let (known, mut views) = stores::views(shared, service_of(route, &job.id), &job.model);
--- a/system/data/src/rollout/plan/mod.rs
+++ b/system/data/src/rollout/plan/mod.rs
@@ -32,7 +32,7 @@
 pub use saving::{SavedTexts, TextView};
 pub use text::{Added, Text, MAX_TEXT_BYTES};
 
-/// What the route of a batch job says now.
+/// What the route of a batch job says now, and what the edge can carry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Rules {
     /// All events of one text must be made under one version.
@@ -41,6 +41,8 @@
     pub max_attempts: u32,
     /// Items may be given up from then on, on the clock of the plan; none if never.
     pub retained_until: Option<Duration>,
+    /// Groups that the trainer does not wait for begin only while this edge has no more requests out than this with them.
+    pub spare_streams: u32,
 }
 
 /// What is to be done after an event.
--- a/system/data/src/rollout/plan/placement.rs
+++ b/system/data/src/rollout/plan/placement.rs
@@ -58,6 +58,7 @@
     stores: &'a mut [StoreView],
     placed: Vec<Placement>,
     single: bool,
+    spare_streams: u32,
     salt: u64,
 }
 
@@ -70,7 +71,8 @@
             return Vec::new();
         }
         let salt = self.random.u64(..);
-        let mut turn = Turn { plan: self, stores, placed: Vec::new(), single: rules.single_version, salt };
+        let (single, spare_streams) = (rules.single_version, rules.spare_streams);
+        let mut turn = Turn { plan: self, stores, placed: Vec::new(), single, spare_streams, salt };
         let (fresh, begun): (Vec<usize>, Vec<usize>) =
             (0..turn.plan.groups.all.len()).partition(|&group| turn.plan.is_fresh(group));
         for &group in &begun {
@@ -138,7 +140,8 @@
     fn has_spare_room(&self, items: usize) -> bool {
         let (limits, room) = self.room();
         let needed = u32::try_from(items).unwrap_or(u32::MAX);
-        room >= (limits / SPARE_SHARE).saturating_add(needed)
+        let out = self.stores.iter().map(|store| store.out).fold(needed, u32::saturating_add);
+        room >= (limits / SPARE_SHARE).saturating_add(needed) && out <= self.spare_streams
     }
 
     /// How many requests the stores that fit may have of this edge, and how many of those are free.
--- a/system/data/src/rollout/saving.rs
+++ b/system/data/src/rollout/saving.rs
@@ -14,6 +14,10 @@
 
 /// Texts are saved that often. What came since is made again after a loss.
 const SAVE_EVERY: Duration = Duration::from_millis(800);
+/// An edge with less of a core than this saves less often, in proportion.
+const CORE_SHARE_TO_SAVE: f64 = 0.2;
+/// However little of a core an edge has, texts are saved that often.
+const MOST_TIMES_SLOWER: f64 = 5.0;
 /// The most bytes of texts that are saved at once.
 const MOST_BYTES: usize = 512 * 1024;
 /// How long one question is asked.
@@ -23,14 +27,17 @@
 #[derive(Debug)]
 pub(super) struct Saving {
     texts: SavedTexts,
+    every: Duration,
     next: Duration,
     under_way: bool,
 }
 
 impl Saving {
-    /// Nothing is saved yet.
-    pub(super) fn new(now: Duration) -> Self {
-        Self { texts: SavedTexts::default(), next: now + SAVE_EVERY, under_way: false }
+    /// Nothing is saved yet; the edge has that share of a core.
+    pub(super) fn new(now: Duration, cpu_share: f64) -> Self {
+        let slower = (CORE_SHARE_TO_SAVE / cpu_share.max(f64::EPSILON)).clamp(1.0, MOST_TIMES_SLOWER);
+        let every = SAVE_EVERY.mul_f64(slower);
+        Self { texts: SavedTexts::default(), every, next: now + every, under_way: false }
     }
 
     /// Texts that the batch job came with.
@@ -47,7 +54,7 @@
     /// What was sent has been answered, or not.
     pub(super) fn ended(&mut self, now: Duration, kept: Option<(Vec<PartialText>, Vec<usize>)>) {
         self.under_way = false;
-        self.next = now + SAVE_EVERY;
+        self.next = now + self.every;
         if let Some((parts, sizes)) = kept {
             self.texts.kept(&parts, &sizes);
         }
@@ -59,7 +66,7 @@
     if drive.saving.due().is_none_or(|due| due > now) {
         return;
     }
-    drive.saving.next = now + SAVE_EVERY;
+    drive.saving.next = now + drive.saving.every;
     let parts = drive.unsaved_texts(&drive.saving.texts, MOST_BYTES);
     if parts.is_empty() {
         return;
--- a/system/data/tests/rollout_placement.rs
+++ b/system/data/tests/rollout_placement.rs
@@ -2,7 +2,7 @@
 
 mod rollout_plan_common;
 
-use gingerledge_data::rollout::plan::{priority, Ended, JobPlan, Step, StoreView};
+use gingerledge_data::rollout::plan::{priority, Ended, JobPlan, Rules, Step, StoreView};
 use rollout_plan_common::*;
 use yare::parameterized;
 
@@ -230,6 +230,16 @@
     assert!(!plan.has_spare_groups());
 }
 
+#[parameterized(carries_them = { 12, 4 }, is_too_small = { 11, 0 })]
+fn an_edge_begins_spare_groups_only_if_it_carries_their_streams(spare_streams: u32, expected: usize) {
+    let mut plan = JobPlan::new(job(3, 4, 2, 1), &[], 1);
+    let mut stores = vec![StoreView { limit: 100, ..store("a", 1, 0) }];
+    let rules = Rules { spare_streams, ..rules(false) };
+    let placements = plan.place(ms(0), &mut stores, rules);
+    assert_eq!(placements.iter().filter(|placement| !placement.spare).count(), 8);
+    assert_eq!(placements.iter().filter(|placement| placement.spare).count(), expected);
+}
+
 #[test]
 fn where_all_groups_are_waited_for_none_is_spare() {
     let mut plan = JobPlan::new(job(3, 4, 3, 1), &[], 1);
