--- a/system/standin/src/lib.rs
+++ b/system/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! Never shipped.
 
 mod call;
+pub mod fault_days;
 mod fleet;
 mod operator;
 mod store;
