--- a/system/data/src/rollout/drive.rs
+++ b/system/data/src/rollout/drive.rs
@@ -33,9 +33,25 @@
     Saved { drive: DriveKey, kept: Option<(Vec<PartialText>, Vec<usize>)> },
 }
 
+/// How old a batch job was at a moment, on the steady clock of this process: a lower bound.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct KeptSince {
+    pub(super) at: Duration,
+    pub(super) age: Duration,
+}
+
+impl KeptSince {
+    /// When the batch job is surely as old as that.
+    pub(super) fn reaches_age(self, age: Duration) -> Duration {
+        (self.at + age).saturating_sub(self.age)
+    }
+}
+
 /// One batch job that this edge drives.
 pub(super) struct Drive {
     pub(super) plan: JobPlan,
+    /// How old it is.
+    pub(super) kept_since: KeptSince,
     pub(super) term: DriverTerm,
     /// Nothing is sent from then on, unless a renewal succeeds.
     pub(super) held_until: Duration,
--- a/system/data/src/rollout/driver.rs
+++ b/system/data/src/rollout/driver.rs
@@ -12,7 +12,7 @@
 use gingerledge_wire::{DriverTerm, JobRecord, PartialText, RenewState};
 use tokio::task::JoinSet;
 
-use super::drive::{Carried, Drive, DriveKey, Outcome, MAX_DRIVES};
+use super::drive::{Carried, Drive, DriveKey, KeptSince, Outcome, MAX_DRIVES};
 use super::generation::{self, Order};
 use super::hold;
 use super::plan::{priority, Ended, JobPlan, Placement, Rules, Step};
@@ -27,8 +27,8 @@
 const GATHER: Duration = Duration::from_millis(4);
 /// Work that waits for room at the stores is looked at again that often, since a place may fall free without this edge's doing.
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
-/// Items are given up that much later than they may be: the clocks of edges differ.
-const CLOCK_MARGIN: Duration = Duration::from_secs(2);
+/// How much slower or faster than true time a steady clock may run; a span that must be over is measured that much longer.
+const CLOCK_DRIFT: f64 = 0.01;
 
 /// A whole core carries so many streams at once, with as much to spare; with more of them, generations that nobody waits for
 /// would only delay those that somebody does.
@@ -54,16 +54,31 @@
     }
 }
 
+/// A batch job that this edge is to drive.
+pub(super) struct Assignment {
+    /// The batch job.
+    pub(super) job: Arc<JobRecord>,
+    /// The term under which this edge drives it.
+    pub(super) term: DriverTerm,
+    /// Items that have results.
+    pub(super) listed: Vec<u32>,
+    /// Texts that the driver before has saved.
+    pub(super) saved: Vec<PartialText>,
+    /// How long it has been kept: at least that long.
+    pub(super) age: Duration,
+}
+
+impl Assignment {
+    /// A batch job that this edge has just handed in.
+    pub(super) fn of_new(job: Arc<JobRecord>, term: DriverTerm) -> Self {
+        Self { job, term, listed: Vec::new(), saved: Vec::new(), age: Duration::ZERO }
+    }
+}
+
 /// This edge is to drive a batch job: it took it, or the head of its partition says so. Nothing is sent before `held_until` is in
 /// the future, which the first renewal sees to.
-pub(super) fn begin(
-    shared: &Rc<Shared>,
-    job: Arc<JobRecord>,
-    term: DriverTerm,
-    listed: &[u32],
-    saved_before: Vec<PartialText>,
-    held_until: Duration,
-) {
+pub(super) fn begin(shared: &Rc<Shared>, assignment: Assignment, held_until: Duration) {
+    let Assignment { job, term, listed, saved, age } = assignment;
     let now = shared.now();
     let mut drives = shared.rollout.drives.borrow_mut();
     if let Some(key) = drives.of(&job.id) {
@@ -80,9 +95,11 @@
         log::warn!("batch job {} is not driven here: too many are", job.id);
         return;
     }
-    let due = due(shared, &job, now);
+    let kept_since = KeptSince { at: now, age };
+    let due = due(shared, &job, kept_since);
     drives.insert(Drive {
-        plan: JobPlan::new(job, listed, fastrand::u64(..)),
+        plan: JobPlan::new(job, &listed, fastrand::u64(..)),
+        kept_since,
         term,
         held_until,
         given_up_at: now + hold::hold_time(shared),
@@ -92,7 +109,7 @@
         appending: false,
         next_spare_look: now,
         watch: Watch::default(),
-        saved_before,
+        saved_before: saved,
         saving: Saving::new(now, shared.settings().limits.cpu_share),
         tasks: JoinSet::new(),
     });
@@ -149,13 +166,11 @@
 }
 
 /// When all results of a batch job are due, as far as the route is known.
-fn due(shared: &Shared, job: &JobRecord, now: Duration) -> Duration {
+fn due(shared: &Shared, job: &JobRecord, kept_since: KeptSince) -> Duration {
     let configuration = shared.configuration();
     let route = configuration.as_deref().and_then(|configuration| deployment(configuration, job));
     let target = route.map_or(0.0, |route| route.target_completion_ms);
-    let passed = Duration::from_millis(shared.unix_ms().saturating_sub(job.accepted_unix_ms));
-    let target = Duration::try_from_secs_f64(target / 1_000.0).unwrap_or_default();
-    (now + target).saturating_sub(passed)
+    kept_since.reaches_age(Duration::try_from_secs_f64(target / 1_000.0).unwrap_or_default())
 }
 
 /// The route of a batch job in a configuration.
@@ -164,12 +179,12 @@
     route.filter(|route| route.kind() == Some(RouteKind::Deployment))
 }
 
-fn rules(shared: &Shared, job: &JobRecord, route: &Route) -> Rules {
-    let retention =
-        Duration::try_from_secs_f64(route.retention_s).ok().filter(|retention| !retention.is_zero());
-    let passed = Duration::from_millis(shared.unix_ms().saturating_sub(job.accepted_unix_ms));
-    let retained_until =
-        retention.map(|retention| (shared.now() + retention + CLOCK_MARGIN).saturating_sub(passed));
+/// What the route of a batch job says. Its items may be given up once the batch job is certainly old enough: its age is never taken
+/// too high, and no time of day is asked.
+fn rules(shared: &Shared, kept_since: KeptSince, route: &Route) -> Rules {
+    let retention = Duration::try_from_secs_f64(route.retention_s * (1.0 + CLOCK_DRIFT));
+    let retention = retention.ok().filter(|retention| !retention.is_zero());
+    let retained_until = retention.map(|retention| kept_since.reaches_age(retention));
     let spare_streams = shared.settings().limits.cpu_share * SPARE_STREAMS_PER_CORE;
     Rules {
         single_version: route.single_version,
@@ -272,7 +287,7 @@
 /// Says whether work waits for room.
 fn on_route(shared: &Rc<Shared>, now: Duration, key: DriveKey, drive: &mut Drive, route: &Route) -> bool {
     let job = Arc::clone(drive.plan.job());
-    let rules = rules(shared, &job, route);
+    let rules = rules(shared, drive.kept_since, route);
     if drive.rules.is_none() {
         take_up_saved(now, drive, rules);
         take_up_kept(shared, drive, rules);
--- a/system/data/src/rollout/front.rs
+++ b/system/data/src/rollout/front.rs
@@ -59,12 +59,7 @@
     };
     let host =
         headers.get(HOST).and_then(|host| host.to_str().ok()).or(request.uri().host()).unwrap_or_default();
-    let arrival = Arrival {
-        id: id.to_owned(),
-        host: host.to_owned(),
-        path: request.uri().path().to_owned(),
-        unix_ms: shared.unix_ms(),
-    };
+    let arrival = Arrival { id: id.to_owned(), host: host.to_owned(), path: request.uri().path().to_owned() };
     let patience = number::<u32>(text(headers, "deadline-ms")).map_or(CREATE_PATIENCE, |deadline| {
         CREATE_PATIENCE.min(Duration::from_millis(deadline.into()).mul_f64(DEADLINE_SHARE))
     });
@@ -86,7 +81,8 @@
         Some(JobsAnswer::Created { drive }) => {
             hold::tell_model_use(shared, &job);
             if let Some(term) = drive {
-                driver::begin(shared, job, term, &[], Vec::new(), asked_at + hold::hold_time(shared));
+                let held_until = asked_at + hold::hold_time(shared);
+                driver::begin(shared, driver::Assignment::of_new(job, term), held_until);
             }
             Ok(ReplyBody::status(StatusCode::ACCEPTED))
         }
--- a/system/data/src/rollout/mod.rs
+++ b/system/data/src/rollout/mod.rs
@@ -24,6 +24,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use gingerledge_wire::{JobsMessage, RenewState};
 use tokio::sync::Notify;
@@ -65,8 +66,10 @@
 pub fn on_message(shared: &Rc<Shared>, _from: SocketAddr, message: JobsMessage) {
     match message {
         JobsMessage::Answer { request, body } => shared.rollout.backends.answered(request, body),
-        JobsMessage::Drive { job, term, listed, texts } => {
-            driver::begin(shared, job, term, &listed, texts, shared.now());
+        JobsMessage::Drive { job, term, listed, texts, age_ms } => {
+            let age = Duration::from_millis(age_ms);
+            let assignment = driver::Assignment { job, term, listed, saved: texts, age };
+            driver::begin(shared, assignment, shared.now());
         }
         JobsMessage::Stop { job, term } => driver::stop(shared, &job, term, RenewState::Fenced),
         JobsMessage::Ask { .. } => log::warn!("an edge was asked what only backends know"),
--- a/system/data/src/rollout/submission.rs
+++ b/system/data/src/rollout/submission.rs
@@ -27,7 +27,7 @@
     },
 }
 
-/// Where and when a batch job came in.
+/// Where a batch job came in.
 #[derive(Clone, Debug)]
 pub struct Arrival {
     /// Its id.
@@ -36,8 +36,6 @@
     pub host: String,
     /// The path that it was sent to.
     pub path: String,
-    /// The time of day, in milliseconds since 1970.
-    pub unix_ms: u64,
 }
 
 /// Reads a batch job.
@@ -53,7 +51,6 @@
         model: submitted.model,
         min_version: submitted.min_version,
         desired: submitted.desired,
-        accepted_unix_ms: arrival.unix_ms,
         items: items?,
     })
 }
--- a/system/data/src/shared.rs
+++ b/system/data/src/shared.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use gingerledge_protocol::{read_configuration, Configuration, Settings};
 use gingerledge_relay::{Action, Event, Relay, RelaySettings};
@@ -86,13 +86,6 @@
         self.started.elapsed()
     }
 
-    /// The time of day, in milliseconds since 1970.
-    pub fn unix_ms(&self) -> u64 {
-        SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(0, |passed| u64::try_from(passed.as_millis()).unwrap_or(u64::MAX))
-    }
-
     /// The zone of this edge.
     pub fn zone(&self) -> String {
         self.settings.borrow().zone.clone()
--- a/system/data/tests/rollout_common/backend.rs
+++ b/system/data/tests/rollout_common/backend.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use gingerledge_transport::{Incoming, Network, NetworkSettings};
 use gingerledge_wire::{
@@ -42,6 +42,8 @@
     heard: Vec<JobsRequest>,
     /// When renewals that were granted had come in.
     renewed: Vec<Instant>,
+    /// How old drivers are told that batch jobs are.
+    told_age: Duration,
 }
 
 /// A stand-in backend.
@@ -101,7 +103,13 @@
         let results = listed.iter().map(|&item| listed_before(item)).collect();
         let kept = Kept { job: Arc::clone(&job), term, ended: false, results, saved: Vec::new() };
         self.state.borrow_mut().jobs.insert(job.id.clone(), kept);
-        self.send(edge, JobsMessage::Drive { job, term, listed, texts });
+        let age_ms = self.state.borrow().told_age.as_millis() as u64;
+        self.send(edge, JobsMessage::Drive { job, term, listed, texts, age_ms });
+    }
+
+    /// From now on, drivers are told that batch jobs are that old.
+    pub fn tell_age(&self, age: Duration) {
+        self.state.borrow_mut().told_age = age;
     }
 
     /// Parts of texts that were saved, in order.
--- a/system/data/tests/rollout_common/mod.rs
+++ b/system/data/tests/rollout_common/mod.rs
@@ -176,7 +176,6 @@
             body: b"score me".to_vec(),
         }),
     });
-    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("clock");
     JobRecord {
         id: id.to_owned(),
         host: HOST.to_owned(),
@@ -185,7 +184,6 @@
         model: MODEL.to_owned(),
         min_version: 2,
         desired: groups as u64,
-        accepted_unix_ms: unix.as_millis() as u64,
         items: items.collect(),
     }
 }
--- a/system/data/tests/rollout_driver.rs
+++ b/system/data/tests/rollout_driver.rs
@@ -3,6 +3,7 @@
 mod rollout_common;
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use gingerledge_protocol::StoreState;
 use gingerledge_wire::ResultRecord;
@@ -271,13 +272,25 @@
 fn what_is_retained_no_longer_is_abandoned() {
     run(async {
         let world = World::start(Route { retention_s: 5.0, ..Route::default() }).await;
-        let mut old = job("j", 1, 2);
-        old.accepted_unix_ms -= 60_000;
-        world.drive(old);
+        world.backend.tell_age(Duration::from_secs(60));
+        world.drive(job("j", 1, 2));
         assert!(world.results("j", 2).await.iter().all(|result| !result.completed));
     });
 }
 
+/// The time of day of the machine plays no part: what it said when the batch job came in is not even kept.
+#[parameterized(new = { 0, false }, young = { 30_000, false }, over = { 60_601, true })]
+fn what_may_be_given_up_hangs_on_the_told_age_alone(age_ms: u64, given_up: bool) {
+    run(async {
+        let world = World::start(Route { retention_s: 60.0, ..Route::default() }).await;
+        let a = engine("a", |_| Does::Stream).await;
+        world.learn_engine(&a);
+        world.backend.tell_age(Duration::from_millis(age_ms));
+        world.drive(job("j", 1, 2));
+        assert!(world.results("j", 2).await.iter().all(|result| result.completed != given_up));
+    });
+}
+
 #[test]
 fn nothing_is_abandoned_while_no_store_fits() {
     run(async {
--- a/system/data/tests/rollout_front.rs
+++ b/system/data/tests/rollout_front.rs
@@ -101,7 +101,6 @@
             panic!("no creation")
         };
         let mut expected = sent;
-        expected.accepted_unix_ms = kept.accepted_unix_ms;
         for item in &mut expected.items {
             item.headers.sort();
         }
--- a/system/data/tests/rollout_hold.rs
+++ b/system/data/tests/rollout_hold.rs
@@ -183,6 +183,7 @@
             term: TERM - 1,
             listed: vec![0, 1],
             texts: Vec::new(),
+            age_ms: 0,
         };
         world.backend.send(world.shared.address(), older);
         let heard = world.backend.heard().len();
--- a/system/data/tests/rollout_plan_common/mod.rs
+++ b/system/data/tests/rollout_plan_common/mod.rs
@@ -20,7 +20,6 @@
         model: "model".to_owned(),
         min_version,
         desired,
-        accepted_unix_ms: 0,
         items: items.collect(),
     })
 }
--- a/system/jobs/src/backend/mod.rs
+++ b/system/jobs/src/backend/mod.rs
@@ -15,7 +15,7 @@
 pub use record::{DiskContent, DiskRecord};
 
 use crate::error::JobsError;
-use crate::partition::{Context, EdgeState, Edges, Moment, Partition, PartitionAction, Room};
+use crate::partition::{Context, EdgeState, Edges, Partition, PartitionAction, Room};
 use crate::settings::JobsSettings;
 use crate::store::Asker;
 
@@ -150,7 +150,7 @@
     }
 
     /// Takes an event and appends what is to be done.
-    pub fn handle(&mut self, now: Moment, event: BackendEvent, out: &mut Vec<BackendAction>) {
+    pub fn handle(&mut self, now: Duration, event: BackendEvent, out: &mut Vec<BackendAction>) {
         match event {
             BackendEvent::Started => self.each(now, out, |partition, context| partition.start(context)),
             BackendEvent::Chain { partition, record } => {
@@ -227,14 +227,14 @@
 
     fn on_ask(
         &mut self,
-        now: Moment,
+        now: Duration,
         asker: Asker,
         partition: u16,
         epoch: u64,
         request: JobsRequest,
         out: &mut Vec<BackendAction>,
     ) {
-        let room = self.room(now.steady);
+        let room = self.room(now);
         if partition < PARTITIONS {
             self.one(now, partition, out, |partition, context| {
                 partition.ask(context, asker, epoch, request, room)
@@ -245,13 +245,13 @@
         }
     }
 
-    fn on_edge(&mut self, now: Moment, incarnation: u64, state: EdgeState, out: &mut Vec<BackendAction>) {
+    fn on_edge(&mut self, now: Duration, incarnation: u64, state: EdgeState, out: &mut Vec<BackendAction>) {
         self.edges.set(incarnation, state);
         // Drivers that it takes the place of, or that are gone with it, are replaced at once.
         self.each(now, out, |partition, context| partition.tick(context));
     }
 
-    fn on_durable(&mut self, now: Moment, token: u64, out: &mut Vec<BackendAction>) {
+    fn on_durable(&mut self, now: Duration, token: u64, out: &mut Vec<BackendAction>) {
         while self.unsynced.front().is_some_and(|oldest| oldest.token <= token) {
             let Some(synced) = self.unsynced.pop_front() else { return };
             self.unsynced_bytes -= synced.bytes;
@@ -261,9 +261,9 @@
         }
     }
 
-    fn on_tick(&mut self, now: Moment, out: &mut Vec<BackendAction>) {
+    fn on_tick(&mut self, now: Duration, out: &mut Vec<BackendAction>) {
         self.each(now, out, |partition, context| {
-            if partition.next_timer().is_some_and(|timer| timer <= context.now.steady) {
+            if partition.next_timer().is_some_and(|timer| timer <= context.now) {
                 partition.tick(context);
             }
         });
@@ -271,7 +271,7 @@
 
     fn each(
         &mut self,
-        now: Moment,
+        now: Duration,
         out: &mut Vec<BackendAction>,
         act: impl Fn(&mut Partition, &mut Context<'_>),
     ) {
@@ -282,7 +282,7 @@
 
     fn one(
         &mut self,
-        now: Moment,
+        now: Duration,
         number: u16,
         out: &mut Vec<BackendAction>,
         act: impl FnOnce(&mut Partition, &mut Context<'_>),
@@ -319,7 +319,7 @@
         }
     }
 
-    fn finish_batch(&mut self, now: Moment, out: &mut Vec<BackendAction>) {
+    fn finish_batch(&mut self, now: Duration, out: &mut Vec<BackendAction>) {
         let partitions = std::mem::take(&mut self.batch_partitions);
         let records = std::mem::take(&mut self.batch);
         if partitions.is_empty() || self.failed {
@@ -329,7 +329,7 @@
         let bytes = records.iter().map(|record| record.len() as u64).sum();
         self.unsynced_bytes += bytes;
         let token = self.last_token;
-        self.unsynced.push_back(Unsynced { token, bytes, since: now.steady, partitions });
+        self.unsynced.push_back(Unsynced { token, bytes, since: now, partitions });
         out.push(BackendAction::Persist { token, records });
     }
 }
--- a/system/jobs/src/node/mod.rs
+++ b/system/jobs/src/node/mod.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use gingerledge_chain::MemberId;
 use gingerledge_protocol::Settings;
@@ -20,7 +20,7 @@
 
 use crate::backend::{Backend, BackendAction, BackendEvent};
 use crate::error::{JobsError, NetworkSnafu, NoDiskSnafu, SignalsSnafu};
-use crate::partition::{EdgeState, Moment};
+use crate::partition::EdgeState;
 use crate::settings::JobsSettings;
 use crate::store::Asker;
 use disk::DiskWriter;
@@ -122,11 +122,6 @@
         self.started.elapsed()
     }
 
-    fn moment(&self) -> Moment {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Moment { steady: self.now(), unix_ms: u64::try_from(unix.as_millis()).unwrap_or(u64::MAX) }
-    }
-
     /// When something is to be done without any event from outside.
     fn deadline(&self) -> Instant {
         let timers = [self.backend.next_timer(), self.relay.next_timer(), self.disk.next_timer()];
@@ -211,7 +206,7 @@
 
     fn drive(&mut self, event: BackendEvent) {
         let mut actions = Vec::new();
-        let now = self.moment();
+        let now = self.now();
         self.backend.handle(now, event, &mut actions);
         for action in actions {
             match action {
--- a/system/jobs/src/partition/asks.rs
+++ b/system/jobs/src/partition/asks.rs
@@ -10,7 +10,7 @@
 use super::output::answer;
 use super::reads::{Question, Wanted};
 use super::{Context, Partition};
-use crate::store::{record_bytes, Asker, Command, EdgeProcess, Job, Outcome, Proposal};
+use crate::store::{record_bytes, Asker, Command, EdgeProcess, Job, Outcome};
 
 /// The most renewals that wait for the chain at once.
 const MOST_RENEWALS: usize = 256;
@@ -73,14 +73,12 @@
             }
             JobsRequest::Read { job, start_after, wait_ms, max_bytes } => {
                 let max_bytes = max_bytes.min(self.settings.page_bytes);
-                let until =
-                    context.now.steady + Duration::from_millis(wait_ms).min(self.settings.longest_wait);
+                let until = context.now + Duration::from_millis(wait_ms).min(self.settings.longest_wait);
                 let wanted = Wanted::Page { start_after, max_bytes };
                 self.ask_read(context, Question { asker, job, wanted, until });
             }
             JobsRequest::Body { job, item } => {
-                let question =
-                    Question { asker, job, wanted: Wanted::Body { item }, until: context.now.steady };
+                let question = Question { asker, job, wanted: Wanted::Body { item }, until: context.now };
                 self.ask_read(context, question);
             }
             JobsRequest::Renew { jobs } => self.ask_renew(context, asker, jobs),
@@ -120,7 +118,7 @@
     ) {
         match done {
             Some(done) => context.out.push(answer(asker, done)),
-            None if room.disk_keeps_up => self.propose(context, Proposal { asker: Some(asker), command }),
+            None if room.disk_keeps_up => self.propose(context, Some(asker), command),
             None => context.out.push(answer(asker, JobsAnswer::NotNow)),
         }
     }
@@ -158,10 +156,8 @@
     pub(super) fn read_ready(&mut self, context: &mut Context<'_>, token: u64) {
         self.reads.confirm(token);
         if let Some((asker, jobs)) = self.renewals.waiting.remove(&token) {
-            let states = jobs
-                .iter()
-                .map(|(id, term)| self.holds.renew(context.now.steady, id, *term, &self.store))
-                .collect();
+            let states =
+                jobs.iter().map(|(id, term)| self.holds.renew(context.now, id, *term, &self.store)).collect();
             context.out.push(answer(asker, JobsAnswer::Renewed(states)));
         }
     }
--- a/system/jobs/src/partition/driving.rs
+++ b/system/jobs/src/partition/driving.rs
@@ -6,7 +6,7 @@
 
 use super::holds::{HoldAction, Timeouts};
 use super::{Context, Partition, PartitionAction};
-use crate::store::{Command, Outcome, Proposal};
+use crate::store::{Command, Outcome};
 
 impl Partition {
     /// What the head does once a command is committed.
@@ -18,7 +18,7 @@
                 context.out.push(PartitionAction::SendEdge { to: job.driver().address, message });
             }
             (Some(job), _) => {
-                if self.holds.follow(context.now.steady, id, job) {
+                if self.holds.follow(context.now, id, job) {
                     self.tell_driver(context, id);
                 }
             }
@@ -27,11 +27,11 @@
     }
 
     pub(super) fn look_after_holds(&mut self, context: &mut Context<'_>) {
-        for action in self.holds.due(context.now.steady, self.timeouts(), context.edges) {
+        for action in self.holds.due(context.now, self.timeouts(), context.edges) {
             match action {
                 HoldAction::Replace { job, term, edge } => {
                     let command = Command::Drive { job, term, edge };
-                    self.propose(context, Proposal { asker: None, command });
+                    self.propose(context, None, command);
                 }
                 HoldAction::Tell { job } => self.tell_driver(context, &job),
             }
@@ -39,27 +39,41 @@
     }
 
     pub(super) fn look_for_forgotten(&mut self, context: &mut Context<'_>) {
-        if context.now.steady < self.next_forget {
+        if context.now < self.next_forget {
             return;
         }
-        self.next_forget = context.now.steady + self.settings.forget_every;
-        let retention_ms = u64::try_from(self.settings.retention.as_millis()).unwrap_or(u64::MAX);
-        let over = self.store.jobs().filter(|(_, job)| {
-            job.is_ended() && job.record().accepted_unix_ms.saturating_add(retention_ms) < context.now.unix_ms
-        });
+        self.next_forget = context.now + self.settings.forget_every;
+        let ended = self.store.jobs().filter(|(_, job)| job.is_ended());
+        let over = ended.filter(|(id, _)| self.ages.age(context.now, id) > self.settings.retention);
         let over: Vec<_> = over.map(|(id, _)| id.clone()).collect();
         for job in over {
-            self.propose(context, Proposal { asker: None, command: Command::Forget { job } });
+            self.propose(context, None, Command::Forget { job });
+        }
+        self.keep_ages(context);
+    }
+
+    /// Ended batch jobs get no commands that would tell their age, so it is kept now and then: without it, restarts that come
+    /// again and again would keep them for ever.
+    fn keep_ages(&mut self, context: &mut Context<'_>) {
+        if context.now < self.next_keep_ages {
+            return;
+        }
+        self.next_keep_ages = context.now + self.settings.keep_ages_every;
+        let ended = self.store.jobs().filter(|(_, job)| job.is_ended());
+        let ages: Vec<_> = ended.map(|(id, _)| (id.clone(), self.ages.age(context.now, id))).collect();
+        if !ages.is_empty() {
+            self.propose(context, None, Command::KeepAges { ages });
         }
     }
 
     pub(super) fn tell_driver(&mut self, context: &mut Context<'_>, id: &str) {
         let Some(job) = self.store.job(id) else { return };
-        self.holds.told(context.now.steady, id);
+        self.holds.told(context.now, id);
         if let Some(to) = context.edges.address(job.driver().incarnation) {
             let record = Arc::new(job.record().clone());
             let (listed, texts) = (job.listed_items(), job.texts());
-            let message = JobsMessage::Drive { job: record, term: job.term(), listed, texts };
+            let age_ms = u64::try_from(self.ages.age(context.now, id).as_millis()).unwrap_or(u64::MAX);
+            let message = JobsMessage::Drive { job: record, term: job.term(), listed, texts, age_ms };
             context.out.push(PartitionAction::SendEdge { to, message });
         }
     }
--- a/system/jobs/src/partition/mod.rs
+++ b/system/jobs/src/partition/mod.rs
@@ -3,6 +3,7 @@
 //! The head takes questions that write and proposes commands; the tail answers them once they are committed. The tail
 //! answers reads. A replica that is neither, or that does not count in its view, answers [`JobsAnswer::NotNow`].
 
+mod ages;
 mod asks;
 mod creations;
 mod driving;
@@ -17,11 +18,12 @@
 use gingerledge_wire::{JobsAnswer, PartitionRecord};
 
 pub use holds::{EdgeState, Edges};
-pub use output::{Context, Moment, PartitionAction};
+pub use output::{Context, PartitionAction};
 
 use crate::error::JobsError;
 use crate::settings::JobsSettings;
-use crate::store::{Command, Proposal, Store};
+use crate::store::{Asker, Command, Proposal, Store};
+use ages::Ages;
 use asks::Renewals;
 pub use asks::Room;
 use creations::Creations;
@@ -53,8 +55,10 @@
     renewals: Renewals,
     creations: Creations,
     holds: Holds,
+    ages: Ages,
     next_read: u64,
     next_forget: Duration,
+    next_keep_ages: Duration,
     actions: VecDeque<ReplicaAction>,
 }
 
@@ -88,8 +92,10 @@
             renewals: Renewals::default(),
             creations: Creations::default(),
             holds: Holds::default(),
+            ages: Ages::default(),
             next_read: 0,
             next_forget: Duration::ZERO,
+            next_keep_ages: Duration::ZERO,
             actions: VecDeque::new(),
         }
     }
@@ -146,7 +152,7 @@
 
     /// The time of [`Partition::next_timer`] has come.
     pub fn tick(&mut self, context: &mut Context<'_>) {
-        if self.replica.next_timer().is_some_and(|timer| timer <= context.now.steady) {
+        if self.replica.next_timer().is_some_and(|timer| timer <= context.now) {
             self.replicate(context, ReplicaEvent::Tick);
         }
         self.answer_reads(context);
@@ -204,9 +210,9 @@
         self.answer_reads(context);
     }
 
-    fn feed(&mut self, now: Moment, event: ReplicaEvent) {
+    fn feed(&mut self, now: Duration, event: ReplicaEvent) {
         let mut actions = Vec::new();
-        self.replica.handle(now.steady, event, &mut actions);
+        self.replica.handle(now, event, &mut actions);
         self.actions.extend(actions);
     }
 
@@ -218,7 +224,7 @@
             ReplicaAction::Persist { token, records } => self.persist(context, token, records),
             ReplicaAction::Apply { seq, command, reply } => self.apply(context, seq, &command, reply),
             ReplicaAction::TakeSnapshot => self.take_snapshot(context),
-            ReplicaAction::InstallSnapshot { seq, bytes } => self.install_snapshot(seq, &bytes),
+            ReplicaAction::InstallSnapshot { seq, bytes } => self.install_snapshot(context, seq, &bytes),
             ReplicaAction::ReadReady { token, .. } => self.read_ready(context, token),
             ReplicaAction::ReadFailed { token } => self.read_failed(context, token),
             ReplicaAction::NotHead { command, .. } | ReplicaAction::Busy { command } => {
@@ -239,9 +245,11 @@
             Ok(proposal) => proposal,
             Err(error) => return self.fail(&error),
         };
-        let id = proposal.command.job().clone();
+        let id = proposal.command.job().cloned();
         let created = matches!(proposal.command, Command::Create { .. });
         let outcome = self.store.apply(proposal.command);
+        let Some(id) = id else { return self.ages.observe_all(context.now, &self.store) };
+        self.observe_age(context, &id, proposal.age);
         if let Some(asker) = proposal.asker.filter(|_| reply) {
             context.out.push(answer(asker, outcome.answer(asker.edge)));
         }
@@ -254,6 +262,14 @@
         }
     }
 
+    fn observe_age(&mut self, context: &Context<'_>, id: &str, age: Duration) {
+        self.store.reach_age(id, age);
+        match self.store.job(id) {
+            Some(job) => self.ages.observe(context.now, id, job),
+            None => self.ages.forget(id),
+        }
+    }
+
     fn take_snapshot(&mut self, context: &mut Context<'_>) {
         match self.store.encode() {
             Ok(bytes) => self.feed(context.now, ReplicaEvent::SnapshotReady { seq: self.applied, bytes }),
@@ -261,16 +277,14 @@
         }
     }
 
-    fn install_snapshot(&mut self, seq: u64, bytes: &[u8]) {
+    fn install_snapshot(&mut self, context: &Context<'_>, seq: u64, bytes: &[u8]) {
         self.applied = seq;
-        if bytes.is_empty() {
-            self.store = Store::default();
-            return;
-        }
-        match Store::decode(bytes) {
+        let store = if bytes.is_empty() { Ok(Store::default()) } else { Store::decode(bytes) };
+        match store {
             Ok(store) => self.store = store,
-            Err(error) => self.fail(&error),
+            Err(error) => return self.fail(&error),
         }
+        self.ages.observe_all(context.now, &self.store);
     }
 
     fn persist(&mut self, context: &mut Context<'_>, token: u64, records: Vec<LogRecord>) {
@@ -309,8 +323,9 @@
         let is_tail = serving && view.is_some_and(|view| view.tail() == Some(self.me));
         let begins_as_head = is_head && !self.is_head;
         if begins_as_head {
-            self.holds.restart(context.now.steady, &self.store);
-            self.next_forget = context.now.steady + self.settings.forget_every;
+            self.holds.restart(context.now, &self.store);
+            self.next_forget = context.now + self.settings.forget_every;
+            self.next_keep_ages = context.now + self.settings.keep_ages_every;
         }
         if !is_head && self.is_head {
             self.holds.clear();
@@ -331,8 +346,9 @@
     }
 
     /// Proposes a command at the head.
-    fn propose(&mut self, context: &mut Context<'_>, proposal: Proposal) {
-        match proposal.encode() {
+    fn propose(&mut self, context: &mut Context<'_>, asker: Option<Asker>, command: Command) {
+        let age = command.job().map_or(Duration::ZERO, |id| self.ages.age(context.now, id));
+        match (Proposal { asker, age, command }).encode() {
             Ok(command) => self.replicate(context, ReplicaEvent::Submit { command }),
             Err(error) => log::error!("a command was not proposed: {error}"),
         }
@@ -352,7 +368,7 @@
 
     fn answer_reads(&mut self, context: &mut Context<'_>) {
         if self.reads.len() > 0 {
-            let answers = self.reads.answers(context.now.steady, &self.store);
+            let answers = self.reads.answers(context.now, &self.store);
             context.out.extend(answers.into_iter().map(|(asker, body)| answer(asker, body)));
         }
     }
--- a/system/jobs/src/partition/output.rs
+++ b/system/jobs/src/partition/output.rs
@@ -9,19 +9,10 @@
 use super::holds::Edges;
 use crate::store::Asker;
 
-/// The present moment.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Moment {
-    /// Since the start of the process.
-    pub steady: Duration,
-    /// The time of day, in milliseconds since 1970.
-    pub unix_ms: u64,
-}
-
 /// What a partition is told with every event, and where it says what is to be done.
 pub struct Context<'a> {
-    /// The present moment.
-    pub now: Moment,
+    /// The present moment: the time since the start of the process, by a steady clock.
+    pub now: Duration,
     /// The edges that are there.
     pub edges: &'a Edges,
     /// What is to be done.
--- a/system/jobs/src/settings.rs
+++ b/system/jobs/src/settings.rs
@@ -6,7 +6,7 @@
 use gingerledge_protocol::Settings;
 
 const MEBIBYTE: u64 = 1024 * 1024;
-/// Clocks differ, and an edge may have taken a batch job some time after it was sent first.
+/// Batch jobs are kept that much longer than they must be, for steady clocks that run fast.
 const RETENTION_MARGIN: Duration = Duration::from_secs(30);
 /// Of the memory of the process, how much batch jobs may take: a snapshot for the disk holds them a second time.
 const MEMORY_SHARE_PERCENT: u64 = 28;
@@ -28,10 +28,12 @@
     pub driver_timeout: Duration,
     /// A new driver that hasn't shown itself for this long is told again.
     pub drive_again: Duration,
-    /// An ended batch job is dropped this long after it was accepted.
+    /// An ended batch job is dropped once it is surely this old.
     pub retention: Duration,
     /// How often the head looks for batch jobs to drop.
     pub forget_every: Duration,
+    /// How often the head keeps the ages of ended batch jobs on the disks.
+    pub keep_ages_every: Duration,
     /// Bytes of batch jobs in all partitions; beyond them no batch job is taken.
     pub state_bytes: u64,
     /// Bytes set aside for each result of a new batch job.
@@ -73,6 +75,7 @@
             drive_again: Duration::from_millis(600),
             retention: retention.saturating_add(RETENTION_MARGIN),
             forget_every: Duration::from_secs(5),
+            keep_ages_every: Duration::from_secs(30),
             state_bytes,
             result_room_bytes: 8 * 1024,
             unsynced_bytes: 24 * MEBIBYTE,
--- a/system/jobs/src/store/command.rs
+++ b/system/jobs/src/store/command.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use gingerledge_wire::{DriverTerm, JobId, JobRecord, JobsAnswer, PartialText, ResultRecord};
 use serde::{Deserialize, Serialize};
@@ -66,6 +67,11 @@
         /// The batch job.
         job: JobId,
     },
+    /// Keep the ages that batch jobs have reached, so that they outlast a restart.
+    KeepAges {
+        /// Batch jobs with their ages.
+        ages: Vec<(JobId, Duration)>,
+    },
 }
 
 /// Who waits for the outcome of a command.
@@ -84,6 +90,8 @@
 pub struct Proposal {
     /// Who asked; none for commands of the head itself.
     pub asker: Option<Asker>,
+    /// The age that the command's batch job has certainly reached.
+    pub age: Duration,
     /// The command.
     pub command: Command,
 }
@@ -121,6 +129,8 @@
     Driven,
     /// It is dropped.
     Forgotten,
+    /// The ages are kept.
+    Kept,
     /// Nothing changed, because there is no such batch job or the command does not apply any more.
     Unknown,
 }
@@ -135,21 +145,22 @@
             Self::Appended => JobsAnswer::Appended,
             Self::Fenced => JobsAnswer::Fenced,
             Self::Ended { .. } => JobsAnswer::Ended,
-            Self::Driven | Self::Forgotten | Self::Unknown => JobsAnswer::Unknown,
+            Self::Driven | Self::Forgotten | Self::Kept | Self::Unknown => JobsAnswer::Unknown,
         }
     }
 }
 
 impl Command {
-    /// The batch job that it is about.
-    pub fn job(&self) -> &JobId {
+    /// The batch job that it is about, if it is about one.
+    pub fn job(&self) -> Option<&JobId> {
         match self {
-            Self::Create { job, .. } => &job.id,
+            Self::KeepAges { .. } => None,
+            Self::Create { job, .. } => Some(&job.id),
             Self::Append { job, .. }
             | Self::Save { job, .. }
             | Self::End { job }
             | Self::Drive { job, .. }
-            | Self::Forget { job } => job,
+            | Self::Forget { job } => Some(job),
         }
     }
 }
--- a/system/jobs/src/store/job.rs
+++ b/system/jobs/src/store/job.rs
@@ -1,6 +1,7 @@
 //! One batch job: its items, its results by position, its driver.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use gingerledge_wire::{DriverTerm, ItemRecord, JobRecord, PartialText, ResultRecord};
 use serde::{Deserialize, Serialize};
@@ -25,6 +26,8 @@
     driver: EdgeProcess,
     term: DriverTerm,
     ended: bool,
+    /// The age that it has certainly reached.
+    age: Duration,
     bytes: u64,
 }
 
@@ -34,7 +37,8 @@
         let listed = vec![false; record.items.len()];
         let bytes = record_bytes(&record);
         let (results, texts) = (Vec::new(), BTreeMap::new());
-        Self { record, listed, results, texts, driver, term: 1, ended: false, bytes }
+        let age = Duration::ZERO;
+        Self { record, listed, results, texts, driver, term: 1, ended: false, age, bytes }
     }
 
     /// The batch job; items that are listed have neither body nor headers nor reward call any more.
@@ -72,6 +76,11 @@
         !self.ended && self.results.len() < self.record.items.len()
     }
 
+    /// The age that it had certainly reached when the newest command about it was proposed.
+    pub fn age(&self) -> Duration {
+        self.age
+    }
+
     /// Bytes that it takes in memory.
     pub fn bytes(&self) -> u64 {
         self.bytes
@@ -165,6 +174,10 @@
         !std::mem::replace(&mut self.ended, true)
     }
 
+    pub(super) fn reach_age(&mut self, age: Duration) {
+        self.age = self.age.max(age);
+    }
+
     /// Gives it another driver.
     pub(super) fn drive(&mut self, driver: EdgeProcess, term: DriverTerm) {
         self.driver = driver;
--- a/system/jobs/src/store/mod.rs
+++ b/system/jobs/src/store/mod.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use gingerledge_wire::{DriverTerm, JobId, JobRecord, PartialText, ResultRecord};
 use serde::{Deserialize, Serialize};
@@ -35,6 +36,14 @@
             Command::End { job } => self.end(&job),
             Command::Drive { job, term, edge } => self.drive(&job, term, edge),
             Command::Forget { job } => self.forget(&job),
+            Command::KeepAges { ages } => self.keep_ages(&ages),
+        }
+    }
+
+    /// Keeps the age that a batch job has reached; one that is lower than what is known changes nothing.
+    pub fn reach_age(&mut self, id: &str, age: Duration) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.reach_age(age);
         }
     }
 
@@ -118,6 +127,13 @@
         }
     }
 
+    fn keep_ages(&mut self, ages: &[(JobId, Duration)]) -> Outcome {
+        for (id, age) in ages {
+            self.reach_age(id, *age);
+        }
+        Outcome::Kept
+    }
+
     fn forget(&mut self, id: &str) -> Outcome {
         if !self.jobs.get(id).is_some_and(Job::is_ended) {
             return Outcome::Unknown;
--- a/system/jobs/tests/backend.rs
+++ b/system/jobs/tests/backend.rs
@@ -1,224 +1,19 @@
 //! One backend alone: what its head and its tail answer, when, and what they keep.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
+mod bench;
+
 use std::time::Duration;
 
-use gingerledge_chain::{LogRecord, MemberId};
-use gingerledge_jobs::backend::{Backend, BackendAction, BackendEvent, DiskContent};
-use gingerledge_jobs::partition::{EdgeState, Moment};
-use gingerledge_jobs::store::Asker;
-use gingerledge_jobs::JobsSettings;
-use gingerledge_protocol::Settings;
-use gingerledge_wire::{
-    ItemRecord, JobRecord, JobsAnswer, JobsMessage, JobsRequest, PartialText, PartitionRecord, RenewState,
-    ResultRecord,
+use bench::{
+    address, append, create, end, listed, read, renew, save, settings, Bench, EDGE, ME, NEXT_LIFE,
+    OTHER_EDGE, PARTITION,
 };
+use gingerledge_chain::{LogRecord, MemberId};
+use gingerledge_jobs::backend::{Backend, BackendEvent, DiskContent};
+use gingerledge_jobs::partition::EdgeState;
+use gingerledge_wire::{JobsAnswer, JobsMessage, JobsRequest, PartitionRecord, RenewState};
 use yare::parameterized;
 
-const ME: u64 = 5;
-const EDGE: u64 = 77;
-const OTHER_EDGE: u64 = 78;
-/// The process that runs in the place of `EDGE` once that has ended.
-const NEXT_LIFE: u64 = 79;
-const PARTITION: u16 = 3;
-
-/// A backend whose disk is as fast as the test wants.
-struct Bench {
-    backend: Backend,
-    now: Duration,
-    unsynced: Vec<u64>,
-    records: Vec<Vec<u8>>,
-    sent: Vec<JobsMessage>,
-    next_request: u64,
-}
-
-fn settings(machines: usize) -> JobsSettings {
-    let text = format!(
-        r#"{{"nodeName":"n","role":"r","machineClass":"c","ip":"10.0.0.1","zone":"z","internalPorts":[1,2],
-        "seeds":["10.0.0.2:1"],"faultTolerance":{{"machines":{machines}}},"bounds":{{"statusS":100}},
-        "limits":{{"memoryMb":16,"diskMb":128}}}}"#
-    );
-    JobsSettings::new(&Settings::parse(text.as_bytes()).unwrap())
-}
-
-fn address(edge: u64) -> SocketAddr {
-    SocketAddr::from(([10, 1, 0, 1], edge as u16))
-}
-
-impl Bench {
-    /// A backend that is the whole chain of a partition.
-    fn new(machines: usize) -> Self {
-        let backend = Backend::new(MemberId(ME), DiskContent::default(), settings(machines), 1);
-        let (unsynced, records, sent) = (Vec::new(), Vec::new(), Vec::new());
-        let mut bench = Self { backend, now: Duration::ZERO, unsynced, records, sent, next_request: 0 };
-        bench.handle(BackendEvent::Started);
-        for edge in [EDGE, OTHER_EDGE] {
-            bench.handle(BackendEvent::Edge { incarnation: edge, state: EdgeState::There(address(edge)) });
-        }
-        let record = PartitionRecord { epoch: 1, chain: vec![ME], full: vec![ME] };
-        bench.handle(BackendEvent::Chain { partition: PARTITION, record });
-        bench.sync();
-        bench
-    }
-
-    /// The process starts again with its disk; it knows no edges yet.
-    fn restart(&mut self) {
-        self.restart_before_the_chain_is_known();
-        self.learn_chain();
-        // Askers of the life before may be answered again.
-        self.sent.clear();
-    }
-
-    fn restart_before_the_chain_is_known(&mut self) {
-        let content = DiskContent::read(self.records.clone()).unwrap();
-        self.backend = Backend::new(MemberId(ME), content, settings(0), 2);
-        self.unsynced.clear();
-        self.sent.clear();
-        self.handle(BackendEvent::Started);
-        self.sync();
-    }
-
-    fn learn_chain(&mut self) {
-        let record = PartitionRecord { epoch: 1, chain: vec![ME], full: vec![ME] };
-        self.handle(BackendEvent::Chain { partition: PARTITION, record });
-        self.sync();
-    }
-
-    fn edge_is_there(&mut self, incarnation: u64, address: SocketAddr) {
-        self.handle(BackendEvent::Edge { incarnation, state: EdgeState::There(address) });
-        self.sync();
-    }
-
-    /// The terms under which edges were told to drive.
-    fn told_terms(&self) -> Vec<u64> {
-        let term = |message: &JobsMessage| match message {
-            JobsMessage::Drive { term, .. } => Some(*term),
-            _ => None,
-        };
-        self.sent.iter().filter_map(term).collect()
-    }
-
-    fn handle(&mut self, event: BackendEvent) {
-        let mut actions = Vec::new();
-        let moment = Moment { steady: self.now, unix_ms: self.now.as_millis() as u64 };
-        self.backend.handle(moment, event, &mut actions);
-        for action in actions {
-            match action {
-                BackendAction::SendEdge { message, .. } => self.sent.push(message),
-                BackendAction::Persist { token, records } => {
-                    self.unsynced.push(token);
-                    self.records.extend(records);
-                }
-                BackendAction::SendMember { .. } => {}
-            }
-        }
-    }
-
-    fn sync(&mut self) {
-        while !self.unsynced.is_empty() {
-            let token = self.unsynced.remove(0);
-            self.handle(BackendEvent::Durable { token });
-        }
-    }
-
-    /// Lets time pass, with all timers on the way.
-    fn pass(&mut self, milliseconds: u64) {
-        let end = self.now + Duration::from_millis(milliseconds);
-        while let Some(timer) = self.backend.next_timer().filter(|timer| *timer <= end) {
-            self.now = self.now.max(timer);
-            self.handle(BackendEvent::Tick);
-            self.sync();
-        }
-        self.now = end;
-    }
-
-    /// Asks without waiting for the disk.
-    fn ask_only(&mut self, edge: u64, request: JobsRequest) {
-        self.next_request += 1;
-        let asker = Asker { request: self.next_request, reply_to: address(edge), edge };
-        self.handle(BackendEvent::Ask { asker, partition: PARTITION, epoch: 1, request });
-    }
-
-    fn ask(&mut self, request: JobsRequest) -> Vec<JobsAnswer> {
-        self.ask_only(EDGE, request);
-        self.sync();
-        self.answers()
-    }
-
-    fn answers(&mut self) -> Vec<JobsAnswer> {
-        let answer = |message| match message {
-            JobsMessage::Answer { body, .. } => Some(body),
-            _ => None,
-        };
-        self.sent.drain(..).filter_map(answer).collect()
-    }
-}
-
-fn job(body_bytes: usize) -> Arc<JobRecord> {
-    let item = |index: u8| ItemRecord {
-        id: format!("i{index}"),
-        path: "/p/".to_owned(),
-        headers: Vec::new(),
-        body: vec![index; body_bytes],
-        tokens: 1,
-        group: "g".to_owned(),
-        scoring: None,
-    };
-    Arc::new(JobRecord {
-        id: "j".to_owned(),
-        host: "h".to_owned(),
-        path: "/p/".to_owned(),
-        step: 0,
-        model: "m".to_owned(),
-        min_version: 1,
-        desired: 1,
-        accepted_unix_ms: 0,
-        items: vec![item(0), item(1)],
-    })
-}
-
-fn create(body_bytes: usize) -> JobsRequest {
-    JobsRequest::Create { job: job(body_bytes) }
-}
-
-fn append(term: u64, item: u32) -> JobsRequest {
-    let result = ResultRecord {
-        item,
-        completed: true,
-        text: b"text".to_vec(),
-        versions: vec![1],
-        score: "s".to_owned(),
-    };
-    JobsRequest::Append { job: "j".to_owned(), term, results: vec![result] }
-}
-
-fn read(start_after: u64, wait_ms: u64) -> JobsRequest {
-    JobsRequest::Read { job: "j".to_owned(), start_after, wait_ms, max_bytes: 1_000_000 }
-}
-
-/// A part of the text of the second item.
-fn save(term: u64, after: Option<u64>, last_id: u64, data: &[u8]) -> JobsRequest {
-    let (data, versions) = (data.to_vec(), vec![1]);
-    let part = PartialText { item: 1, origin: 9, after, last_id, data, versions, whole: false };
-    JobsRequest::Save { job: "j".to_owned(), term, texts: vec![part] }
-}
-
-fn renew(term: u64) -> JobsRequest {
-    JobsRequest::Renew { jobs: vec![("j".to_owned(), term)] }
-}
-
-fn end() -> JobsRequest {
-    JobsRequest::End { job: "j".to_owned() }
-}
-
-fn listed(answers: &[JobsAnswer]) -> Option<usize> {
-    match answers {
-        [JobsAnswer::Page { results, .. }] => Some(results.len()),
-        _ => None,
-    }
-}
-
 #[test]
 fn nothing_is_acknowledged_before_it_is_on_the_disk() {
     let mut bench = Bench::new(0);
@@ -446,19 +241,6 @@
     assert!(matches!(bench.ask(append(1, 0))[..], [JobsAnswer::Ended]));
 }
 
-#[parameterized(open = { false, 300_000, true }, ended_and_young = { true, 100_000, true }, ended_and_old = { true, 140_000, false })]
-fn only_an_ended_job_whose_retention_is_over_goes(ended: bool, milliseconds: u64, stays: bool) {
-    let mut bench = Bench::new(0);
-    bench.ask(create(10));
-    if ended {
-        bench.ask(end());
-    }
-    bench.pass(milliseconds);
-    let kept =
-        bench.backend.partition(PARTITION).is_some_and(|partition| partition.store().job("j").is_some());
-    assert_eq!(kept, stays);
-}
-
 #[test]
 fn a_checkpoint_holds_what_the_records_before_it_held() {
     let mut bench = Bench::new(0);
@@ -469,7 +251,7 @@
     for records in [bench.records.clone(), checkpoint] {
         let content = DiskContent::read(records).unwrap();
         let mut again = Backend::new(MemberId(ME), content, settings(0), 2);
-        let moment = Moment { steady: Duration::ZERO, unix_ms: 0 };
+        let moment = Duration::ZERO;
         again.handle(moment, BackendEvent::Started, &mut Vec::new());
         assert_eq!(store(&again), store(&bench.backend));
     }
--- a/system/jobs/tests/common/edges.rs
+++ b/system/jobs/tests/common/edges.rs
@@ -160,11 +160,12 @@
             model: "m".to_owned(),
             min_version: 1,
             desired: 1,
-            accepted_unix_ms: world.now.as_millis() as u64,
             items: items.collect(),
         });
         let known = Known {
             record: Arc::clone(&record),
+            first_sent: world.now,
+            oldest_told: Duration::ZERO,
             created: None,
             ended: None,
             end_asked: false,
@@ -264,7 +265,8 @@
         let now = world.now;
         match message {
             JobsMessage::Answer { request, body } => self.answered(now, request, body),
-            JobsMessage::Drive { job, term, listed, .. } => {
+            JobsMessage::Drive { job, term, listed, age_ms, .. } => {
+                self.facts.age_told(now, &job.id, Duration::from_millis(age_ms));
                 for item in listed {
                     assert!((item as usize) < job.items.len());
                 }
--- a/system/jobs/tests/common/facts.rs
+++ b/system/jobs/tests/common/facts.rs
@@ -9,6 +9,10 @@
 /// A batch job, as far as any edge knows of it.
 pub struct Known {
     pub record: Arc<JobRecord>,
+    /// When it was sent first.
+    pub first_sent: Duration,
+    /// The highest age that a driver was told.
+    pub oldest_told: Duration,
     /// When it was first acknowledged.
     pub created: Option<Duration>,
     /// When its end was first acknowledged.
@@ -64,6 +68,14 @@
         assert_eq!(items.len(), known.shown.len(), "{id}: an item stands at two positions");
     }
 
+    /// A driver was told an age: it may be lower than the true one, never higher.
+    pub fn age_told(&mut self, now: Duration, id: &str, age: Duration) {
+        let known = self.jobs.get_mut(id).unwrap();
+        let most = now - known.first_sent;
+        assert!(age <= most, "{id} is said to be {age:?} old, and was sent {most:?} ago");
+        known.oldest_told = known.oldest_told.max(age);
+    }
+
     /// "No such batch job" was answered to a question sent at a time.
     pub fn unknown(&mut self, sent: Duration, id: &str) {
         let created = self.jobs[id].created;
--- a/system/jobs/tests/common/world.rs
+++ b/system/jobs/tests/common/world.rs
@@ -7,7 +7,7 @@
 use fastrand::Rng;
 use gingerledge_chain::MemberId;
 use gingerledge_jobs::backend::{Backend, BackendAction, BackendEvent, DiskContent, DiskRecord};
-use gingerledge_jobs::partition::{EdgeState, Moment};
+use gingerledge_jobs::partition::EdgeState;
 use gingerledge_jobs::store::Asker;
 use gingerledge_jobs::JobsSettings;
 use gingerledge_protocol::Settings;
@@ -20,6 +20,7 @@
 pub const PARTITIONS: u16 = 2;
 const BACKENDS: usize = 4;
 const MOST_DELAY_MS: u64 = 15;
+const MOST_CLOCK_OFFSET_MS: u64 = 1_000_000_000;
 
 /// A question on its way to a backend.
 #[derive(Clone, Debug)]
@@ -58,6 +59,8 @@
     last_token: u64,
     tick_at: Option<Duration>,
     syncing: bool,
+    /// What the steady clock of this life showed when the world began: each life counts from somewhere else.
+    clock_offset: Duration,
     pub(super) cut: Cut,
     /// Its disk does not answer.
     pub(super) stalled: bool,
@@ -189,8 +192,8 @@
     }
 
     fn drive(&mut self, backend: usize, event: BackendEvent) {
-        let moment = Moment { steady: self.now, unix_ms: self.now.as_millis() as u64 };
         let machine = &mut self.machines[backend];
+        let moment = self.now + machine.clock_offset;
         let Some(running) = machine.backend.as_mut() else {
             return;
         };
@@ -241,6 +244,7 @@
         }
         let machine = &mut self.machines[backend];
         let timer = machine.backend.as_ref().and_then(Backend::next_timer);
+        let timer = timer.map(|timer| timer.saturating_sub(machine.clock_offset));
         let Some(timer) = timer.map(|timer| timer.max(self.now + Duration::from_millis(1))) else {
             return;
         };
@@ -268,7 +272,9 @@
 
     pub(super) fn start(&mut self, backend: usize) {
         let seed = self.rng.u64(..);
+        let clock_offset = Duration::from_millis(self.rng.u64(..MOST_CLOCK_OFFSET_MS));
         let machine = &mut self.machines[backend];
+        machine.clock_offset = clock_offset;
         machine.life += 1;
         machine.tick_at = None;
         machine.syncing = false;
@@ -322,6 +328,7 @@
             last_token: 0,
             tick_at: None,
             syncing: false,
+            clock_offset: Duration::ZERO,
             cut: Cut::Nobody,
             stalled: false,
         }
--- a/system/jobs/tests/simulation.rs
+++ b/system/jobs/tests/simulation.rs
@@ -68,6 +68,9 @@
     for (what, count) in &edges.facts.answers {
         *totals.entry(what).or_default() += count;
     }
+    let well_known = |known: &&Known| known.oldest_told > Duration::from_secs(5);
+    *totals.entry("age of seconds").or_default() +=
+        edges.facts.jobs.values().filter(well_known).count() as u64;
 }
 
 /// Prints the seed of a run that fails.
@@ -91,7 +94,9 @@
         run(seed, &mut totals);
     }
     eprintln!("{totals:?}");
-    for what in ["created", "appended", "ended", "page", "empty page", "body", "held", "drive"] {
+    for what in
+        ["created", "appended", "ended", "page", "empty page", "body", "held", "drive", "age of seconds"]
+    {
         assert!(totals.get(what).is_some_and(|it| *it > 0), "no run had an answer of the kind '{what}'");
     }
 }
--- a/system/jobs/tests/store.rs
+++ b/system/jobs/tests/store.rs
@@ -39,7 +39,6 @@
         model: "m".to_owned(),
         min_version: 1,
         desired: 1,
-        accepted_unix_ms: 1_000,
         items: vec![item("a"), item("b"), item("c")],
     })
 }
--- a/system/wire/src/jobs.rs
+++ b/system/wire/src/jobs.rs
@@ -38,8 +38,6 @@
     pub min_version: u64,
     /// How many whole groups the trainer waits for.
     pub desired: u64,
-    /// Time of day of its first send as far as the edge knows, in milliseconds since 1970.
-    pub accepted_unix_ms: u64,
     /// Its items, in the trainer's order.
     pub items: Vec<ItemRecord>,
 }
@@ -248,6 +246,8 @@
         listed: Vec<u32>,
         /// Texts so far of others.
         texts: Vec<PartialText>,
+        /// How long the batch job has been kept, in milliseconds: at least that long.
+        age_ms: u64,
     },
     /// From the head: stop what is under way for a batch job.
     Stop {
