Answer old changes of the configuration clearly only where it is known

Cause: 512 taken changes were remembered by value; an older one that came again was refused (412) though it had been taken. 64 refused ones were remembered; an older one could be taken later. Both answers contradict the first. Change: what became of a change hangs on its base. Unreadable control state ends the process with an error. The format of disks is raised (ringsup2): an older disk is refused, not misread.

--- a/system/control/src/http/mod.rs
+++ b/system/control/src/http/mod.rs
@@ -96,6 +96,6 @@
             refuse(response, StatusCode::PRECONDITION_FAILED, reason);
         }
         Some(Outcome::Invalid { reason }) => refuse(response, StatusCode::BAD_REQUEST, reason),
-        None => unavailable(response),
+        Some(Outcome::Unknown) | None => unavailable(response),
     }
 }
--- a/system/control/src/lib.rs
+++ b/system/control/src/lib.rs
@@ -53,6 +53,12 @@
         /// Why.
         source: node::StartError,
     },
+    /// The node can't go on.
+    #[snafu(display("{source}"))]
+    Node {
+        /// Why.
+        source: node::NodeError,
+    },
 }
 
 /// Runs a control node until `stop` resolves.
@@ -74,7 +80,7 @@
         // The node goes on until what the server asked is answered.
         let _ = stop_server.send(true);
     };
-    handles.node.run(handles.sources, stopping).await;
+    handles.node.run(handles.sources, stopping).await.context(NodeSnafu)?;
     let _ = tokio::time::timeout(LAST_CALLS, server).await;
     Ok(())
 }
--- a/system/control/src/node/chain.rs
+++ b/system/control/src/node/chain.rs
@@ -8,7 +8,7 @@
 
 use super::disk::{DiskNews, DiskRecord};
 use super::submit::{decode_submission, Submission};
-use super::Node;
+use super::{Node, NodeError};
 use crate::state::ControlState;
 
 /// Time between attempts to write everything anew on a disk that refuses.
@@ -31,7 +31,9 @@
     pub(super) fn carry_out_chain_actions(&mut self) {
         while !self.chain_actions.is_empty() {
             for action in std::mem::take(&mut self.chain_actions) {
-                self.carry_out(action);
+                if self.failure.is_none() {
+                    self.carry_out(action);
+                }
             }
         }
     }
@@ -44,10 +46,7 @@
                 self.disk.append(&records, Some(token));
             }
             ChainAction::Apply { seq, command, reply } => self.apply(seq, &command, reply),
-            ChainAction::TakeSnapshot => {
-                let (seq, bytes) = (self.applied, self.state.snapshot());
-                self.chain_event(ChainEvent::SnapshotReady { seq, bytes });
-            }
+            ChainAction::TakeSnapshot => self.take_snapshot(),
             ChainAction::InstallSnapshot { seq, bytes } => self.install(seq, &bytes),
             ChainAction::ReadReady { token, .. } => self.finish_read(token, true),
             ChainAction::ReadFailed { token } => self.finish_read(token, false),
@@ -76,8 +75,7 @@
     fn apply(&mut self, sequence: u64, bytes: &[u8], reply: bool) {
         self.applied = sequence;
         let Some(Submission { request, reply_to, command }) = decode_submission(bytes) else {
-            log::error!("entry {sequence} of the chain is unreadable");
-            return;
+            return self.fail(NodeError::Entry { sequence });
         };
         let outcome = self.state.apply(sequence, &command);
         if !matches!(command, Command::Nothing) {
@@ -92,11 +90,18 @@
         }
     }
 
+    fn take_snapshot(&mut self) {
+        match self.state.snapshot() {
+            Ok(bytes) => self.chain_event(ChainEvent::SnapshotReady { seq: self.applied, bytes }),
+            Err(source) => self.fail(NodeError::Snapshot { source }),
+        }
+    }
+
     fn install(&mut self, sequence: u64, bytes: &[u8]) {
         self.applied = sequence;
         match ControlState::restore(bytes) {
             Ok(state) => self.state = state,
-            Err(error) => log::error!("{error}"),
+            Err(source) => return self.fail(NodeError::Snapshot { source }),
         }
         let entries = self.state.registry_entries();
         self.learn(entries);
@@ -145,7 +150,11 @@
     fn write_snapshot(&mut self) {
         // The state must be that of the chain's last applied entry.
         self.carry_out_chain_actions();
-        let Some(chain) = self.chain.checkpoint(self.state.snapshot()) else { return };
+        let state = match self.state.snapshot() {
+            Ok(state) => state,
+            Err(source) => return self.fail(NodeError::Snapshot { source }),
+        };
+        let Some(chain) = self.chain.checkpoint(state) else { return };
         let mut records = self.own_records();
         records.extend(chain.into_iter().map(DiskRecord::Chain));
         self.disk.snapshot(&records);
--- a/system/control/src/node/disk.rs
+++ b/system/control/src/node/disk.rs
@@ -8,6 +8,7 @@
 use gingerledge_storage::{FileDisk, Recovered, Ring, RingSettings, StorageError, Writer, WriterEvent};
 use gingerledge_wire::NodeRecord;
 use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
 use tokio::sync::mpsc::UnboundedSender;
 
 const MEBIBYTE: u64 = 1024 * 1024;
@@ -44,25 +45,45 @@
     pub chain: Vec<LogRecord>,
 }
 
+/// Why a disk can't be used.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub enum DiskError {
+    /// The ring can't be opened or written.
+    #[snafu(display("{source}"))]
+    Storage {
+        /// What the storage said.
+        source: StorageError,
+    },
+    /// A record has the right checksum and can't be read. It may be a promise, so the disk is not used without it.
+    #[snafu(display("a record on the disk is unreadable: {source}"))]
+    Record {
+        /// What the decoder met.
+        source: bincode::error::DecodeError,
+    },
+}
+
 /// Opens the ring in a folder, and reads what it holds.
-pub fn open(folder: &Path, disk_mb: u64) -> Result<(Ring<FileDisk>, Kept), StorageError> {
+pub fn open(folder: &Path, disk_mb: u64) -> Result<(Ring<FileDisk>, Kept), DiskError> {
     let bytes = (disk_mb * MEBIBYTE / RING_SHARE).clamp(LEAST_RING_BYTES, MOST_RING_BYTES);
     let settings = RingSettings { files: RING_FILES as usize, file_bytes: bytes / RING_FILES };
-    let (ring, recovered) = Ring::open(FileDisk::open(folder)?, settings)?;
-    Ok((ring, read(recovered)))
+    let disk = FileDisk::open(folder).context(StorageSnafu)?;
+    let (ring, recovered) = Ring::open(disk, settings).context(StorageSnafu)?;
+    Ok((ring, read(recovered)?))
 }
 
-fn read(recovered: Recovered) -> Kept {
+fn read(recovered: Recovered) -> Result<Kept, DiskError> {
     let mut kept = Kept::default();
     for bytes in recovered.snapshot.iter().chain(&recovered.records) {
-        match bincode::serde::decode_from_slice(bytes, bincode::config::standard()) {
-            Ok((DiskRecord::Identity { member, founders }, _)) => kept.identity = Some((member, founders)),
-            Ok((DiskRecord::Book(book), _)) => kept.book = book,
-            Ok((DiskRecord::Chain(record), _)) => kept.chain.push(record),
-            Err(error) => log::error!("a record on the disk is unreadable: {error}"),
+        let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
+        let (record, _) = decoded.context(RecordSnafu)?;
+        match record {
+            DiskRecord::Identity { member, founders } => kept.identity = Some((member, founders)),
+            DiskRecord::Book(book) => kept.book = book,
+            DiskRecord::Chain(record) => kept.chain.push(record),
         }
     }
-    kept
+    Ok(kept)
 }
 
 /// Encodes a record for the ring.
--- a/system/control/src/node/mod.rs
+++ b/system/control/src/node/mod.rs
@@ -29,12 +29,13 @@
 use gingerledge_storage::WriterEvent;
 use gingerledge_transport::{Inbox, Network};
 use gingerledge_wire::{ControlMessage, Envelope, Key, NodeRecord, Tick};
+use snafu::Snafu;
 use tokio::sync::mpsc::{Receiver, UnboundedReceiver};
 use tokio::sync::oneshot::Sender;
 use tokio::time::Instant;
 
 use crate::sessions::{Sessions, Sharing};
-use crate::state::ControlState;
+use crate::state::{ControlState, SnapshotError};
 
 pub use book::{AddressBook, Introduced, MAX_MEMBERS};
 pub use request::{BeginRetire, Confirmed, Request};
@@ -65,6 +66,24 @@
     reply: Sender<()>,
 }
 
+/// Why a control node can't go on. What all nodes hold alike can't be read or written here: going on could only make this copy
+/// differ from the others, so the process ends.
+#[derive(Debug, Snafu)]
+pub enum NodeError {
+    /// The whole state.
+    #[snafu(display("{source}"))]
+    Snapshot {
+        /// Why.
+        source: SnapshotError,
+    },
+    /// A committed command.
+    #[snafu(display("entry {sequence} of the control chain is unreadable"))]
+    Entry {
+        /// Its number.
+        sequence: u64,
+    },
+}
+
 /// One control node.
 pub struct Node {
     settings: Arc<Settings>,
@@ -95,6 +114,8 @@
     coordination: Coordination,
     last_housekeeping: Duration,
     stopping: bool,
+    /// Why this node takes part in nothing more.
+    failure: Option<NodeError>,
 }
 
 /// Where a node's events come from.
@@ -106,12 +127,19 @@
 }
 
 impl Node {
-    /// Runs until `stop` resolves, and then until nobody asks any more, but not for long.
-    pub async fn run(mut self, mut sources: Sources, stop: impl std::future::Future<Output = ()>) {
+    /// Runs until `stop` resolves, and then until nobody asks any more, but not for long. Ends at once when it can't go on.
+    pub async fn run(
+        mut self,
+        mut sources: Sources,
+        stop: impl std::future::Future<Output = ()>,
+    ) -> Result<(), NodeError> {
         tokio::pin!(stop);
         let mut stopped_at = None;
         loop {
             self.settle();
+            if let Some(failure) = self.failure.take() {
+                return Err(failure);
+            }
             if stopped_at.is_some_and(|at| self.now() >= at + LONGEST_STOP) {
                 break;
             }
@@ -136,6 +164,12 @@
         }
         self.say_farewell();
         tokio::time::sleep(Duration::from_millis(20)).await;
+        Ok(())
+    }
+
+    fn fail(&mut self, failure: NodeError) {
+        log::error!("{failure}");
+        self.failure.get_or_insert(failure);
     }
 
     fn now(&self) -> Duration {
--- a/system/control/src/node/start.rs
+++ b/system/control/src/node/start.rs
@@ -3,14 +3,12 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
 use gingerledge_chain::{ChainEvent, ControlChain, MemberId, Settings as ChainSettings};
 use gingerledge_protocol::Settings;
 use gingerledge_relay::{Relay, RelaySettings};
-use gingerledge_storage::{FileDisk, Ring, StorageError};
 use gingerledge_transport::{Network, NetworkSettings, TransportError};
 use gingerledge_wire::{NodeRecord, Role};
 use snafu::{OptionExt, ResultExt, Snafu};
@@ -19,7 +17,7 @@
 
 use super::book::AddressBook;
 use super::coordinate::Coordination;
-use super::disk::{self, DiskDriver, DiskRecord, Kept};
+use super::disk::{self, DiskDriver, DiskError, DiskRecord, Kept};
 use super::lease::LeaseDriver;
 use super::orders::OrderGate;
 use super::request::Request;
@@ -49,8 +47,8 @@
     /// The disk can't be used.
     #[snafu(display("disk: {source}"))]
     Disk {
-        /// What the storage said.
-        source: StorageError,
+        /// What it met.
+        source: DiskError,
     },
     /// The internal network can't be used.
     #[snafu(display("internal network: {source}"))]
@@ -81,18 +79,19 @@
 /// Opens everything that a control node needs.
 pub async fn start(settings: Arc<Settings>) -> Result<Handles, StartError> {
     let folder = settings.data_dir.clone().context(NoDiskSnafu)?;
-    let (mut ring, mut kept) = open_disk(&folder, &settings)?;
+    let (mut ring, mut kept) = disk::open(&folder, settings.limits.disk_mb).context(DiskSnafu)?;
     let identity = identify(&settings, &kept);
     if kept.identity.is_none() {
         let record = DiskRecord::Identity { member: identity.member, founders: identity.founders.clone() };
-        ring.append(&[disk::encode(&record)]).context(DiskSnafu)?;
+        let appended = ring.append(&[disk::encode(&record)]);
+        appended.context(disk::StorageSnafu).context(DiskSnafu)?;
     }
     let (network, inbox) = Network::bind(network_settings(&settings)).await.context(NetworkSnafu)?;
     let started = Instant::now();
     let (disk_events, disk_source) = mpsc::unbounded_channel();
     let (order_news, order_source) = mpsc::unbounded_channel();
     let (requests, request_source) = mpsc::channel(REQUEST_QUEUE);
-    let disk = DiskDriver::start(ring, disk_events).context(DiskSnafu)?;
+    let disk = DiskDriver::start(ring, disk_events).context(disk::StorageSnafu).context(DiskSnafu)?;
     let me = NodeRecord {
         role: Role::Control,
         name: settings.node_name.clone(),
@@ -134,6 +133,7 @@
         coordination: Coordination::new(gate, order_news),
         last_housekeeping: Duration::ZERO,
         stopping: false,
+        failure: None,
         network,
         started,
         me,
@@ -156,10 +156,6 @@
     }
 }
 
-fn open_disk(folder: &Path, settings: &Settings) -> Result<(Ring<FileDisk>, Kept), StartError> {
-    disk::open(folder, settings.limits.disk_mb).context(DiskSnafu)
-}
-
 /// A disk that was used before says who it is. An empty one founds the system if the whole system starts and this node is among its
 /// seeds; any other is new.
 fn identify(settings: &Settings, kept: &Kept) -> Identity {
--- a/system/control/src/state/mod.rs
+++ b/system/control/src/state/mod.rs
@@ -13,24 +13,36 @@
 
 use gingerledge_wire::{Command, Coordinator, Entry, Key, Outcome, PartitionRecord, Value};
 use serde::{Deserialize, Serialize};
-use snafu::{ResultExt, Snafu};
+use snafu::{ensure, ResultExt, Snafu};
 
-pub use configuration::{ConfigurationState, TAKEN_HISTORY};
+pub use configuration::{ConfigurationState, REFUSED_HISTORY, TAKEN_HISTORY};
 pub use partitions::PartitionState;
 pub use retiring::{Retiring, RetiringState, MAX_RETIRING};
 
 /// Most models that versions are kept for.
 pub const MAX_MODELS: usize = 4_096;
 
-/// Why a snapshot can't be read.
+/// Why a state and its snapshot don't fit each other.
 #[derive(Debug, Snafu)]
 pub enum SnapshotError {
-    /// Its bytes are no state.
+    /// The state can't be encoded.
+    #[snafu(display("the control state can't be encoded: {source}"))]
+    Unwritable {
+        /// What the encoder met.
+        source: bincode::error::EncodeError,
+    },
+    /// The bytes are no state.
     #[snafu(display("the snapshot of the control state is unreadable: {source}"))]
     Unreadable {
         /// What the decoder met.
         source: bincode::error::DecodeError,
     },
+    /// Bytes follow the state.
+    #[snafu(display("the snapshot of the control state has {bytes} bytes too many"))]
+    LeftOver {
+        /// How many.
+        bytes: usize,
+    },
 }
 
 /// The holder of the newest fencing token.
@@ -159,8 +171,8 @@
     }
 
     /// The whole state, encoded.
-    pub fn snapshot(&self) -> Vec<u8> {
-        bincode::serde::encode_to_vec(self, bincode::config::standard()).unwrap_or_default()
+    pub fn snapshot(&self) -> Result<Vec<u8>, SnapshotError> {
+        bincode::serde::encode_to_vec(self, bincode::config::standard()).context(UnwritableSnafu)
     }
 
     /// Reads a state that [`ControlState::snapshot`] encoded.
@@ -168,8 +180,9 @@
         if bytes.is_empty() {
             return Ok(Self::default());
         }
-        let (state, _) =
+        let (state, read) =
             bincode::serde::decode_from_slice(bytes, bincode::config::standard()).context(UnreadableSnafu)?;
+        ensure!(read == bytes.len(), LeftOverSnafu { bytes: bytes.len() - read });
         Ok(state)
     }
 }
--- a/system/storage/src/superblock.rs
+++ b/system/storage/src/superblock.rs
@@ -11,7 +11,9 @@
 /// Number of slots; slot n is at the start of file n.
 const SLOT_COUNT: u64 = 2;
 const SUPERBLOCK_BYTES: usize = 80;
-const MAGIC: u64 = u64::from_le_bytes(*b"ringsup1");
+/// Names the format of the ring and of the records that the programs keep in it. It is raised whenever one of them changes, so that a
+/// disk of another version is refused and never misread.
+const MAGIC: u64 = u64::from_le_bytes(*b"ringsup2");
 
 /// What recovery has to know beforehand.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/system/wire/src/command.rs
+++ b/system/wire/src/command.rs
@@ -86,6 +86,8 @@
         /// Why.
         reason: String,
     },
+    /// It was not taken now, and nobody knows any more what became of it before: no clear answer may be given.
+    Unknown,
 }
 
 /// How far the emptying of a backend is.
