Acknowledge that a store leaves only once the whole chain holds it

Cause, found by reading: `draining` was acknowledged after 400 ms though no other control node had the change, and a node noticed only after 1.8 s that it was cut off. A deregistration was answered alike, and stores were asked to stay at a node that the chain may have lost. Ruled out: a shorter cut-off (a window stays, and stores are sent round at each change of view), putting sessions into the chain (each heartbeat that changes something would wait for disks). Change: node/announcements.rs. Every other member of the chain has to have answered that it holds the change; after that a read through the whole chain has to confirm the same epoch. Only members in force get fresh ticks, so whoever feeds an edge holds the change. Otherwise the store is told 503 within 900 ms and calls the next node. A heartbeat that a later one has overtaken acknowledges no end. Stores are asked to stay only where the chain's last tick is fresh. Tests: a node whose two peers were killed a moment ago acknowledges neither draining nor deregistration; with one lost, the acknowledgement comes once the chain is without it, and the other one holds the change. The store's transcript waits for the first fresh tick before it begins.

--- a/system/control/src/node/mod.rs
+++ b/system/control/src/node/mod.rs
@@ -2,6 +2,7 @@
 //! actions out. It owns the internal network, the disk and the timers, and runs as one task; whatever else the process does asks it
 //! through a bounded queue of [`Request`]s.
 
+mod announcements;
 mod book;
 mod chain;
 mod coordinate;
@@ -28,20 +29,20 @@
 use gingerledge_relay::Relay;
 use gingerledge_storage::WriterEvent;
 use gingerledge_transport::{Inbox, Network};
-use gingerledge_wire::{ControlMessage, Envelope, Key, NodeRecord, Tick};
+use gingerledge_wire::{ControlMessage, Envelope, NodeRecord, Tick};
 use snafu::Snafu;
 use tokio::sync::mpsc::{Receiver, UnboundedReceiver};
-use tokio::sync::oneshot::Sender;
 use tokio::time::Instant;
 
 use crate::sessions::{Sessions, Sharing};
 use crate::state::{ControlState, SnapshotError};
 
 pub use book::{AddressBook, Introduced, MAX_MEMBERS};
-pub use request::{BeginRetire, Confirmed, Request};
+pub use request::{Accepted, BeginRetire, Confirmed, Request};
 pub use start::{start, Handles, StartError};
 pub use submissions::{KnownOutcome, SubmissionSettings, Submissions};
 
+use announcements::Announcements;
 use coordinate::Coordination;
 use disk::DiskDriver;
 use lease::LeaseDriver;
@@ -55,17 +56,6 @@
 const PROCESS_PAUSE: Duration = Duration::from_millis(700);
 /// What is under way when the process is told to stop has this long.
 const LONGEST_STOP: Duration = Duration::from_millis(1_500);
-/// How long a change is held back until the other control nodes have it.
-const SHARE_PATIENCE: Duration = Duration::from_millis(400);
-
-/// A heartbeat or deregistration that is answered once all control nodes know.
-#[derive(Debug)]
-struct WaitingAnswer {
-    key: Key,
-    deadline: Duration,
-    reply: Sender<()>,
-}
-
 /// Why a control node can't go on. What all nodes hold alike can't be read or written here: going on could only make this copy
 /// differ from the others, so the process ends.
 #[derive(Debug, Snafu)]
@@ -109,7 +99,7 @@
     submissions: Submissions<Waiter>,
     reads: HashMap<u64, requests::Read>,
     next_read: u64,
-    answers: Vec<WaitingAnswer>,
+    announcements: Announcements,
     lease: LeaseDriver,
     coordination: Coordination,
     last_housekeeping: Duration,
@@ -194,7 +184,8 @@
         self.send_submissions(now);
         self.carry_out_chain_actions();
         self.send_shares(now);
-        self.answer_shared(now);
+        self.look_after_announcements(now);
+        self.carry_out_chain_actions();
     }
 
     fn run_timers(&mut self, now: Duration) {
@@ -233,7 +224,7 @@
             self.lease.next_timer(),
             self.submissions.next_timer(),
             self.sharing.next_timer(),
-            self.answers.iter().map(|answer| answer.deadline).min(),
+            self.announcements.next_timer(),
         ];
         let housekeeping = self.last_housekeeping + HOUSEKEEPING;
         timers.into_iter().flatten().fold(housekeeping, Duration::min)
--- a/system/control/src/node/request.rs
+++ b/system/control/src/node/request.rs
@@ -22,6 +22,13 @@
     NotNow,
 }
 
+/// What a store says is taken, and may be acknowledged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Accepted {
+    /// The control chain has confirmed this node a moment ago, so the store may keep to it.
+    pub chain_is_fresh: bool,
+}
+
 /// One question of the HTTP side.
 #[derive(Debug)]
 pub enum Request {
@@ -58,14 +65,14 @@
         /// What it says.
         heartbeat: Heartbeat,
         /// Answered once it may be acknowledged.
-        reply: Sender<()>,
+        reply: Sender<Accepted>,
     },
     /// A store has ended.
     Deregister {
         /// The store's id.
         id: String,
         /// Answered once it may be acknowledged.
-        reply: Sender<()>,
+        reply: Sender<Accepted>,
     },
     /// For operators.
     Status {
--- a/system/control/src/node/requests.rs
+++ b/system/control/src/node/requests.rs
@@ -10,7 +10,7 @@
 use gingerledge_wire::{Command, Key, NodeRecord, RetireState, Role, StoreRecord, Value};
 use tokio::sync::oneshot::Sender;
 
-use super::request::{BeginRetire, Confirmed, Request};
+use super::request::{Accepted, BeginRetire, Confirmed, Request};
 use super::Node;
 
 /// Before this, the sessions may lack backends that live.
@@ -19,8 +19,6 @@
 const CUT_OFF_AFTER: Duration = Duration::from_millis(1_800);
 /// Most reads that wait for the chain.
 const MAX_READS: usize = 256;
-/// Most answers that wait until a change is shared.
-const MAX_ANSWERS: usize = 8_192;
 
 /// A read that waits until the chain has confirmed it.
 #[derive(Debug)]
@@ -29,6 +27,8 @@
     Retire(String, Sender<Confirmed<Option<RetireState>>>),
     /// Whether a backend is unknown, or too few are left, is judged only by a node in touch with the chain.
     BeginRetire(String, Sender<BeginRetire>),
+    /// The chain is to confirm its membership for the announcements that wait for this token.
+    Announcements,
 }
 
 impl Node {
@@ -42,9 +42,7 @@
             Request::Deregister { id, reply } => {
                 let key = Key::Store(id);
                 self.end_session(key.clone());
-                if !self.is_cut_off() {
-                    self.answer_later(key, reply);
-                }
+                self.announce(key, reply);
             }
             Request::Status { reply } => {
                 let _ = reply.send(self.status());
@@ -53,13 +51,20 @@
     }
 
     fn begin_read(&mut self, read: Read) {
+        // Dropping it answers that the read can't be confirmed.
+        if let Some(token) = self.add_read(read) {
+            self.chain_event(ChainEvent::Read { token });
+        }
+    }
+
+    /// Notes a read that the chain is to be asked for; none if too many wait.
+    pub(super) fn add_read(&mut self, read: Read) -> Option<u64> {
         if self.reads.len() >= MAX_READS {
-            // Dropping it answers that the read can't be confirmed.
-            return;
+            return None;
         }
         self.next_read += 1;
         self.reads.insert(self.next_read, read);
-        self.chain_event(ChainEvent::Read { token: self.next_read });
+        Some(self.next_read)
     }
 
     pub(super) fn finish_read(&mut self, token: u64, confirmed: bool) {
@@ -77,29 +82,32 @@
             Read::BeginRetire(_, reply) => {
                 let _ = reply.send(BeginRetire::NotNow);
             }
+            Read::Announcements => self.finish_announcements(token, confirmed),
         }
     }
 
-    fn take_heartbeat(&mut self, id: String, heartbeat: Heartbeat, reply: Sender<()>) {
+    fn take_heartbeat(&mut self, id: String, heartbeat: Heartbeat, reply: Sender<Accepted>) {
         let draining = heartbeat.state == StoreState::Draining;
         let sequence = heartbeat.sequence;
         let key = Key::Store(id);
         let Some(record) = store_record(heartbeat) else {
-            let _ = reply.send(());
+            let _ = reply.send(Accepted { chain_is_fresh: false });
             return;
         };
         let is_new = self.relay.registry().entry(&key).is_none();
         let address = record.address;
-        self.hear(key.clone(), sequence, Value::Store(record));
+        let newest = self.hear(key.clone(), sequence, Value::Store(record));
         if is_new {
             self.end_former_stores(&key, address);
         }
-        if self.is_cut_off() {
+        match draining {
+            // What a later heartbeat said is shared by whoever heard that one, so nothing is known of who holds it.
+            true if newest => self.announce(key, reply),
+            false if !self.is_cut_off() => {
+                let _ = reply.send(Accepted { chain_is_fresh: self.relay.fresh(self.now()) });
+            }
             // Dropping it answers that another control node should be called.
-        } else if draining {
-            self.answer_later(key, reply);
-        } else {
-            let _ = reply.send(());
+            _ => {}
         }
     }
 
@@ -126,12 +134,6 @@
         self.now().saturating_sub(self.relay.last_tick_at().unwrap_or_default()) > CUT_OFF_AFTER
     }
 
-    fn answer_later(&mut self, key: Key, reply: Sender<()>) {
-        if self.answers.len() < MAX_ANSWERS {
-            self.answer_when_shared(key, reply);
-        }
-    }
-
     fn begin_retire(&mut self, name: String, reply: Sender<BeginRetire>) {
         let here = self.backend_named(&name).map(|backend| backend.member);
         let before = self.state.retiring().get(&name).map(|retiring| retiring.member);
--- a/system/control/src/node/sharing.rs
+++ b/system/control/src/node/sharing.rs
@@ -4,18 +4,22 @@
 use std::time::Duration;
 
 use gingerledge_wire::{BackendReport, ControlMessage, Entry, Envelope, Key, NodeRecord, Role, Value};
-use tokio::sync::oneshot::Sender;
 
-use super::{Node, WaitingAnswer, SHARE_PATIENCE};
+use super::Node;
 use crate::sessions::{is_session, Heard};
 
 impl Node {
-    /// A store or node has said something itself.
-    pub(super) fn hear(&mut self, key: Key, sequence: u64, value: Value) {
+    /// A store or node has said something itself. Says whether it is the newest word of that source.
+    pub(super) fn hear(&mut self, key: Key, sequence: u64, value: Value) -> bool {
         let now = self.now();
         let known = self.relay.registry().entry(&key);
-        if let Heard::Changed(entry) = self.sessions.heard(now, key, sequence, value, known) {
-            self.learn_and_share(entry);
+        match self.sessions.heard(now, key, sequence, value, known) {
+            Heard::Changed(entry) => {
+                self.learn_and_share(entry);
+                true
+            }
+            Heard::Unchanged => true,
+            Heard::Late => false,
         }
     }
 
@@ -108,30 +112,6 @@
         }
     }
 
-    /// Answers once all control nodes that can be reached have the newest entry, or after a while.
-    pub(super) fn answer_when_shared(&mut self, key: Key, reply: Sender<()>) {
-        let deadline = self.now() + SHARE_PATIENCE;
-        self.answers.push(WaitingAnswer { key, deadline, reply });
-    }
-
-    pub(super) fn answer_shared(&mut self, now: Duration) {
-        if self.answers.is_empty() {
-            return;
-        }
-        let all_shared_with = self.members_shared_with();
-        let mut at = 0;
-        while at < self.answers.len() {
-            let answer = &self.answers[at];
-            if answer.deadline <= now || (all_shared_with && self.sharing.is_clean(&answer.key)) {
-                let answer = self.answers.swap_remove(at);
-                // The store may have given up.
-                let _ = answer.reply.send(());
-            } else {
-                at += 1;
-            }
-        }
-    }
-
     fn is_member(&self) -> bool {
         self.chain
             .members()
--- a/system/control/src/sessions/sharing.rs
+++ b/system/control/src/sessions/sharing.rs
@@ -95,12 +95,11 @@
         }
     }
 
-    /// Whether all peers have the newest form of an entry.
-    pub fn is_clean(&self, key: &Key) -> bool {
-        self.peers.values().all(|peer| {
-            let sent = peer.in_flight.as_ref().is_some_and(|sent| sent.keys.contains(key));
-            !sent && !peer.dirty.contains(key)
-        })
+    /// Whether a peer has answered that it holds the newest form of an entry.
+    pub fn is_held_by(&self, peer: SocketAddr, key: &Key) -> bool {
+        let Some(peer) = self.peers.get(&peer) else { return false };
+        let sent = peer.in_flight.as_ref().is_some_and(|sent| sent.keys.contains(key));
+        !sent && !peer.dirty.contains(key)
     }
 
     /// The messages that are due.
--- a/system/control/tests/nodes/exchanges.rs
+++ b/system/control/tests/nodes/exchanges.rs
@@ -1,5 +1,7 @@
 //! Whole exchanges of the operator, trainers and stores with three control nodes on loopback, compared with approved transcripts.
 
+use yare::parameterized;
+
 use crate::common::{run, Call, World, NEWCOMER};
 
 const REPLACE: &str = "/configuration/replace";
@@ -75,11 +77,22 @@
     });
 }
 
+/// Waits until a node asks stores to stay: the chain has confirmed it a moment ago.
+async fn confirmed_a_moment_ago(world: &World, node: u8) {
+    let warm = heartbeat(1, "ready").replace("10.1.0.9", "10.1.0.8");
+    let stays = |answer: &crate::common::Answer| answer.body().contains("heartbeatAddress");
+    let call = Call::post("/instances/i-warm/heartbeat", "", &warm);
+    while !stays(&world.until(node, &call, 200).await) {
+        world.call(node, &Call::get(READ), None).await;
+    }
+}
+
 #[test]
 fn a_store_lives_and_leaves() {
     run(async {
         let world = World::start(3);
         ready(&world).await;
+        confirmed_a_moment_ago(&world, 0).await;
         let transcript = crate::common::transcript();
         let (alive, leaving) = (heartbeat(4, "ready"), heartbeat(5, "draining"));
         let calls = [
@@ -208,6 +221,40 @@
     });
 }
 
+/// The node does not know yet that it is alone: its last tick is only a moment old.
+#[parameterized(draining = { HEARTBEAT, 40 }, deregistered = { "/instances/i-1/deregister", 41 })]
+fn the_end_of_a_store_is_never_acknowledged_by_a_node_that_is_alone(path: &str, number: u8) {
+    run(async {
+        let mut world = World::start(number);
+        ready(&world).await;
+        confirmed_a_moment_ago(&world, 0).await;
+        world.until(0, &Call::post(HEARTBEAT, "", &heartbeat(4, "ready")), 200).await;
+        world.kill(1).await;
+        world.kill(2).await;
+        for sequence in 5..8 {
+            let body = heartbeat(sequence, "draining");
+            let answer = world.call(0, &Call::post(path, "", &body), None).await.expect("an answer");
+            assert_eq!(answer.status, 503, "try {sequence}");
+        }
+    });
+}
+
+#[test]
+fn the_end_of_a_store_is_acknowledged_once_the_chain_is_without_the_lost_member() {
+    run(async {
+        let mut world = World::start(42);
+        ready(&world).await;
+        confirmed_a_moment_ago(&world, 0).await;
+        world.until(0, &Call::post(HEARTBEAT, "", &heartbeat(4, "ready")), 200).await;
+        world.kill(2).await;
+        let leaving = heartbeat(5, "draining");
+        world.until(0, &Call::post(HEARTBEAT, "", &leaving), 200).await;
+        assert_eq!(state_at(&world, 1).await.as_deref(), Some("draining"));
+        let status = world.status_until(0, |_| true).await;
+        assert_eq!(status["chain"].as_array().map(Vec::len), Some(2), "{status:#}");
+    });
+}
+
 #[test]
 fn a_node_that_is_cut_off_takes_nobody_to_be_silent() {
     run(async {
--- a/system/control/tests/sessions.rs
+++ b/system/control/tests/sessions.rs
@@ -242,16 +242,16 @@
 }
 
 #[test]
-fn a_change_is_clean_once_the_peer_has_answered() {
+fn a_change_is_held_once_the_peer_has_answered() {
     let (registry, keys) = registry_with(1);
     let mut sharing = sharing();
     sharing.changed(&keys[0]);
-    assert!(!sharing.is_clean(&keys[0]));
+    assert!(!sharing.is_held_by(control(2), &keys[0]));
     let shares = sharing.poll(Duration::ZERO, &registry);
     assert_eq!((shares.len(), shares[0].to, shares[0].entries.len()), (1, control(2), 1));
-    assert!(!sharing.is_clean(&keys[0]));
+    assert!(!sharing.is_held_by(control(2), &keys[0]));
     sharing.acknowledged(control(2), shares[0].number);
-    assert!(sharing.is_clean(&keys[0]));
+    assert!(sharing.is_held_by(control(2), &keys[0]));
 }
 
 #[test]
@@ -262,7 +262,7 @@
     let first = sharing.poll(Duration::ZERO, &registry);
     sharing.changed(&keys[0]);
     sharing.acknowledged(control(2), first[0].number);
-    assert!(!sharing.is_clean(&keys[0]));
+    assert!(!sharing.is_held_by(control(2), &keys[0]));
     assert_eq!(sharing.poll(Duration::ZERO, &registry).len(), 1);
 }
 
@@ -276,16 +276,19 @@
     let second = sharing.poll(Duration::from_millis(250), &registry);
     assert_eq!(second[0].entries, first[0].entries);
     sharing.acknowledged(control(2), first[0].number);
-    assert!(!sharing.is_clean(&keys[0]), "an answer to the lost copy says nothing of the newest");
+    assert!(
+        !sharing.is_held_by(control(2), &keys[0]),
+        "an answer to the lost copy says nothing of the newest"
+    );
 }
 
 #[test]
-fn a_peer_that_is_lost_holds_nothing_up_and_is_told_all_when_it_is_back() {
+fn a_peer_that_is_lost_is_told_all_when_it_is_back() {
     let (registry, keys) = registry_with(3);
     let mut sharing = sharing();
     sharing.changed(&keys[0]);
     sharing.peer_down(control(2));
-    assert!(sharing.is_clean(&keys[0]));
+    assert!(!sharing.is_held_by(control(2), &keys[0]), "nothing is known of a peer that is lost");
     sharing.peer_up(control(2), keys.iter().cloned());
     let mut told = 0;
     while let Some(share) = sharing.poll(Duration::ZERO, &registry).pop() {
