Draw identities from the system's randomness, at control nodes and edges too

Cause, found by reading: control nodes and edges drew the identity of a new disk and their incarnations from a generator that seeds itself from the steady clock and the number of the thread alone. Machines that start at the same moment, as all do after a loss of power, could draw the same identity: two members would vote as one. Backends had a function of their own that mixes more. Change: that function is the transport's now, and all three programs use it.

--- a/system/control/src/node/start.rs
+++ b/system/control/src/node/start.rs
@@ -9,7 +9,7 @@
 use gingerledge_chain::{ChainEvent, ControlChain, MemberId, Settings as ChainSettings};
 use gingerledge_protocol::Settings;
 use gingerledge_relay::{Relay, RelaySettings};
-use gingerledge_transport::{Network, NetworkSettings, TransportError};
+use gingerledge_transport::{identity, Network, NetworkSettings, TransportError};
 use gingerledge_wire::{NodeRecord, Role};
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::sync::mpsc;
@@ -81,7 +81,8 @@
 pub async fn start(settings: Arc<Settings>) -> Result<Handles, StartError> {
     let folder = settings.data_dir.clone().context(NoDiskSnafu)?;
     let (mut ring, mut kept) = disk::open(&folder, settings.limits.disk_mb).context(DiskSnafu)?;
-    let identity = identify(&settings, &kept);
+    let draw = |purpose| identity::draw(&settings.node_name, settings.internal_address(), purpose);
+    let identity = identify(&settings, &kept, draw("member"));
     if kept.identity.is_none() {
         let record = DiskRecord::Identity { member: identity.member, founders: identity.founders.clone() };
         let appended = ring.append(&[disk::encode(&record)]);
@@ -96,14 +97,14 @@
     let me = NodeRecord {
         role: Role::Control,
         name: settings.node_name.clone(),
-        incarnation: fastrand::u64(1..),
+        incarnation: draw("incarnation"),
         member: identity.member,
         address: settings.internal_address(),
         zone: settings.zone.clone(),
     };
     let lease_time = Duration::from_millis(settings.bounds.lease_ms);
-    let lease = LeaseDriver::start(identity.member, lease_time, identity.founding, fastrand::u64(..));
-    let chain = make_chain(&settings, &identity, &mut kept);
+    let lease = LeaseDriver::start(identity.member, lease_time, identity.founding, draw("lease"));
+    let chain = make_chain(&settings, &identity, &mut kept, draw("chain"));
     let gate = OrderGate::new(started);
     let mut node = Node {
         book: AddressBook::new(identity.member, founder_records(&settings, &identity, kept.book)),
@@ -119,14 +120,14 @@
             RelaySettings::for_role(Role::Control, &settings.zone),
             me.address,
             true,
-            fastrand::u64(..),
+            draw("relay"),
         ),
         sessions: Sessions::new(session_settings(&settings), me.address),
         sharing: Sharing::new(SharingSettings::default()),
         own_sequence: 0,
         next_introduction: Duration::ZERO,
         reachable: BTreeMap::new(),
-        submissions: Submissions::new(SubmissionSettings::default(), fastrand::u64(..) >> 1),
+        submissions: Submissions::new(SubmissionSettings::default(), draw("submissions") >> 1),
         reads: HashMap::new(),
         next_read: 0,
         announcements: Announcements::default(),
@@ -159,7 +160,7 @@
 
 /// A disk that was used before says who it is. An empty one founds the system if the whole system starts and this node is among its
 /// seeds; any other is new.
-fn identify(settings: &Settings, kept: &Kept) -> Identity {
+fn identify(settings: &Settings, kept: &Kept, drawn: u64) -> Identity {
     if let Some((member, founders)) = kept.identity.clone() {
         return Identity { member, founders, founding: false };
     }
@@ -171,7 +172,7 @@
         let member = own.map_or(0, founder_identity);
         return Identity { member, founders, founding: true };
     }
-    Identity { member: fastrand::u64(1..), founders: Vec::new(), founding: false }
+    Identity { member: drawn, founders: Vec::new(), founding: false }
 }
 
 /// Founders derive their identities from their seed addresses, so that each knows all.
@@ -196,10 +197,9 @@
     records
 }
 
-fn make_chain(settings: &Settings, identity: &Identity, kept: &mut Kept) -> ControlChain {
+fn make_chain(settings: &Settings, identity: &Identity, kept: &mut Kept, seed: u64) -> ControlChain {
     let me = MemberId(identity.member);
     let chain_settings = ChainSettings::new(settings.fault_tolerance.machines);
-    let seed = fastrand::u64(..);
     let records = std::mem::take(&mut kept.chain);
     if records.is_empty() && !identity.founders.is_empty() {
         let founders = identity.founders.iter().copied().map(MemberId).collect();
--- a/system/data/src/node/mod.rs
+++ b/system/data/src/node/mod.rs
@@ -10,7 +10,7 @@
 
 use gingerledge_protocol::Settings;
 use gingerledge_relay::Event;
-use gingerledge_transport::{Inbox, Incoming, Network, NetworkSettings, TransportError};
+use gingerledge_transport::{identity, Inbox, Incoming, Network, NetworkSettings, TransportError};
 use gingerledge_wire::{ControlMessage, Envelope};
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::net::TcpListener;
@@ -77,7 +77,10 @@
     let signals = Signals::new().context(SignalsSnafu)?;
     let bounds = front::bounds(&settings.limits);
     let front = Front::new(bounds);
-    let shared = Rc::new(Shared::new(settings, network, fastrand::u64(1..)));
+    let draw = |purpose| identity::draw(&settings.node_name, settings.internal_address(), purpose);
+    let incarnation = draw("incarnation");
+    fastrand::seed(draw("choices"));
+    let shared = Rc::new(Shared::new(settings, network, incarnation));
     shared.stores.set_most(bounds.store_connections);
     let ready = Rc::new(Readiness::default());
     shared.relay(Event::ControlKnown(shared.settings().internal_seeds()));
--- a/system/jobs/src/node/mod.rs
+++ b/system/jobs/src/node/mod.rs
@@ -2,7 +2,6 @@
 
 mod disk;
 mod heartbeats;
-mod identity;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -12,7 +11,7 @@
 use gingerledge_protocol::Settings;
 use gingerledge_relay::{Action as RelayAction, Event as RelayEvent, Relay, RelaySettings};
 use gingerledge_storage::WriterEvent;
-use gingerledge_transport::{Inbox, Incoming, Network, NetworkSettings};
+use gingerledge_transport::{identity, Inbox, Incoming, Network, NetworkSettings};
 use gingerledge_wire::{ControlMessage, Entry, Envelope, JobsMessage, Key, NodeRecord, Role, Value};
 use snafu::{OptionExt, ResultExt};
 use tokio::signal::unix::{signal, SignalKind};
--- a/system/transport/src/lib.rs
+++ b/system/transport/src/lib.rs
@@ -14,6 +14,7 @@
 mod connection;
 mod error;
 mod frame;
+pub mod identity;
 mod inbound;
 mod inbox;
 mod links;
