Let a backend go only once every partition has all its copies without it

Cause, found by reading: a machine that is being emptied and falls silent for 1.5 s loses its place in its chains at once, though its replacements are still being filled; it was then in no chain, so the emptying counted as completed and the machine was taken away with its disk. The test of the state had this very case, and asked for it. Change: completion is taken only if every partition has f + 1 members that hold everything; the state checks it, not the planner alone. Test: state.rs, the case above is refused until the replacement is full.

--- a/system/control/src/node/coordinate/partitions.rs
+++ b/system/control/src/node/coordinate/partitions.rs
@@ -51,9 +51,11 @@
         }
     }
 
-    /// A backend in no chain any more is empty: each chain has its full members elsewhere.
+    /// A backend in no chain any more is empty once every chain has all its copies elsewhere. A chain that lost it while it was silent
+    /// may still be filling its replacement: until then the machine's going would be a second loss.
     pub(super) fn keep_retiring(&mut self) {
-        if self.coordination.completion_under_way {
+        let copies = self.settings.fault_tolerance.machines as u64 + 1;
+        if self.coordination.completion_under_way || !self.state.partitions().have_copies(copies) {
             return;
         }
         let empty = self.state.retiring().all().find(|(_, retiring)| {
@@ -63,7 +65,7 @@
             return;
         };
         self.coordination.completion_under_way = true;
-        self.submit_own(Command::CompleteRetire { name, member }, Waiter::Completion);
+        self.submit_own(Command::CompleteRetire { name, member, copies }, Waiter::Completion);
     }
 
     pub(in crate::node) fn completion_submitted(&mut self) {
--- a/system/control/src/state/mod.rs
+++ b/system/control/src/state/mod.rs
@@ -86,9 +86,9 @@
                 self.partitions.mark_full(*partition, *epoch, *member)
             }
             Command::BeginRetire { name, member } => self.retiring.begin(name, *member),
-            Command::CompleteRetire { name, member } => {
-                let kept = self.partitions.is_used(*member);
-                self.retiring.complete(name, *member, kept)
+            Command::CompleteRetire { name, member, copies } => {
+                let needed = self.partitions.is_used(*member) || !self.partitions.have_copies(*copies);
+                self.retiring.complete(name, *member, needed)
             }
         }
     }
--- a/system/control/src/state/partitions.rs
+++ b/system/control/src/state/partitions.rs
@@ -30,6 +30,11 @@
         self.records.values().any(|record| record.chain.contains(&member))
     }
 
+    /// Whether every partition has so many members that hold everything.
+    pub fn have_copies(&self, copies: u64) -> bool {
+        self.records.values().all(|record| record.full.len() as u64 >= copies)
+    }
+
     pub(super) fn set(&mut self, partition: u16, next: &PartitionRecord, fence: u64, newest: u64) -> Outcome {
         let current = self.records.get(&partition);
         if current.is_some_and(|current| current.epoch == next.epoch && current.chain == next.chain) {
--- a/system/control/src/state/retiring.rs
+++ b/system/control/src/state/retiring.rs
@@ -50,14 +50,16 @@
         Outcome::Taken
     }
 
-    pub(super) fn complete(&mut self, name: &str, member: u64, used: bool) -> Outcome {
+    /// The machine is empty. It is taken away at once with its disk, so it must not be `needed`: neither a member of a chain, nor a
+    /// former one of a chain whose other members do not hold everything yet.
+    pub(super) fn complete(&mut self, name: &str, member: u64, needed: bool) -> Outcome {
         match self.machines.get_mut(name) {
-            Some(retiring) if retiring.member == member && !used => {
+            Some(retiring) if retiring.member == member && !needed => {
                 retiring.state = RetireState::Completed;
                 Outcome::Taken
             }
             Some(retiring) if retiring.member == member => {
-                Outcome::Invalid { reason: "the machine still keeps partitions".to_owned() }
+                Outcome::Invalid { reason: "the machine may still be needed for partitions".to_owned() }
             }
             _ => Outcome::Invalid { reason: "the machine is not being emptied".to_owned() },
         }
--- a/system/control/tests/state.rs
+++ b/system/control/tests/state.rs
@@ -240,16 +240,20 @@
 }
 
 #[test]
-fn a_backend_is_complete_only_once_no_chain_has_it() {
+fn a_backend_is_complete_only_once_no_chain_has_it_and_all_have_their_copies() {
     let begin = Command::BeginRetire { name: "b-1".to_owned(), member: 1 };
-    let complete = Command::CompleteRetire { name: "b-1".to_owned(), member: 1 };
+    let complete = Command::CompleteRetire { name: "b-1".to_owned(), member: 1, copies: 2 };
     let (mut state, last) =
         outcome(&[take_fence(1, 1), set(1, &[1, 2], &[1, 2], 1), begin.clone(), complete.clone()]);
     assert!(matches!(last, Outcome::Invalid { .. }));
     assert_eq!(state.retiring().get("b-1").map(|retiring| retiring.state), Some(RetireState::Active));
+    // It was silent for a moment and lost its place; only one member holds everything until its replacement is filled.
     assert_eq!(state.apply(8, &set(2, &[2, 3], &[2], 1)), Outcome::Taken);
-    assert_eq!(state.apply(9, &complete), Outcome::Taken);
-    assert_eq!(state.apply(10, &begin), Outcome::Taken);
+    assert!(matches!(state.apply(9, &complete), Outcome::Invalid { .. }));
+    let full = Command::PartitionFull { partition: 3, epoch: 2, member: 3 };
+    assert_eq!(state.apply(10, &full), Outcome::Taken);
+    assert_eq!(state.apply(11, &complete), Outcome::Taken);
+    assert_eq!(state.apply(12, &begin), Outcome::Taken);
     assert_eq!(state.retiring().get("b-1").map(|retiring| retiring.state), Some(RetireState::Completed));
 }
 
--- a/system/wire/src/command.rs
+++ b/system/wire/src/command.rs
@@ -66,6 +66,8 @@
         name: String,
         /// The identity of its disk.
         member: u64,
+        /// How many full copies every partition must have without it: one more than the disks that may be lost at once.
+        copies: u64,
     },
 }
 
