Look at a store again when a request gets its connection

Change: what an edge knows of a store carries whether it still takes requests; it is looked at just before the write, and the attempt then ends as never run, so that another store is asked. Test: edge_forwarding.rs, two requests hold the store's two connections, a third waits, the store leaves, the third goes elsewhere.

--- a/system/data/src/forward/attempts.rs
+++ b/system/data/src/forward/attempts.rs
@@ -258,7 +258,7 @@
     /// Notes an attempt that ended without an answer; some if the request is given up now.
     fn note(&mut self, store: &KnownStore, attempt: &Attempt) -> Option<GivenUp> {
         match attempt.cause {
-            Cause::Connect | Cause::Busy => self.sent.unsent += 1,
+            Cause::Connect | Cause::Busy | Cause::Left => self.sent.unsent += 1,
             Cause::Refused(_) | Cause::Broken | Cause::Garbled | Cause::Silent => self.sent.offered += 1,
         }
         self.note_sent(store, attempt)
@@ -268,7 +268,7 @@
         self.sent.verdict = self.sent.verdict.and(attempt.verdict);
         match attempt.cause {
             Cause::Refused(refusal) => self.note_refusal(store, refusal),
-            Cause::Busy => None,
+            Cause::Busy | Cause::Left => None,
             // The time was up, which says little of the store.
             Cause::Silent if self.waited() < SILENCE_OF_A_FAILURE => None,
             Cause::Connect | Cause::Broken | Cause::Garbled | Cause::Silent => {
--- a/system/data/src/index.rs
+++ b/system/data/src/index.rs
@@ -36,8 +36,12 @@
 
 impl KnownStore {
     fn new(id: &str, record: &StoreRecord, zone: &str, counts: &Counts) -> Self {
-        let target =
-            StoreTarget { id: id.to_owned(), address: record.address, service: record.service.clone() };
+        let target = StoreTarget {
+            id: id.to_owned(),
+            address: record.address,
+            service: record.service.clone(),
+            takes_requests: Rc::new(Cell::new(true)),
+        };
         Self {
             target,
             slots: record.slots.max(1) as usize,
@@ -125,6 +129,7 @@
 
     fn remove(&mut self, id: &str) {
         let Some(store) = self.known.remove(id) else { return };
+        store.target.takes_requests.set(false);
         let Some(stores) = self.services.get_mut(&store.target.service) else { return };
         Rc::make_mut(stores).retain(|other| other.target.id != id);
         if stores.is_empty() {
--- a/system/data/src/rollout/generation.rs
+++ b/system/data/src/rollout/generation.rs
@@ -131,6 +131,7 @@
     match attempt.cause {
         Cause::Refused(refusal) => note_refusal(shared, order, refusal),
         Cause::Busy => note_full(shared, order),
+        Cause::Left => {}
         Cause::Connect | Cause::Broken | Cause::Garbled | Cause::Silent => {
             shared.health.failed(&order.stream.store.target.id, shared.now());
         }
--- a/system/data/src/stores/client.rs
+++ b/system/data/src/stores/client.rs
@@ -95,6 +95,9 @@
         loop {
             let taken = self.pool.take(target, limit, timings.connect, fresh).await;
             let mut connection = taken.map_err(no_connection)?;
+            if !target.takes_requests.get() {
+                return Err(never_ran(Cause::Left));
+            }
             let left = timings.head.saturating_sub(began.elapsed());
             match timeout(left, connection.sender.try_send_request(request)).await {
                 Err(_elapsed) => return Err(may_have_run(Cause::Silent)),
--- a/system/data/src/stores/mod.rs
+++ b/system/data/src/stores/mod.rs
@@ -8,7 +8,9 @@
 pub mod judge;
 mod pool;
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 pub use answer::{Load, Refusal, StoreAnswer, StoreBody};
@@ -26,6 +28,9 @@
     pub address: SocketAddr,
     /// Its service, whose connection limit is kept.
     pub service: String,
+    /// Whether it still takes requests, as far as this edge knows now. A request that waits for a connection looks at it again before
+    /// it is written: the news that the store leaves may have come meanwhile.
+    pub takes_requests: Rc<Cell<bool>>,
 }
 
 /// How long the steps of one attempt may take.
@@ -46,6 +51,8 @@
     Connect,
     /// All connections to the store that this edge may have are in use.
     Busy,
+    /// The store has left while the request waited for a connection.
+    Left,
     /// The store said that it did not run the request.
     Refused(Refusal),
     /// The connection broke after the request was handed over.
--- a/system/data/tests/edge_forwarding.rs
+++ b/system/data/tests/edge_forwarding.rs
@@ -186,6 +186,39 @@
     .await;
 }
 
+#[tokio::test]
+async fn request_that_waits_for_a_connection_when_the_store_leaves_goes_elsewhere() {
+    local(async {
+        let whole = answer("200 OK", "", "near");
+        let (head, tail) = whole.split_at(whole.len() - 2);
+        let (head, tail) = (head.to_owned(), tail.to_owned());
+        let held = || Turn::SayInParts(head.clone(), tail.clone());
+        let (edge, near, far) = two(vec![held(), held()], vec![]).await;
+        edge.learn_store(&far, 2, StoreState::Draining);
+        edge.shared.stores.set_limit("s", 2, 1);
+        let mut clients = Vec::new();
+        for index in 0..3 {
+            let mut client = Client::connect(edge.address, None).await;
+            client.send(&request("POST", "/once/x", &format!("w{index}"), "", "b")).await;
+            let out = || edge.shared.stores_of("s").first().map(|store| store.out.get());
+            until("the request is out", || out() == Some(index + 1)).await;
+            clients.push(client);
+        }
+        until("two are at the store", || near.heard().len() == 2).await;
+        edge.learn_store(&near, 2, StoreState::Draining);
+        edge.learn_store(&far, 3, StoreState::Ready);
+        near.go_on();
+        near.go_on();
+        let mut bodies = Vec::new();
+        for client in &mut clients {
+            bodies.push(client.read().await.body().to_owned());
+        }
+        assert_eq!((near.heard().len(), far.heard().len()), (2, 1));
+        assert_eq!(bodies.iter().filter(|body| *body == "far").count(), 1, "{bodies:?}");
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn unreachable_store_is_passed_over_and_then_avoided() {
     local(async {
