Explore the control chain exhaustively from the crossings that matter

The machines that run (votes, replica, log, reads) under stateright: every order of deliveries, repetitions, ends of syncs, ends of processes, losses of power and of disks, changes of the view and clients' calls, from seven states in which a crossing is under way (write and read with the tail missed, head missed, two proposers, replacement under way, a disk lost right after a replacement, a member missed while it fills, five members). Properties: one membership an epoch, one command a number, what was acknowledged is at each later head and was synced by f + 1 disks, no read older than an acknowledgement; from every 64th state calm is played until a write is taken again.

--- a/system/chain/src/agreement/liveness.rs
+++ b/system/chain/src/agreement/liveness.rs
@@ -5,7 +5,7 @@
 
 use crate::{Heartbeat, MemberId, Members};
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Peer {
     /// When it was heard of; none if it was only announced.
     heard_at: Option<Duration>,
@@ -16,7 +16,7 @@
 }
 
 /// Heartbeats of the others.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Liveness {
     peers: BTreeMap<MemberId, Peer>,
     gone: BTreeSet<MemberId>,
--- a/system/chain/src/agreement/mod.rs
+++ b/system/chain/src/agreement/mod.rs
@@ -27,7 +27,7 @@
 }
 
 /// What is durable once a sync ends, and what is then to be said.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Vote {
     /// A membership was learned.
     Learned,
@@ -38,7 +38,7 @@
 }
 
 /// What the votes lead to.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum AgreementAction {
     Send { to: MemberId, message: AgreementMessage },
     Persist { record: LogRecord, vote: Vote },
@@ -47,7 +47,7 @@
 }
 
 /// One member's part in the votes.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Agreement {
     me: MemberId,
     settings: Settings,
--- a/system/chain/src/agreement/proposer.rs
+++ b/system/chain/src/agreement/proposer.rs
@@ -14,13 +14,13 @@
     pub full: bool,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 enum Phase {
     Preparing { promises: BTreeMap<MemberId, Promise>, majority_at: Option<Duration> },
     Accepting { value: Members, accepts: BTreeSet<MemberId> },
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Attempt {
     ballot: Ballot,
     phase: Phase,
@@ -30,7 +30,7 @@
 }
 
 /// The attempt under way, and when the next one may start.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Proposer {
     attempt: Option<Attempt>,
     /// Not before this time.
--- a/system/chain/src/control_chain.rs
+++ b/system/chain/src/control_chain.rs
@@ -156,7 +156,7 @@
 }
 
 /// One member of the control group.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct ControlChain {
     pub(crate) agreement: Agreement,
     pub(crate) replica: Replica,
--- a/system/chain/src/replica/barrier.rs
+++ b/system/chain/src/replica/barrier.rs
@@ -11,7 +11,7 @@
 const BLOCK: u64 = 100_000;
 
 /// Where the numbers stand.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Barriers {
     next_at: Duration,
     number: u64,
--- a/system/chain/src/replica/feed.rs
+++ b/system/chain/src/replica/feed.rs
@@ -16,7 +16,7 @@
     bytes: Arc<Vec<u8>>,
 }
 
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 enum FeedState {
     /// The member hasn't said where to go on.
     Waiting,
@@ -27,7 +27,7 @@
 }
 
 /// One member that gets its entries from here.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Feed {
     member: MemberId,
     learner: bool,
--- a/system/chain/src/replica/intake.rs
+++ b/system/chain/src/replica/intake.rs
@@ -9,7 +9,7 @@
 const LEARNER_IDLE_RESENDS: u32 = 2;
 
 /// Where entries come from in the view, and what is known of them.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Intake {
     source: Option<MemberId>,
     /// Whether a `Resume` has not been answered yet.
@@ -42,7 +42,7 @@
 }
 
 /// A snapshot on its way in.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Assembly {
     seq: u64,
     total: u64,
--- a/system/chain/src/replica/log.rs
+++ b/system/chain/src/replica/log.rs
@@ -14,7 +14,7 @@
 }
 
 /// The entries and their positions.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Log {
     /// Entries `offset + 1 ..= last`.
     entries: VecDeque<Entry>,
--- a/system/chain/src/replica/mod.rs
+++ b/system/chain/src/replica/mod.rs
@@ -32,7 +32,7 @@
 use reads::Reads;
 
 /// What a sync that is under way will have made durable.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 enum Pending {
     Entries { up_to: u64 },
     View { epoch: u64 },
@@ -49,7 +49,7 @@
 const SNAPSHOT_RETAIN_FACTOR: usize = 4;
 
 /// One copy of a replicated log.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Replica {
     me: MemberId,
     settings: ReplicaSettings,
--- a/system/chain/src/replica/reads.rs
+++ b/system/chain/src/replica/reads.rs
@@ -6,14 +6,14 @@
 use super::{Replica, ReplicaAction};
 use crate::{MemberId, ReplicaMessage};
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Waiting {
     token: u64,
     deadline: Duration,
 }
 
 /// One question to the chain, for all the reads that were asked before it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Round {
     number: u64,
     reads: Vec<Waiting>,
@@ -23,7 +23,7 @@
 }
 
 /// The reads that wait: for the next round, in the round under way, and for the state here to be new enough.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Reads {
     number: u64,
     queued: Vec<Waiting>,
--- a/system/chain/src/turn.rs
+++ b/system/chain/src/turn.rs
@@ -8,14 +8,14 @@
 use crate::{AgreementMessage, ChainMessage, LogRecord, MemberId, ReplicaAction, ReplicaEvent};
 
 /// On whose behalf records are being written.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 enum Owner {
     Replica { token: u64 },
     Vote(Vote),
 }
 
 /// The writes under way, oldest first.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Disk {
     next_token: u64,
     writes: VecDeque<(u64, Duration, Owner)>,
--- /dev/null
+++ b/system/chain/tests/model/main.rs
@@ -0,0 +1,108 @@
+//! Explores the control chain exhaustively, to a depth, from states in which the crossings that matter are under way.
+//!
+//! What runs is the machine itself ([`gingerledge_chain::ControlChain`]: votes, replica, log and reads), not a copy of its rules. The
+//! checker chooses every order of deliveries, losses, repetitions, ends of syncs, ends of processes, losses of power and of disks,
+//! changes of the view and clients' calls, within the budgets of the scenario.
+//!
+//! `MODEL_DEPTH` sets the depth (the default suits the test command), `MODEL_SCENARIO` picks one scenario by the beginning of its name:
+//!
+//! ```sh
+//! MODEL_DEPTH=9 cargo test --release -p gingerledge-chain --test model -- --nocapture
+//! ```
+
+mod group;
+mod ledger;
+mod node;
+mod scenarios;
+
+use group::{Action, Group};
+use scenarios::{Scenario, SCENARIOS};
+use stateright::{Checker, Model, Property};
+
+const DEFAULT_DEPTH: usize = 5;
+/// Of the states seen, one in so many is followed through calm, to see that the group works again.
+const SETTLED_SHARE: u64 = 64;
+
+/// One scenario with the depth to which it is explored.
+struct Exploration {
+    scenario: &'static Scenario,
+}
+
+impl Model for Exploration {
+    type State = Group;
+    type Action = Action;
+
+    fn init_states(&self) -> Vec<Group> {
+        vec![(self.scenario.begin)()]
+    }
+
+    fn actions(&self, state: &Group, actions: &mut Vec<Action>) {
+        state.actions(actions);
+    }
+
+    fn next_state(&self, state: &Group, action: Action) -> Option<Group> {
+        let mut next = state.clone();
+        next.take(action);
+        Some(next)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("one membership an epoch, and one command a number", |_, state: &Group| {
+                state.ledger.contradiction.is_none()
+            }),
+            Property::always("what was acknowledged is at every head that serves", |_, state: &Group| {
+                state.heads_hold_what_was_acknowledged()
+            }),
+            Property::always("what was acknowledged was synced by f + 1 disks", |_, state: &Group| {
+                state.acknowledged_is_on_enough_disks()
+            }),
+            Property::always("no read is older than an acknowledgement before it", |_, state: &Group| {
+                !state.ledger.read_too_old
+            }),
+            Property::always("in calm the group takes writes again, and lost none", |_, state: &Group| {
+                state.fingerprint() % SETTLED_SHARE != 0 || state.clone().settles()
+            }),
+        ]
+    }
+}
+
+fn depth() -> usize {
+    std::env::var("MODEL_DEPTH").ok().and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_DEPTH)
+}
+
+fn explore(scenario: &'static Scenario) {
+    let threads = std::thread::available_parallelism().map_or(1, usize::from).min(4);
+    let model = Exploration { scenario };
+    let checker =
+        model.checker().threads(threads).target_max_depth(depth() + scenario.deeper).spawn_bfs().join();
+    println!(
+        "{}: {} states, {} different, depth {}",
+        scenario.name,
+        checker.state_count(),
+        checker.unique_state_count(),
+        checker.max_depth()
+    );
+    for (property, path) in checker.discoveries() {
+        let contradiction = path.last_state().ledger.contradiction.clone();
+        let actions: Vec<String> = path.into_actions().iter().map(|action| format!("{action:?}")).collect();
+        panic!("{}: not so: {property}; {contradiction:?}; after\n{}", scenario.name, actions.join("\n"));
+    }
+    assert!(checker.unique_state_count() > 100, "{}: hardly anything was explored", scenario.name);
+}
+
+#[test]
+fn every_order_of_events_keeps_what_was_acknowledged() {
+    let wanted = std::env::var("MODEL_SCENARIO").unwrap_or_default();
+    for scenario in SCENARIOS.iter().filter(|scenario| scenario.name.starts_with(&wanted)) {
+        explore(scenario);
+    }
+}
+
+/// The scenarios are what their names say: each calms down to a group that takes writes.
+#[test]
+fn every_scenario_settles() {
+    for scenario in SCENARIOS {
+        assert!((scenario.begin)().settles(), "{}", scenario.name);
+    }
+}
--- /dev/null
+++ b/system/chain/tests/model/node.rs
@@ -0,0 +1,172 @@
+//! One member's process and its disk, as the checker sees them.
+
+use std::time::Duration;
+
+use gingerledge_chain::{
+    AgreementMessage, ChainAction, ChainEvent, ChainMessage, ControlChain, LogRecord, MemberId, Settings,
+};
+
+use super::ledger::Ledger;
+
+/// A message on its way.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sent {
+    pub from: MemberId,
+    pub to: MemberId,
+    pub message: ChainMessage,
+}
+
+/// Something written and not synced.
+#[derive(Clone, Debug)]
+struct Write {
+    token: u64,
+    records: Vec<LogRecord>,
+}
+
+/// What a fault leaves of a disk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// The process ends; all that it wrote is there.
+    Nothing,
+    /// Power is lost, and everything that was not synced.
+    Unsynced,
+    /// The disk is gone: what comes back is another member.
+    Disk,
+}
+
+/// One member.
+#[derive(Clone, Debug)]
+pub struct Node {
+    pub identity: MemberId,
+    pub chain: ControlChain,
+    pub now: Duration,
+    pub sealed: u64,
+    disk: Vec<LogRecord>,
+    unsynced: Vec<Write>,
+    /// The host's state: the numbers and commands applied.
+    state: Vec<(u64, Vec<u8>)>,
+    lives: u64,
+}
+
+impl Node {
+    pub fn founder(identity: MemberId, founders: &[MemberId], settings: &Settings) -> Self {
+        let chain = ControlChain::found(identity, founders.to_vec(), settings.clone(), identity.0);
+        Self {
+            identity,
+            chain,
+            now: Duration::ZERO,
+            sealed: 0,
+            disk: Vec::new(),
+            unsynced: Vec::new(),
+            state: Vec::new(),
+            lives: 0,
+        }
+    }
+
+    /// Ends the process, and makes it ready to start again.
+    pub fn end(&mut self, loss: Loss, new_identity: MemberId, settings: &Settings, ledger: &mut Ledger) {
+        let unsynced = std::mem::take(&mut self.unsynced);
+        match loss {
+            // The storage syncs what it finds before anybody reads it.
+            Loss::Nothing => self.keep(unsynced, ledger),
+            Loss::Unsynced => {}
+            Loss::Disk => {
+                self.disk.clear();
+                self.identity = new_identity;
+            }
+        }
+        self.lives += 1;
+        self.state.clear();
+        self.sealed = 0;
+        let seed = self.identity.0 * 100 + self.lives;
+        self.chain = ControlChain::recover(self.identity, self.disk.clone(), settings.clone(), seed);
+    }
+
+    /// Whether something is being written.
+    pub fn is_writing(&self) -> bool {
+        !self.unsynced.is_empty()
+    }
+
+    /// Whether the disk holds an entry, by itself or in a state.
+    pub fn holds(&self, seq: u64) -> bool {
+        let records = self.disk.iter().chain(self.unsynced.iter().flat_map(|write| &write.records));
+        records.into_iter().any(|record| match record {
+            LogRecord::Entry { seq: entry, .. } => *entry == seq,
+            LogRecord::Snapshot { seq: state, .. } => *state >= seq,
+            _ => false,
+        })
+    }
+
+    /// Gives the process an event, and carries out what it wants.
+    pub fn event(&mut self, event: ChainEvent, ledger: &mut Ledger, network: &mut Vec<Sent>) {
+        let mut out = Vec::new();
+        self.chain.handle(self.now, event, &mut out);
+        for action in out {
+            self.carry_out(action, ledger, network);
+        }
+    }
+
+    /// All that was written is synced.
+    pub fn sync(&mut self, ledger: &mut Ledger, network: &mut Vec<Sent>) {
+        let writes = std::mem::take(&mut self.unsynced);
+        let Some(token) = writes.last().map(|write| write.token) else { return };
+        self.keep(writes, ledger);
+        self.event(ChainEvent::Durable { token }, ledger, network);
+    }
+
+    fn keep(&mut self, writes: Vec<Write>, ledger: &mut Ledger) {
+        for record in writes.into_iter().flat_map(|write| write.records) {
+            match &record {
+                LogRecord::Entry { seq, .. } => ledger.on_disk(self.identity, *seq),
+                LogRecord::Snapshot { seq, .. } => {
+                    (1..=*seq).for_each(|entry| ledger.on_disk(self.identity, entry));
+                }
+                _ => {}
+            }
+            self.disk.push(record);
+        }
+    }
+
+    fn carry_out(&mut self, action: ChainAction, ledger: &mut Ledger, network: &mut Vec<Sent>) {
+        match action {
+            ChainAction::Send { to, message } => {
+                let sent = Sent { from: self.identity, to, message };
+                // A second copy of what is on its way is a repetition, which the checker chooses itself.
+                if !is_heartbeat(&sent.message) && !network.contains(&sent) {
+                    network.push(sent);
+                }
+            }
+            ChainAction::Persist { token, records } => self.unsynced.push(Write { token, records }),
+            ChainAction::Apply { seq, command, reply } => {
+                ledger.apply(seq, &command, reply);
+                self.state.push((seq, command));
+            }
+            ChainAction::TakeSnapshot => {
+                let seq = self.state.last().map_or(0, |(seq, _)| *seq);
+                let bytes = encode(&self.state);
+                self.event(ChainEvent::SnapshotReady { seq, bytes }, ledger, network);
+            }
+            ChainAction::InstallSnapshot { bytes, .. } => self.state = decode(&bytes),
+            ChainAction::ReadReady { token, seq } => ledger.read_ready(token, seq),
+            ChainAction::ViewInstalled { members } => ledger.view(&members),
+            ChainAction::Sealed { epoch } => self.sealed = self.sealed.max(epoch),
+            ChainAction::ReadFailed { .. }
+            | ChainAction::NotHead { .. }
+            | ChainAction::Busy { .. }
+            | ChainAction::BecameFull { .. }
+            | ChainAction::Tick { .. } => {}
+        }
+    }
+}
+
+fn is_heartbeat(message: &ChainMessage) -> bool {
+    matches!(message, ChainMessage::Agreement(AgreementMessage::Heartbeat(_)))
+}
+
+fn encode(state: &[(u64, Vec<u8>)]) -> Vec<u8> {
+    state.iter().flat_map(|(seq, command)| [*seq as u8, command.first().copied().unwrap_or(0)]).collect()
+}
+
+fn decode(bytes: &[u8]) -> Vec<(u64, Vec<u8>)> {
+    bytes.chunks(2).map(|pair| (u64::from(pair[0]), vec![pair[1]])).collect()
+}
