--- a/system/data/tests/edge_common/mod.rs
+++ b/system/data/tests/edge_common/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 pub mod control;
 mod store;
+pub mod unruly;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -100,6 +101,16 @@
         self.shared.merge([configuration_entry(sequence, json)]);
     }
 
+    /// A ready store of the usual service, wherever it is.
+    pub fn learn_store_at(&self, id: &str, address: SocketAddr) {
+        let record = store_record(address, ZONE, StoreState::Ready);
+        self.shared.merge([Entry {
+            key: Key::Store(id.to_owned()),
+            version: 1,
+            value: Value::Store(record),
+        }]);
+    }
+
     pub fn learn_store(&self, store: &Store, sequence: u64, state: StoreState) {
         self.shared.merge([store_entry(store, sequence, state)]);
     }
@@ -121,16 +132,20 @@
 
 /// What the registry says of a store.
 pub fn store_entry(store: &Store, sequence: u64, state: StoreState) -> Entry {
-    let record = StoreRecord {
+    let record = store_record(store.address, &store.zone, state);
+    Entry { key: Key::Store(store.id.clone()), version: sequence, value: Value::Store(record) }
+}
+
+fn store_record(address: SocketAddr, zone: &str, state: StoreState) -> StoreRecord {
+    StoreRecord {
         service: "s".to_owned(),
-        address: store.address,
-        zone: store.zone.clone(),
+        address,
+        zone: zone.to_owned(),
         software: "v1".to_owned(),
         slots: 4,
         state,
         models: Vec::new(),
-    };
-    Entry { key: Key::Store(store.id.clone()), version: sequence, value: Value::Store(record) }
+    }
 }
 
 /// Runs a test on one thread.
