--- /dev/null
+++ b/system/chain/tests/not_full.rs
@@ -0,0 +1,113 @@
+//! A member that has not caught up: it commits nothing and holds nothing that is not on its disk.
+
+use std::time::Duration;
+
+use gingerledge_chain::{
+    MemberId, Replica, ReplicaAction, ReplicaEvent, ReplicaMessage, ReplicaSettings, View,
+};
+
+const HEAD: MemberId = MemberId(1);
+const NEWCOMER: MemberId = MemberId(2);
+const EPOCH: u64 = 7;
+
+/// A replica, what it wants, and a disk that syncs when the test says so.
+struct Member {
+    replica: Replica,
+    actions: Vec<ReplicaAction>,
+    unsynced: Vec<u64>,
+}
+
+impl Member {
+    /// The newcomer at the tail of a chain that has been at work before.
+    fn newcomer() -> Self {
+        let replica = Replica::new(NEWCOMER, ReplicaSettings::default(), 1);
+        let mut member = Self { replica, actions: Vec::new(), unsynced: Vec::new() };
+        member.event(ReplicaEvent::Started);
+        let view = View { epoch: EPOCH, chain: vec![HEAD, NEWCOMER] };
+        member.event(ReplicaEvent::Install { view });
+        member.sync();
+        member
+    }
+
+    fn event(&mut self, event: ReplicaEvent) {
+        let mut out = Vec::new();
+        self.replica.handle(Duration::ZERO, event, &mut out);
+        for action in out {
+            if let ReplicaAction::Persist { token, .. } = action {
+                self.unsynced.push(token);
+            }
+            self.actions.push(action);
+        }
+    }
+
+    fn sync(&mut self) {
+        while let Some(token) = self.unsynced.pop() {
+            self.unsynced.clear();
+            self.event(ReplicaEvent::Durable { token });
+        }
+    }
+
+    fn message(&mut self, message: ReplicaMessage) {
+        self.event(ReplicaEvent::Message { from: HEAD, message });
+    }
+
+    /// Entries up to `last`, of which the newcomer has to hold those up to 5.
+    fn entries(&mut self, first: u64, last: u64) {
+        let commands = (first..=last).map(|seq| vec![seq as u8]).collect();
+        self.message(ReplicaMessage::Append {
+            epoch: EPOCH,
+            first,
+            commands,
+            committed: 0,
+            full_at: Some(5),
+        });
+    }
+
+    fn applied(&self) -> Vec<u64> {
+        let seq = |action: &ReplicaAction| match action {
+            ReplicaAction::Apply { seq, .. } => Some(*seq),
+            _ => None,
+        };
+        self.actions.iter().filter_map(seq).collect()
+    }
+}
+
+#[test]
+fn a_tail_that_is_not_full_commits_nothing() {
+    let mut member = Member::newcomer();
+    member.entries(1, 3);
+    member.sync();
+    assert!(!member.replica.is_full());
+    assert_eq!(member.applied(), [] as [u64; 0]);
+    member.entries(4, 5);
+    assert_eq!(member.applied(), [] as [u64; 0], "nothing counts before it is on the disk");
+    member.sync();
+    assert!(member.replica.is_full());
+    assert_eq!(member.applied(), [1, 2, 3, 4, 5]);
+}
+
+#[test]
+fn a_snapshot_counts_once_it_is_on_the_disk() {
+    let mut member = Member::newcomer();
+    let bytes = vec![9; 10];
+    member.message(ReplicaMessage::Chunk {
+        epoch: EPOCH,
+        seq: 4,
+        total: 10,
+        offset: 0,
+        bytes: bytes.clone(),
+    });
+    let counts = |member: &Member| {
+        let acknowledged = |action: &ReplicaAction| {
+            matches!(action, ReplicaAction::Send { message: ReplicaMessage::Ack { durable: 4.., .. }, .. })
+        };
+        let installed = ReplicaAction::InstallSnapshot { seq: 4, bytes: bytes.clone() };
+        (member.actions.iter().any(acknowledged), member.actions.contains(&installed))
+    };
+    assert_eq!(counts(&member), (false, false));
+    member.sync();
+    assert_eq!(counts(&member), (true, true));
+    member.entries(5, 5);
+    member.sync();
+    assert_eq!(member.applied(), [5]);
+}
