--- a/system/chain/src/replica/intake.rs
+++ b/system/chain/src/replica/intake.rs
@@ -134,6 +134,8 @@
             return;
         }
         self.intake.heard_at = now;
+        // The source has answered: once the snapshot is on the disk it is acknowledged at once.
+        self.intake.awaiting = false;
         let Some(received) = self.assemble(&chunk) else { return };
         let message = ReplicaMessage::ChunkAck { epoch: self.epoch(), seq: chunk.seq, received };
         out.push(ReplicaAction::Send { to: from, message });
