--- a/system/bin/tests/common/mod.rs
+++ b/system/bin/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! A whole system on loopback with stand-in stores, for tests with several processes.
 
+#![allow(dead_code)]
+
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
--- a/system/control/src/node/mod.rs
+++ b/system/control/src/node/mod.rs
@@ -42,7 +42,7 @@
 pub use start::{start, Handles, StartError};
 pub use submissions::{KnownOutcome, SubmissionSettings, Submissions};
 
-use announcements::Announcements;
+use announcements::WaitingAnnouncements;
 use coordinate::Coordination;
 use disk::DiskDriver;
 use lease::LeaseDriver;
@@ -99,7 +99,7 @@
     submissions: Submissions<Waiter>,
     reads: HashMap<u64, requests::Read>,
     next_read: u64,
-    announcements: Announcements,
+    announcements: WaitingAnnouncements,
     lease: LeaseDriver,
     coordination: Coordination,
     last_housekeeping: Duration,
--- a/system/control/src/node/start.rs
+++ b/system/control/src/node/start.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use super::announcements::Announcements;
+use super::announcements::WaitingAnnouncements;
 use super::book::AddressBook;
 use super::coordinate::Coordination;
 use super::disk::{self, DiskDriver, DiskError, DiskRecord, Kept};
@@ -130,7 +130,7 @@
         submissions: Submissions::new(SubmissionSettings::default(), draw("submissions") >> 1),
         reads: HashMap::new(),
         next_read: 0,
-        announcements: Announcements::default(),
+        announcements: WaitingAnnouncements::default(),
         lease,
         coordination: Coordination::new(gate, order_news),
         last_housekeeping: Duration::ZERO,
--- a/system/control/src/sessions/mod.rs
+++ b/system/control/src/sessions/mod.rs
@@ -5,6 +5,7 @@
 //! of the registry, whose version is the sequence number of the heartbeat that changed it last; heartbeats that change nothing
 //! stay where they arrive. A source that is declared gone by mistake is back with its next heartbeat.
 
+mod announcements;
 mod sharing;
 
 use std::collections::HashMap;
@@ -13,6 +14,7 @@
 
 use gingerledge_wire::{Entry, Key, Value, ENDED_VERSION, MAX_ENTRIES};
 
+pub use announcements::{Announcements, Confirmation, MAX_ANNOUNCEMENTS};
 pub use sharing::{Share, Sharing, SharingSettings};
 
 /// How long sources may be silent.
--- a/system/standin/src/fleet.rs
+++ b/system/standin/src/fleet.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
+use rustix::process::{kill_process, Pid, Signal};
 use serde_json::json;
 use snafu::{ResultExt, Snafu};
 
@@ -169,6 +170,22 @@
         }
     }
 
+    /// A machine's process stands still until it is thawed.
+    pub fn freeze(&self, name: &str) -> Result<(), FleetError> {
+        self.signal(name, Signal::STOP)
+    }
+
+    /// A machine's process goes on.
+    pub fn thaw(&self, name: &str) -> Result<(), FleetError> {
+        self.signal(name, Signal::CONT)
+    }
+
+    fn signal(&self, name: &str, signal: Signal) -> Result<(), FleetError> {
+        let process = self.process(name).and_then(|id| Pid::from_raw(i32::try_from(id).ok()?));
+        let Some(process) = process else { return Ok(()) };
+        kill_process(process, signal).map_err(std::io::Error::from).context(SystemSnafu { what: name })
+    }
+
     /// Kills a machine's process and empties its disk.
     pub fn wipe(&mut self, name: &str) -> Result<(), FleetError> {
         self.kill(name);
