--- a/system/standin/src/bin/fault-days.rs
+++ b/system/standin/src/bin/fault-days.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use gingerledge_system_standin::fault_days::{Contracts, FaultDay};
+use gingerledge_system_standin::fault_days::{FaultDay, Scope};
 
 /// Draws days from every kind of trouble that the bench lists.
 #[derive(Clone, Debug, Bpaf)]
@@ -20,6 +20,9 @@
     /// With the kinds that need the contract `health`, which the grown deployments have
     #[bpaf(long)]
     health: bool,
+    /// Only kinds that strike the control plane, the backends and their state
+    #[bpaf(long)]
+    state: bool,
     /// The folder that the days are written to, as SEED.toml
     #[bpaf(long, argument("FOLDER"))]
     out: PathBuf,
@@ -31,10 +34,10 @@
         eprintln!("--out: {}: {error}", options.out.display());
         return ExitCode::FAILURE;
     }
-    let contracts = Contracts { health: options.health };
+    let scope = Scope { health: options.health, only_state: options.state };
     for seed in options.first..options.first.saturating_add(options.count) {
         let file = options.out.join(format!("{seed}.toml"));
-        if let Err(error) = fs::write(&file, FaultDay::draw(seed, contracts).to_string()) {
+        if let Err(error) = fs::write(&file, FaultDay::draw(seed, scope).to_string()) {
             eprintln!("--out: {}: {error}", file.display());
             return ExitCode::FAILURE;
         }
--- a/system/standin/src/fault_days/catalogue.rs
+++ b/system/standin/src/fault_days/catalogue.rs
@@ -18,6 +18,8 @@
     pub phase: Phase,
     /// The bench plays it only on deployments whose contracts include `health`.
     pub needs_health_contract: bool,
+    /// It strikes the control plane, the backends or their state.
+    pub strikes_state: bool,
     /// Classes of machines that it may strike; an empty one leaves the choice to the bench.
     pub machine_classes: &'static [&'static str],
     /// Values of `how`, of which one is drawn; an empty one is the plain form.
@@ -41,6 +43,7 @@
     name: "",
     phase: Phase::Unplanned,
     needs_health_contract: false,
+    strikes_state: false,
     machine_classes: &[],
     variants: &[],
     modifiers: &[],
@@ -89,6 +92,7 @@
     },
     TroubleKind {
         name: "release",
+        strikes_state: true,
         phase: Phase::Planned,
         share: Some((0.2, 1.0)),
         strengths: &[1.0, 3.0],
@@ -113,6 +117,7 @@
     },
     TroubleKind {
         name: "node_kill",
+        strikes_state: true,
         machine_classes: ANY_CLASS,
         variants: &["", "power"],
         modifiers: MACHINE_MODIFIERS,
@@ -122,6 +127,7 @@
     },
     TroubleKind {
         name: "node_freeze",
+        strikes_state: true,
         machine_classes: ANY_CLASS,
         modifiers: MACHINE_MODIFIERS,
         count: Some((1, 4)),
@@ -130,6 +136,7 @@
     },
     TroubleKind {
         name: "node_slow",
+        strikes_state: true,
         machine_classes: ANY_CLASS,
         modifiers: MACHINE_MODIFIERS,
         count: Some((1, 3)),
@@ -139,6 +146,7 @@
     },
     TroubleKind {
         name: "roll_term",
+        strikes_state: true,
         phase: Phase::Planned,
         machine_classes: ANY_CLASS,
         variants: &["", "busy"],
@@ -150,6 +158,7 @@
     },
     TroubleKind {
         name: "herd_kill",
+        strikes_state: true,
         machine_classes: ANY_CLASS,
         variants: &["", "power", "off", "taken", "taken all"],
         share: Some((0.3, 1.0)),
@@ -158,6 +167,7 @@
     },
     TroubleKind {
         name: "add_nodes",
+        strikes_state: true,
         phase: Phase::Planned,
         machine_classes: &["core", "store", "front"],
         count: Some((1, 3)),
@@ -165,6 +175,7 @@
     },
     TroubleKind {
         name: "replace_core",
+        strikes_state: true,
         machine_classes: DISK_CLASSES,
         variants: &["", "planned", "oldest"],
         modifiers: MACHINE_MODIFIERS,
@@ -173,6 +184,7 @@
     },
     TroubleKind {
         name: "after_ack_kill",
+        strikes_state: true,
         machine_classes: DISK_CLASSES,
         variants: &["", "kill", "timed", "taken", "taken gone"],
         count: Some((1, 2)),
@@ -181,6 +193,7 @@
     },
     TroubleKind {
         name: "after_ack_wipe",
+        strikes_state: true,
         machine_classes: DISK_CLASSES,
         variants: &["", "oldest", "timed", "taken"],
         count: Some((1, 2)),
@@ -189,6 +202,7 @@
     },
     TroubleKind {
         name: "disk_slow",
+        strikes_state: true,
         machine_classes: DISK_CLASSES,
         modifiers: MACHINE_MODIFIERS,
         count: Some((1, 3)),
@@ -198,6 +212,7 @@
     },
     TroubleKind {
         name: "disk_stall",
+        strikes_state: true,
         machine_classes: DISK_CLASSES,
         modifiers: MACHINE_MODIFIERS,
         count: Some((1, 3)),
@@ -206,6 +221,7 @@
     },
     TroubleKind {
         name: "disk_full",
+        strikes_state: true,
         machine_classes: DISK_CLASSES,
         modifiers: MACHINE_MODIFIERS,
         count: Some((1, 2)),
@@ -214,6 +230,7 @@
     },
     TroubleKind {
         name: "core_cut",
+        strikes_state: true,
         machine_classes: DISK_CLASSES,
         variants: &[
             "", "behind", "split", "all", "near", "oldest", "one_way", "seeds", "both", "lure", "relieve",
@@ -226,12 +243,14 @@
     },
     TroubleKind {
         name: "config_change",
+        strikes_state: true,
         phase: Phase::Planned,
         variants: &["route", "weights", "timeout", "idle", "route weights"],
         ..PLAIN
     },
     TroubleKind {
         name: "config_race",
+        strikes_state: true,
         phase: Phase::Planned,
         count: Some((1, 6)),
         gap_s: Some((0.1, 1.5)),
@@ -239,6 +258,7 @@
     },
     TroubleKind {
         name: "bad_config",
+        strikes_state: true,
         phase: Phase::Planned,
         variants: &[
             "",
@@ -254,9 +274,16 @@
         gap_s: Some((0.1, 1.5)),
         ..PLAIN
     },
-    TroubleKind { name: "ack_lost", strengths: &[0.5, 0.7], lasts_s: Some((3.0, 16.0)), ..PLAIN },
+    TroubleKind {
+        name: "ack_lost",
+        strikes_state: true,
+        strengths: &[0.5, 0.7],
+        lasts_s: Some((3.0, 16.0)),
+        ..PLAIN
+    },
     TroubleKind {
         name: "retire",
+        strikes_state: true,
         phase: Phase::Planned,
         variants: &["", "wipe"],
         lasts_s: Some((5.0, 12.0)),
@@ -325,9 +352,10 @@
         strengths: &[2.0],
         ..PLAIN
     },
-    TroubleKind { name: "seed_turnover", phase: Phase::Planned, ..PLAIN },
+    TroubleKind { name: "seed_turnover", strikes_state: true, phase: Phase::Planned, ..PLAIN },
     TroubleKind {
         name: "clock_step",
+        strikes_state: true,
         variants: &["back", "ahead"],
         share: Some((0.1, 1.0)),
         strengths: &[2_000.0, 60_000.0, 4_000_000.0],
@@ -336,6 +364,7 @@
     },
     TroubleKind {
         name: "hup",
+        strikes_state: true,
         phase: Phase::Planned,
         machine_classes: ANY_CLASS,
         share: Some((0.2, 1.0)),
@@ -344,6 +373,7 @@
     },
     TroubleKind {
         name: "reset_conns",
+        strikes_state: true,
         machine_classes: ANY_CLASS,
         modifiers: MACHINE_MODIFIERS,
         share: Some((0.1, 1.0)),
@@ -352,6 +382,7 @@
     },
     TroubleKind {
         name: "node_cut",
+        strikes_state: true,
         machine_classes: ANY_CLASS,
         variants: &["", "all", "servers"],
         modifiers: MACHINE_MODIFIERS,
--- a/system/standin/src/fault_days/mod.rs
+++ b/system/standin/src/fault_days/mod.rs
@@ -22,19 +22,28 @@
 /// Of all troubles, the part that strikes within a second of the one before: faults at the crossing of others break most.
 const CROSSING_SHARE: f64 = 0.4;
 
-/// Which contracts of the bench are in force on a deployment, beyond those that all have.
+/// Which kinds of trouble a day is drawn from.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Contracts {
-    /// Health checks may be wrong, and stores may go down and up.
+pub struct Scope {
+    /// Also those of the contract `health`: health checks may be wrong, and stores may go down and up.
     pub health: bool,
+    /// Only those that strike the control plane, the backends and their state.
+    pub only_state: bool,
 }
 
-impl Contracts {
-    fn allow(self, kind: &TroubleKind) -> bool {
-        self.health || !kind.needs_health_contract
+impl Scope {
+    fn allows(self, kind: &TroubleKind) -> bool {
+        (self.health || !kind.needs_health_contract) && (kind.strikes_state || !self.only_state)
     }
 }
 
+/// Of all days, the part with a burst of changes of the configuration.
+const BURST_SHARE: f64 = 0.2;
+/// How many changes a burst has.
+const BURST_CHANGES: std::ops::RangeInclusive<u32> = 20..=70;
+/// The time between two changes of a burst, in seconds.
+const BURST_GAP_S: f64 = 0.25;
+
 /// One trouble of a day.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Trouble {
@@ -83,10 +92,10 @@
 }
 
 impl FaultDay {
-    /// Draws the day of a seed, for deployments with these contracts.
-    pub fn draw(seed: u64, contracts: Contracts) -> Self {
+    /// Draws the day of a seed.
+    pub fn draw(seed: u64, scope: Scope) -> Self {
         let mut random = fastrand::Rng::with_seed(seed);
-        let kinds: Vec<&TroubleKind> = KINDS.iter().filter(|kind| contracts.allow(kind)).collect();
+        let kinds: Vec<&TroubleKind> = KINDS.iter().filter(|kind| scope.allows(kind)).collect();
         let mut troubles: Vec<Trouble> = Vec::new();
         for _ in 0..random.usize(TROUBLES) {
             let at_s = match troubles.last() {
@@ -98,6 +107,9 @@
             let kind = kinds[random.usize(..kinds.len())];
             troubles.push(draw_trouble(&mut random, kind, at_s));
         }
+        if random.f64() < BURST_SHARE {
+            troubles.extend(draw_burst(&mut random));
+        }
         troubles.sort_by(|one, other| one.at_s.total_cmp(&other.at_s));
         let closing = (random.f64() < CLOSING_SHARE).then(|| draw_closing(&mut random));
         Self { seed, troubles, closing }
@@ -124,6 +136,24 @@
     }
 }
 
+/// A change of the configuration every quarter of a second, for a while.
+fn draw_burst(random: &mut fastrand::Rng) -> impl Iterator<Item = Trouble> {
+    let begin = between(random, (FIRST_TROUBLE_S, TRAFFIC_S / 2.0));
+    let changes = random.u32(BURST_CHANGES);
+    (0..changes).map(move |change| Trouble {
+        kind: "config_change",
+        phase: Phase::Planned,
+        at_s: (begin + f64::from(change) * BURST_GAP_S).min(TRAFFIC_S),
+        machine_class: None,
+        how: "idle".to_owned(),
+        count: None,
+        share: None,
+        strength: None,
+        lasts_s: None,
+        gap_s: None,
+    })
+}
+
 fn draw_closing(random: &mut fastrand::Rng) -> Closing {
     let (kind, hows) = CLOSINGS[random.usize(..CLOSINGS.len())];
     Closing { kind, how: pick(random, hows).unwrap_or_default(), down_s: between(random, (0.3, 2.5)) }
--- a/system/standin/tests/fault_days.rs
+++ b/system/standin/tests/fault_days.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeSet;
 
-use gingerledge_system_standin::fault_days::{Contracts, FaultDay, CLOSINGS, KINDS};
+use gingerledge_system_standin::fault_days::{FaultDay, Scope, CLOSINGS, KINDS};
 
 const DAYS: u64 = 2_000;
-const ALL: Contracts = Contracts { health: true };
+const ALL: Scope = Scope { health: true, only_state: false };
 
 #[test]
 fn a_seed_draws_one_day() {
@@ -65,10 +65,14 @@
 }
 
 #[test]
-fn kinds_that_a_deployment_has_no_contract_for_do_not_come() {
-    let drawn = (0..DAYS).flat_map(|seed| FaultDay::draw(seed, Contracts::default()).troubles);
+fn kinds_beyond_the_scope_do_not_come() {
+    let drawn = (0..DAYS).flat_map(|seed| FaultDay::draw(seed, Scope::default()).troubles);
     let needing: BTreeSet<_> =
         KINDS.iter().filter(|kind| kind.needs_health_contract).map(|kind| kind.name).collect();
     assert!(!needing.is_empty());
     assert!(drawn.map(|trouble| trouble.kind).all(|kind| !needing.contains(kind)));
+    let state = Scope { health: true, only_state: true };
+    let drawn = (0..DAYS).flat_map(|seed| FaultDay::draw(seed, state).troubles);
+    let strikes_state = |kind| KINDS.iter().any(|known| known.name == kind && known.strikes_state);
+    assert!(drawn.map(|trouble| trouble.kind).all(strikes_state));
 }
