Let drawn stores answer again in the next request's slot

Without it, taking the comparison of ids out was noticed by no case: a store that only answers late is left before its connection is used again.

--- a/system/data/tests/edge_answers.rs
+++ b/system/data/tests/edge_answers.rs
@@ -62,7 +62,8 @@
     prop_oneof![
         2 => Just(Behaviour::Answer),
         1 => Just(Behaviour::AnswerTwice),
-        2 => Just(Behaviour::AnswerLate),
+        1 => Just(Behaviour::AnswerLate),
+        3 => Just(Behaviour::AnswerAgainLate),
         1 => Just(Behaviour::AnswerEarly),
         3 => (0u8..=100, any::<bool>()).prop_map(|(percent, reset)| Behaviour::AnswerCut { percent, reset }),
         2 => proptest::option::of(0u8..100).prop_map(|cut_percent| Behaviour::AnswerUnframed { cut_percent }),
--- a/system/data/tests/edge_common/unruly.rs
+++ b/system/data/tests/edge_common/unruly.rs
@@ -22,6 +22,8 @@
     AnswerTwice,
     /// Runs it; the answer comes only when the next request stands on the connection, in front of that one's.
     AnswerLate,
+    /// Runs it and answers; a second copy comes when the next request stands on the connection, in front of that one's answer.
+    AnswerAgainLate,
     /// Runs it and answers before the body is read, and reads the body then.
     AnswerEarly,
     /// Runs it; a part of the answer comes, in percent, and the connection ends.
@@ -145,6 +147,13 @@
                 self.ran(id);
                 say(stream, &(whole.clone() + &whole)).await
             }
+            Behaviour::AnswerAgainLate => {
+                self.ran(id);
+                match say(stream, &whole).await {
+                    Next::KeepsConnection => Next::HoldsBack(whole),
+                    next => next,
+                }
+            }
             Behaviour::AnswerLate => {
                 self.ran(id);
                 Next::HoldsBack(whole)
