--- a/system/data/tests/edge_answers.rs
+++ b/system/data/tests/edge_answers.rs
@@ -66,7 +66,8 @@
         3 => Just(Behaviour::AnswerAgainLate),
         1 => Just(Behaviour::AnswerEarly),
         3 => (0u8..=100, any::<bool>()).prop_map(|(percent, reset)| Behaviour::AnswerCut { percent, reset }),
-        2 => proptest::option::of(0u8..100).prop_map(|cut_percent| Behaviour::AnswerUnframed { cut_percent }),
+        2 => (proptest::option::of(0u8..100), any::<bool>())
+            .prop_map(|(cut_percent, reset)| Behaviour::AnswerUnframed { cut_percent, reset }),
         1 => Just(Behaviour::AnswerOther),
         2 => status.prop_map(|status| Behaviour::OwnFailure { status }),
         1 => refusal.prop_map(|status| Behaviour::Refuse { status }),
--- a/system/data/tests/edge_common/unruly.rs
+++ b/system/data/tests/edge_common/unruly.rs
@@ -28,8 +28,8 @@
     AnswerEarly,
     /// Runs it; a part of the answer comes, in percent, and the connection ends.
     AnswerCut { percent: u8, reset: bool },
-    /// Runs it; the answer has no length and ends with the connection, whole or after a part of it by a reset.
-    AnswerUnframed { cut_percent: Option<u8> },
+    /// Runs it; the answer has no length and ends with the connection, whole or after a part of it.
+    AnswerUnframed { cut_percent: Option<u8>, reset: bool },
     /// Runs it; the answer carries another request's id.
     AnswerOther,
     /// Runs it and answers with a status of its own and no word on whether it ran.
@@ -162,11 +162,12 @@
                 self.ran(id);
                 self.part(&whole, *percent, *by_reset, stream).await
             }
-            Behaviour::AnswerUnframed { cut_percent } => {
+            Behaviour::AnswerUnframed { cut_percent, reset: by_reset } => {
                 self.ran(id);
                 let unframed =
                     whole.replace(&format!("Content-Length: {}\r\n", body_of(&self.id, id).len()), "");
-                self.part(&unframed, cut_percent.unwrap_or(100), cut_percent.is_some(), stream).await
+                self.part(&unframed, cut_percent.unwrap_or(100), *by_reset && cut_percent.is_some(), stream)
+                    .await
             }
             Behaviour::AnswerOther => {
                 self.ran(id);
