Know a lost disk of a backend by the one that reports from its place

Cause: after a stop of everything with a lost disk the new coordinator knows the members of the chains by identity alone. Change: where the disks of backends are is part of the control state (NoteBackend). A member is lost at once if another disk has reported from its address since it was heard itself: one process runs there, so its disk is gone for good. Ruled out: a shorter grace (a backend with a slow start would be replaced for nothing). Tests: partitions.rs (another disk in its place, before, after, elsewhere), state.rs.

--- a/system/control/src/coordinator/backends.rs
+++ b/system/control/src/coordinator/backends.rs
@@ -1,6 +1,7 @@
 //! Which backends can be used, by what they have reported themselves.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use gingerledge_wire::{BackendReport, NodeRecord, PartitionRecord};
@@ -87,13 +88,14 @@
         self.first_heard.is_some_and(|first| now >= first + self.settings.gather)
     }
 
-    /// All backends that have reported, or that are in `named` chains, and whether they can be used. The coordinator has been
-    /// one since `since`.
+    /// All backends that have reported, or that are in `chains`, and whether they can be used. The coordinator has been one since
+    /// `since`; `address_of` says where a disk was.
     pub fn conditions<'a>(
         &self,
         now: Duration,
         since: Duration,
         chains: impl Iterator<Item = &'a PartitionRecord>,
+        address_of: impl Fn(u64) -> Option<SocketAddr>,
         is_retiring: impl Fn(u64) -> bool,
     ) -> Vec<Backend> {
         let unheard = if now < since + self.settings.grace { Condition::Unknown } else { Condition::Lost };
@@ -105,9 +107,29 @@
             let condition = self.condition(now, since, reported, is_retiring(member));
             backends.insert(member, Backend { member, zone: reported.record.zone.clone(), condition });
         }
+        for backend in backends.values_mut() {
+            if address_of(backend.member).is_some_and(|address| self.is_replaced(backend.member, address)) {
+                backend.condition = Condition::Lost;
+            }
+        }
         backends.into_values().collect()
     }
 
+    /// Whether another disk has reported from a backend's address since the backend itself did: one process runs there, so the disk
+    /// before is gone for good.
+    fn is_replaced(&self, member: u64, address: SocketAddr) -> bool {
+        let heard = self.backends.get(&member).map(|backend| backend.heard);
+        self.backends.iter().any(|(&other, backend)| {
+            other != member && backend.record.address == address && Some(backend.heard) > heard
+        })
+    }
+
+    /// Backends whose disks are known here and not yet noted to be where they report from.
+    pub fn to_note(&self, noted: impl Fn(u64) -> Option<SocketAddr>) -> Vec<(u64, SocketAddr)> {
+        let all = self.backends.iter().map(|(&member, backend)| (member, backend.record.address));
+        all.filter(|&(member, address)| noted(member) != Some(address)).collect()
+    }
+
     fn condition(&self, now: Duration, since: Duration, backend: &Reported, retiring: bool) -> Condition {
         let silent = now.saturating_sub(backend.heard) > self.settings.silence;
         if silent && now < since + self.settings.grace {
--- a/system/control/src/node/coordinate.rs
+++ b/system/control/src/node/coordinate.rs
@@ -62,6 +62,7 @@
     pub leadership: Leadership,
     backends: BackendReports,
     partitions_under_way: BTreeSet<u16>,
+    backends_under_way: BTreeSet<u64>,
     completion_under_way: bool,
     engines: Engines,
     uses: ModelUses,
@@ -77,6 +78,7 @@
             leadership: Leadership::None,
             backends: BackendReports::new(BackendSettings::default()),
             partitions_under_way: BTreeSet::new(),
+            backends_under_way: BTreeSet::new(),
             completion_under_way: false,
             engines: Engines::default(),
             uses: ModelUses::default(),
@@ -194,5 +196,6 @@
         self.coordination.leadership = Leadership::Active { token, since: now, orders_from };
         self.coordination.weights_dirty = true;
         self.coordination.partitions_under_way.clear();
+        self.coordination.backends_under_way.clear();
     }
 }
--- a/system/control/src/node/coordinate/partitions.rs
+++ b/system/control/src/node/coordinate/partitions.rs
@@ -11,6 +11,7 @@
 impl Node {
     pub(super) fn keep_partitions(&mut self, now: Duration, fence: u64, since: Duration) {
         self.note_full_members();
+        self.note_backends();
         for Change { partition, record } in self.partition_changes(now, since) {
             if self.coordination.partitions_under_way.insert(partition) {
                 let command = Command::SetPartition { partition, record, fence };
@@ -24,7 +25,8 @@
         let reports = &self.coordination.backends;
         let chains = partitions.all().map(|(_, record)| record);
         let is_retiring = |member| self.state.retiring().contains_member(member);
-        let conditions = reports.conditions(now, since, chains, is_retiring);
+        let address_of = |member| self.state.backends().get(member);
+        let conditions = reports.conditions(now, since, chains, address_of, is_retiring);
         let backends = Backends::new(conditions, self.settings.fault_tolerance.machines);
         let gathered = reports.gathered(now);
         let mut changes = backends.plan(|partition| partitions.get(partition));
@@ -43,6 +45,21 @@
         }
     }
 
+    /// Keeps where the disks are: the next coordinator may know nothing but that.
+    fn note_backends(&mut self) {
+        for (member, address) in
+            self.coordination.backends.to_note(|member| self.state.backends().get(member))
+        {
+            if self.coordination.backends_under_way.insert(member) {
+                self.submit_own(Command::NoteBackend { member, address }, Waiter::Backend(member));
+            }
+        }
+    }
+
+    pub(in crate::node) fn backend_noted(&mut self, member: u64) {
+        self.coordination.backends_under_way.remove(&member);
+    }
+
     pub(in crate::node) fn partition_submitted(&mut self, partition: u16, outcome: Option<&Outcome>) {
         self.coordination.partitions_under_way.remove(&partition);
         match outcome {
--- a/system/control/src/node/submit.rs
+++ b/system/control/src/node/submit.rs
@@ -45,6 +45,8 @@
     Fence,
     /// The coordinator changes a partition.
     Partition(u16),
+    /// The coordinator notes where a backend's disk is.
+    Backend(u64),
     /// The coordinator completes the emptying of a backend.
     Completion,
 }
@@ -153,6 +155,7 @@
             }
             Waiter::Fence => self.fence_taken(outcome),
             Waiter::Partition(partition) => self.partition_submitted(partition, outcome.as_ref()),
+            Waiter::Backend(member) => self.backend_noted(member),
             Waiter::Completion => self.completion_submitted(),
         }
     }
--- /dev/null
+++ b/system/control/src/state/backends.rs
@@ -0,0 +1,40 @@
+//! Where the disks of backends are, so that a coordinator that has just started tells a lost disk from a silent backend.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use gingerledge_wire::Outcome;
+use serde::{Deserialize, Serialize};
+
+/// Most backends that are remembered.
+pub const MAX_BACKENDS: usize = 4_096;
+
+/// The address of each backend's disk, by its identity.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendAddresses {
+    addresses: BTreeMap<u64, SocketAddr>,
+}
+
+impl BackendAddresses {
+    /// Where the backend with this disk takes messages, as far as known.
+    pub fn get(&self, member: u64) -> Option<SocketAddr> {
+        self.addresses.get(&member).copied()
+    }
+
+    /// Notes where a disk is. Disks that keep no partition are forgotten where there is no room.
+    pub(super) fn note(
+        &mut self,
+        member: u64,
+        address: SocketAddr,
+        keeps_partitions: impl Fn(u64) -> bool,
+    ) -> Outcome {
+        if self.addresses.len() >= MAX_BACKENDS {
+            self.addresses.retain(|member, _| keeps_partitions(*member));
+        }
+        if self.addresses.len() >= MAX_BACKENDS && !self.addresses.contains_key(&member) {
+            return Outcome::Invalid { reason: "too many backends".to_owned() };
+        }
+        self.addresses.insert(member, address);
+        Outcome::Taken
+    }
+}
--- a/system/control/src/state/mod.rs
+++ b/system/control/src/state/mod.rs
@@ -5,6 +5,7 @@
 //! It promises: a command that was taken is answered [`Outcome::Taken`] whenever it comes again; of two configurations on one
 //! base one is taken at most; versions, epochs and fencing tokens only rise. It does no I/O and knows no time.
 
+mod backends;
 mod configuration;
 mod partitions;
 mod retiring;
@@ -15,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ensure, ResultExt, Snafu};
 
+pub use backends::{BackendAddresses, MAX_BACKENDS};
 pub use configuration::{ConfigurationState, REFUSED_HISTORY, TAKEN_HISTORY};
 pub use partitions::PartitionState;
 pub use retiring::{Retiring, RetiringState, MAX_RETIRING};
@@ -64,6 +66,7 @@
     fence: Option<Fence>,
     partitions: PartitionState,
     retiring: RetiringState,
+    backends: BackendAddresses,
 }
 
 impl ControlState {
@@ -85,6 +88,10 @@
             Command::PartitionFull { partition, epoch, member } => {
                 self.partitions.mark_full(*partition, *epoch, *member)
             }
+            Command::NoteBackend { member, address } => {
+                let partitions = &self.partitions;
+                self.backends.note(*member, *address, |member| partitions.is_used(member))
+            }
             Command::BeginRetire { name, member } => self.retiring.begin(name, *member),
             Command::CompleteRetire { name, member, copies } => {
                 let needed = self.partitions.is_used(*member) || !self.partitions.have_copies(*copies);
@@ -144,6 +151,11 @@
         &self.retiring
     }
 
+    /// Where the disks of backends are.
+    pub fn backends(&self) -> &BackendAddresses {
+        &self.backends
+    }
+
     /// Everything that all nodes are to know, as entries of the registry.
     pub fn registry_entries(&self) -> Vec<Entry> {
         let mut entries = Vec::new();
@@ -165,7 +177,10 @@
             Command::SetPartition { partition, .. } | Command::PartitionFull { partition, .. } => {
                 self.partitions.get(*partition).map(|record| partition_entry(*partition, record))
             }
-            Command::Nothing | Command::BeginRetire { .. } | Command::CompleteRetire { .. } => None,
+            Command::Nothing
+            | Command::NoteBackend { .. }
+            | Command::BeginRetire { .. }
+            | Command::CompleteRetire { .. } => None,
         };
         entry.into_iter().collect()
     }
--- a/system/control/tests/partitions.rs
+++ b/system/control/tests/partitions.rs
@@ -234,7 +234,8 @@
 fn condition_at(reports: &BackendReports, now: u64, since: u64, member: u64) -> Option<Condition> {
     let chain = record(1, &[1, 2], &[1, 2]);
     let (now, since) = (Duration::from_millis(now), Duration::from_millis(since));
-    let all = reports.conditions(now, since, std::iter::once(&chain), |member| member == 9);
+    let address_of = |member| Some(node(member).address);
+    let all = reports.conditions(now, since, std::iter::once(&chain), address_of, |member| member == 9);
     all.into_iter().find(|backend| backend.member == member).map(|backend| backend.condition)
 }
 
@@ -262,6 +263,39 @@
     assert_eq!(condition_at(&reports, 13_100, 10_000, member), Some(Lost));
 }
 
+/// Member 1 was at an address from which another disk reports: it is not waited for. One that is back there itself is what counts.
+#[parameterized(
+    another_disk = { &[(50, 1)], Lost },
+    another_disk_after_it = { &[(1, 1), (50, 1)], Lost },
+    another_disk_before_it = { &[(50, 1), (1, 1)], Usable },
+    another_disk_elsewhere = { &[(50, 7)], Unknown },
+)]
+fn a_new_coordinator_calls_a_disk_lost_at_once_if_another_is_in_its_place(
+    heard: &[(u64, u64)],
+    expected: Condition,
+) {
+    let mut reports = BackendReports::new(REPORTS);
+    for (at, &(member, place)) in (10_010u64..).zip(heard) {
+        let record = NodeRecord { address: node(place).address, ..node(member) };
+        reports.reported(Duration::from_millis(at), &record, BackendReport::default());
+    }
+    assert_eq!(condition_at(&reports, 10_100, 10_000, 1), Some(expected));
+}
+
+#[test]
+fn disks_are_noted_where_they_report_from() {
+    let mut reports = BackendReports::new(REPORTS);
+    for member in [1, 2, 3] {
+        reports.reported(Duration::ZERO, &node(member), BackendReport::default());
+    }
+    let noted = |member| match member {
+        1 => Some(node(1).address),
+        2 => Some(node(7).address),
+        _ => None,
+    };
+    assert_eq!(reports.to_note(noted), [(2, node(2).address), (3, node(3).address)]);
+}
+
 #[test]
 fn a_process_that_stood_still_calls_nobody_lost() {
     let mut reports = BackendReports::new(REPORTS);
--- a/system/control/tests/state.rs
+++ b/system/control/tests/state.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use gingerledge_control::state::{ControlState, REFUSED_HISTORY, TAKEN_HISTORY};
+use gingerledge_control::state::{ControlState, MAX_BACKENDS, REFUSED_HISTORY, TAKEN_HISTORY};
 use gingerledge_wire::{Command, Key, Outcome, PartitionRecord, RetireState, Value, PARTITIONS};
 use yare::parameterized;
 
@@ -257,6 +257,19 @@
     assert_eq!(state.retiring().get("b-1").map(|retiring| retiring.state), Some(RetireState::Completed));
 }
 
+#[test]
+fn where_disks_are_is_kept_and_bounded() {
+    let note = |member: u64, last: u8| Command::NoteBackend { member, address: address(last) };
+    let (mut state, last) = outcome(&[take_fence(1, 1), set(1, &[1, 2], &[1, 2], 1), note(1, 1), note(1, 2)]);
+    assert_eq!(last, Outcome::Taken);
+    assert_eq!(state.backends().get(1), Some(address(2)));
+    for member in 2..MAX_BACKENDS as u64 + 10 {
+        assert_eq!(state.apply(member + 10, &note(member, 3)), Outcome::Taken);
+    }
+    assert_eq!(state.backends().get(1), Some(address(2)), "it keeps a partition");
+    assert_eq!(state.backends().get(100), None, "it keeps none");
+}
+
 #[test]
 fn a_snapshot_brings_everything_back() {
     let (state, _) = outcome(&[
--- a/system/wire/src/command.rs
+++ b/system/wire/src/command.rs
@@ -53,6 +53,13 @@
         /// The member.
         member: u64,
     },
+    /// The disk of a backend is at an address.
+    NoteBackend {
+        /// The identity of its disk.
+        member: u64,
+        /// Where it takes internal messages.
+        address: SocketAddr,
+    },
     /// A backend is to be emptied.
     BeginRetire {
         /// The machine's name.
