Untangle the chain's modules: votes and values, the chain and its turn

value.rs and proposer.rs used each other, so did control_chain.rs and turn.rs. What a voter said belongs to the value that follows from it; events and actions have a module of their own, and a turn works on the machines, which the chain wraps.

--- a/system/bin/tests/control_faults.rs
+++ b/system/bin/tests/control_faults.rs
@@ -140,12 +140,11 @@
         let job = step(0, 1);
         assert!(world.trainer.submit(&job, PATIENCE).await, "{}", world.logs());
         let results = world.trainer.collect(&job, PATIENCE).await;
-        let mut version = 1;
-        for (core, backend) in [("core-1", "backend-1"), ("core-2", "backend-2"), ("core-3", "backend-3")] {
+        let losses = [("core-1", "backend-1"), ("core-2", "backend-2"), ("core-3", "backend-3")];
+        for (version, (core, backend)) in (1..).zip(losses) {
             let next = marked(version + 1, core);
             let taken = world.operator.replace(version, &next, PATIENCE).await;
             assert_eq!(taken.map(|status| status.as_u16()), Some(200), "{}", world.logs());
-            version += 1;
             // One disk in all may be lost at once; the core's and the backends' take turns.
             world.fleet.wipe(core).expect("disk");
             kill_all(&mut world);
--- a/system/chain/src/agreement/mod.rs
+++ b/system/chain/src/agreement/mod.rs
@@ -207,7 +207,7 @@
             AgreementMessage::Prepare { epoch, ballot } => self.on_prepare(now, from, epoch, ballot, out),
             AgreementMessage::Accept { ballot, members } => self.on_accept(now, from, ballot, members, out),
             AgreementMessage::Promise { epoch, ballot, accepted, full } => {
-                let promise = proposer::Promise { accepted, full };
+                let promise = value::Promise { accepted, full };
                 self.on_promise(now, from, epoch, ballot, promise, status, out)
             }
             AgreementMessage::Accepted { epoch, ballot } => self.on_accepted(now, from, epoch, ballot, out),
--- a/system/chain/src/agreement/proposer.rs
+++ b/system/chain/src/agreement/proposer.rs
@@ -3,17 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::value::{next_members, Addition};
+use super::value::{next_members, Addition, Promise};
 use super::{Agreement, AgreementAction, Status};
 use crate::{AgreementMessage, Ballot, MemberId, Members, Settings};
 
-/// What a voter said with its promise.
-#[derive(Clone, Debug)]
-pub(super) struct Promise {
-    pub accepted: Option<(Ballot, Members)>,
-    pub full: bool,
-}
-
 #[derive(Clone, Debug)]
 enum Phase {
     Preparing { promises: BTreeMap<MemberId, Promise>, majority_at: Option<Duration> },
--- a/system/chain/src/agreement/value.rs
+++ b/system/chain/src/agreement/value.rs
@@ -2,8 +2,15 @@
 
 use std::collections::BTreeMap;
 
-use super::proposer::Promise;
-use crate::{MemberId, Members};
+use crate::{Ballot, MemberId, Members};
+
+/// What a voter said with its promise.
+#[derive(Clone, Debug)]
+pub(super) struct Promise {
+    pub accepted: Option<(Ballot, Members)>,
+    /// Whether it counted in the chain of the present membership.
+    pub full: bool,
+}
 
 /// A member to take into the chain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/system/chain/src/lib.rs
+++ b/system/chain/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod agreement;
 mod control_chain;
+mod interface;
 mod members;
 mod message;
 mod record;
@@ -13,7 +14,8 @@
 mod settings;
 mod turn;
 
-pub use control_chain::{ChainAction, ChainEvent, ControlChain};
+pub use control_chain::ControlChain;
+pub use interface::{ChainAction, ChainEvent};
 pub use members::{MemberId, Members, View};
 pub use message::{AgreementMessage, Ballot, ChainMessage, Heartbeat, ReplicaMessage};
 pub use record::LogRecord;
--- a/system/chain/src/replica/interface.rs
+++ b/system/chain/src/replica/interface.rs
@@ -48,7 +48,7 @@
         /// The state.
         bytes: Vec<u8>,
     },
-    /// The time of [`Replica::next_timer`] has come.
+    /// The time of [`Replica::next_timer`](crate::Replica::next_timer) has come.
     Tick,
 }
 
--- a/system/chain/src/turn.rs
+++ b/system/chain/src/turn.rs
@@ -3,9 +3,23 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::agreement::{AgreementAction, Status, Vote};
-use crate::control_chain::{ChainAction, ChainEvent, ControlChain};
-use crate::{AgreementMessage, ChainMessage, LogRecord, MemberId, ReplicaAction, ReplicaEvent};
+use crate::agreement::{Agreement, AgreementAction, Status, Vote};
+use crate::{
+    AgreementMessage, ChainAction, ChainEvent, ChainMessage, LogRecord, MemberId, Members, Replica,
+    ReplicaAction, ReplicaEvent,
+};
+
+/// The machines of one member: the votes on memberships, the replica, and the disk that both write to.
+#[derive(Clone, Debug)]
+pub(crate) struct Machines {
+    pub agreement: Agreement,
+    pub replica: Replica,
+    pub disk: Disk,
+    /// A disk that takes longer than this does not answer.
+    pub disk_suspect: Duration,
+    /// The first membership, where this member founds the group.
+    pub founding: Option<Members>,
+}
 
 /// On whose behalf records are being written.
 #[derive(Clone, Debug)]
@@ -40,7 +54,7 @@
 
 /// One event on its way.
 pub(crate) struct Turn<'a> {
-    chain: &'a mut ControlChain,
+    machines: &'a mut Machines,
     now: Duration,
     out: &'a mut Vec<ChainAction>,
     from_replica: Vec<ReplicaAction>,
@@ -50,9 +64,9 @@
 }
 
 impl<'a> Turn<'a> {
-    pub fn new(chain: &'a mut ControlChain, now: Duration, out: &'a mut Vec<ChainAction>) -> Self {
+    pub fn new(machines: &'a mut Machines, now: Duration, out: &'a mut Vec<ChainAction>) -> Self {
         Self {
-            chain,
+            machines,
             now,
             out,
             from_replica: Vec::new(),
@@ -62,20 +76,20 @@
     }
 
     pub fn run(&mut self, event: ChainEvent) {
-        self.chain.agreement.passed(self.now);
+        self.machines.agreement.passed(self.now);
         self.take(event);
         self.settle();
         while let Some(message) = self.to_myself.pop_front() {
-            self.vote_message(self.chain.me(), message);
+            self.vote_message(self.machines.agreement.me(), message);
             self.settle();
         }
     }
 
     fn status(&self) -> Status {
         Status {
-            full: self.chain.replica.is_full(),
-            serving: self.chain.replica.is_serving(),
-            disk_ready: self.chain.disk.is_ready(self.now, self.chain.disk_suspect),
+            full: self.machines.replica.is_full(),
+            serving: self.machines.replica.is_serving(),
+            disk_ready: self.machines.disk.is_ready(self.now, self.machines.disk_suspect),
         }
     }
 
@@ -92,32 +106,32 @@
             ChainEvent::Submit { command } => self.replica(ReplicaEvent::Submit { command }),
             ChainEvent::Read { token } => self.replica(ReplicaEvent::Read { token }),
             ChainEvent::MemberAnnounced { member, replaces } => {
-                self.chain.agreement.announced(member, replaces)
+                self.machines.agreement.announced(member, replaces)
             }
             ChainEvent::SnapshotReady { seq, bytes } => {
                 self.replica(ReplicaEvent::SnapshotReady { seq, bytes })
             }
             ChainEvent::Tick => {
                 let status = self.status();
-                self.chain.agreement.on_tick(self.now, status, &mut self.from_agreement);
+                self.machines.agreement.on_tick(self.now, status, &mut self.from_agreement);
                 self.replica(ReplicaEvent::Tick);
             }
         }
     }
 
     fn start(&mut self) {
-        self.chain.agreement.start(self.now);
-        if let Some(members) = self.chain.founding.take() {
-            self.chain.agreement.learn(self.now, members, &mut self.from_agreement);
+        self.machines.agreement.start(self.now);
+        if let Some(members) = self.machines.founding.take() {
+            self.machines.agreement.learn(self.now, members, &mut self.from_agreement);
         }
         self.replica(ReplicaEvent::Started);
-        if let Some(epoch) = self.chain.agreement.sealed_epoch() {
+        if let Some(epoch) = self.machines.agreement.sealed_epoch() {
             self.out.push(ChainAction::Sealed { epoch });
         }
         self.replica(ReplicaEvent::Learn);
         // A crash may have come between the records of a membership and of its view.
         if let Some(members) =
-            self.chain.members().filter(|members| members.epoch > self.chain.replica.epoch())
+            self.machines.agreement.members().filter(|members| members.epoch > self.machines.replica.epoch())
         {
             let view = members.view();
             if self.from_agreement.is_empty() {
@@ -127,12 +141,12 @@
     }
 
     fn durable(&mut self, token: u64) {
-        while let Some(owner) = self.chain.disk.done(token) {
+        while let Some(owner) = self.machines.disk.done(token) {
             match owner {
                 Owner::Replica { token } => self.replica(ReplicaEvent::Durable { token }),
                 Owner::Vote(vote) => {
                     let status = self.status();
-                    self.chain.agreement.durable(vote, status, &mut self.from_agreement);
+                    self.machines.agreement.durable(vote, status, &mut self.from_agreement);
                 }
             }
             self.settle();
@@ -140,12 +154,12 @@
     }
 
     fn replica(&mut self, event: ReplicaEvent) {
-        self.chain.replica.handle(self.now, event, &mut self.from_replica);
+        self.machines.replica.handle(self.now, event, &mut self.from_replica);
     }
 
     fn vote_message(&mut self, from: MemberId, message: AgreementMessage) {
         let status = self.status();
-        self.chain.agreement.on_message(self.now, from, message, status, &mut self.from_agreement);
+        self.machines.agreement.on_message(self.now, from, message, status, &mut self.from_agreement);
     }
 
     /// Does what the two machines want of each other, and hands the rest to the host.
@@ -162,7 +176,7 @@
 
     fn agreement_action(&mut self, action: AgreementAction) {
         match action {
-            AgreementAction::Send { to, message } if to == self.chain.me() => {
+            AgreementAction::Send { to, message } if to == self.machines.agreement.me() => {
                 self.to_myself.push_back(message)
             }
             AgreementAction::Send { to, message } => {
@@ -170,7 +184,7 @@
             }
             AgreementAction::Persist { record, vote } => self.persist(vec![record], Owner::Vote(vote)),
             AgreementAction::Seal { epoch } => {
-                self.chain.replica.seal_in_memory(epoch);
+                self.machines.replica.seal_in_memory(epoch);
                 self.out.push(ChainAction::Sealed { epoch });
             }
             AgreementAction::Install { members } => {
@@ -180,7 +194,7 @@
     }
 
     fn persist(&mut self, records: Vec<LogRecord>, owner: Owner) {
-        let token = self.chain.disk.write(self.now, owner);
+        let token = self.machines.disk.write(self.now, owner);
         self.out.push(ChainAction::Persist { token, records });
     }
 
@@ -191,17 +205,17 @@
             }
             ReplicaAction::Persist { token, records } => self.persist(records, Owner::Replica { token }),
             ReplicaAction::Installed { .. } => {
-                if let Some(members) = self.chain.members().cloned() {
+                if let Some(members) = self.machines.agreement.members().cloned() {
                     self.out.push(ChainAction::ViewInstalled { members });
                 }
             }
             ReplicaAction::LearnerProgress { member, behind } => {
                 let status = self.status();
                 let out = &mut self.from_agreement;
-                self.chain.agreement.caught_up(self.now, member, behind, status, out);
+                self.machines.agreement.caught_up(self.now, member, behind, status, out);
             }
             ReplicaAction::Behind { member, epoch } => {
-                self.chain.agreement.behind(member, epoch, &mut self.from_agreement)
+                self.machines.agreement.behind(member, epoch, &mut self.from_agreement)
             }
             ReplicaAction::Sealed { .. } => {}
             action => self.out.extend(for_host(action)),
--- a/system/chain/tests/model/main.rs
+++ b/system/chain/tests/model/main.rs
@@ -83,7 +83,7 @@
         checker.unique_state_count(),
         checker.max_depth()
     );
-    for (property, path) in checker.discoveries() {
+    if let Some((property, path)) = checker.discoveries().into_iter().next() {
         let contradiction = path.last_state().ledger.contradiction.clone();
         let actions: Vec<String> = path.into_actions().iter().map(|action| format!("{action:?}")).collect();
         panic!("{}: not so: {property}; {contradiction:?}; after\n{}", scenario.name, actions.join("\n"));
