--- a/system/control/src/coordinator/mod.rs
+++ b/system/control/src/coordinator/mod.rs
@@ -21,10 +21,3 @@
     let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     value ^ (value >> 31)
 }
-
-/// A number for a name, to be used as a subject or a candidate.
-pub fn hash_name(name: &str) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    name.bytes().fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME))
-}
--- a/system/control/src/coordinator/weights.rs
+++ b/system/control/src/coordinator/weights.rs
@@ -6,7 +6,9 @@
 
 use std::collections::BTreeMap;
 
-use super::{hash_name, rendezvous};
+use gingerledge_wire::stable_hash;
+
+use super::rendezvous;
 
 /// The version of the weights that stores begin with.
 const FIRST_VERSION: u64 = 1;
@@ -96,7 +98,8 @@
 fn due_of(service: &EngineService, model: &str, wanted: WantedModel) -> Vec<Load> {
     let mut behind: Vec<&EngineStore> =
         service.stores.iter().filter(|store| store.version(model) < wanted.version).collect();
-    behind.sort_by_key(|store| (store.version(model), rendezvous(hash_name(model), hash_name(&store.id))));
+    behind
+        .sort_by_key(|store| (store.version(model), rendezvous(stable_hash(model), stable_hash(&store.id))));
     // Those that the next version leaves behind, as far as they are more than half of all.
     let next_behind = behind.iter().filter(|store| store.version(model) <= wanted.floor).count();
     let too_many = next_behind.saturating_sub(service.stores.len().div_ceil(2));
--- a/system/control/src/node/start.rs
+++ b/system/control/src/node/start.rs
@@ -10,7 +10,7 @@
 use gingerledge_protocol::Settings;
 use gingerledge_relay::{Relay, RelaySettings};
 use gingerledge_transport::{identity, Network, NetworkSettings, TransportError};
-use gingerledge_wire::{NodeRecord, Role};
+use gingerledge_wire::{stable_hash, NodeRecord, Role};
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -24,7 +24,6 @@
 use super::request::Request;
 use super::submissions::{SubmissionSettings, Submissions};
 use super::{Node, Sources};
-use crate::coordinator::hash_name;
 use crate::sessions::{SessionSettings, Sessions, Sharing, SharingSettings};
 use crate::state::ControlState;
 
@@ -177,7 +176,7 @@
 
 /// Founders derive their identities from their seed addresses, so that each knows all.
 fn founder_identity(seed: SocketAddr) -> u64 {
-    hash_name(&seed.to_string())
+    stable_hash(&seed.to_string())
 }
 
 /// A founder knows the others by their seed addresses before it has heard of them.
--- a/system/wire/src/jobs.rs
+++ b/system/wire/src/jobs.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::stable_hash;
+
 /// How many partitions batch jobs are spread over.
 pub const PARTITIONS: u16 = 64;
 
@@ -13,12 +15,9 @@
 /// Rises each time that a batch job gets another driver; a driver with an older one is refused.
 pub type DriverTerm = u64;
 
-/// The partition of a batch job: FNV-1a of its id.
+/// The partition of a batch job.
 pub fn partition_of(job: &str) -> u16 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    let hash = job.bytes().fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME));
-    (hash % u64::from(PARTITIONS)) as u16
+    (stable_hash(job) % u64::from(PARTITIONS)) as u16
 }
 
 /// A batch job as it is kept.
--- a/system/wire/src/lib.rs
+++ b/system/wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod node;
 mod registry;
 mod relay;
+mod stable_hash;
 
 use serde::{Deserialize, Serialize};
 
@@ -25,6 +26,7 @@
     TOMBSTONE_RANK,
 };
 pub use relay::{RelayMessage, Tick};
+pub use stable_hash::stable_hash;
 
 /// One internal message.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- /dev/null
+++ b/system/wire/tests/stable_hash.rs
@@ -0,0 +1,19 @@
+//! The hash by which batch jobs find their partitions and founders their identities.
+
+use gingerledge_wire::{partition_of, stable_hash};
+use yare::parameterized;
+
+/// Reference values of FNV-1a, 64 bits.
+#[parameterized(
+    empty = { "", 0xcbf2_9ce4_8422_2325 },
+    one_letter = { "a", 0xaf63_dc4c_8601_ec8c },
+    word = { "foobar", 0x8594_4171_f739_67e8 },
+)]
+fn it_is_the_published_one(name: &str, expected: u64) {
+    assert_eq!(stable_hash(name), expected);
+}
+
+#[test]
+fn a_batch_job_stays_in_its_partition() {
+    assert_eq!(partition_of("foobar"), 0x28);
+}
