--- a/system/lease/src/granter.rs
+++ b/system/lease/src/granter.rs
@@ -5,7 +5,7 @@
 
 use crate::{Message, Settings, Voter};
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Granted {
     holder: Voter,
     round: u64,
@@ -22,7 +22,7 @@
 }
 
 /// What a voter has granted.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Granter {
     granted: Option<Granted>,
     highest: u64,
--- a/system/lease/src/holder.rs
+++ b/system/lease/src/holder.rs
@@ -6,7 +6,7 @@
 use crate::Voter;
 
 /// One question to all voters.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Attempt {
     pub number: u64,
     /// Whether the lease was held when it was asked.
@@ -17,7 +17,7 @@
 }
 
 /// Whether the lease is held, and the question under way.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Holder {
     /// The round held or asked for.
     pub round: u64,
--- a/system/lease/src/lease.rs
+++ b/system/lease/src/lease.rs
@@ -80,7 +80,7 @@
 }
 
 /// One process's part in the lease.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Lease {
     me: Voter,
     settings: Settings,
