--- a/system/control/src/node/announcements.rs
+++ b/system/control/src/node/announcements.rs
@@ -25,14 +25,17 @@
     pub(super) fn look_after_announcements(&mut self, now: Duration) {
         drop(self.announcements.expired(now));
         let Some(epoch) = self.chain.members().map(|members| members.epoch) else { return };
-        if !self.announcements.wants_confirmation(|key| self.is_held_by_members(key)) {
-            return;
-        }
-        let Some(token) = self.add_read(Read::Announcements) else { return };
         let mut announcements = std::mem::take(&mut self.announcements);
-        announcements.asked(Confirmation { token, epoch }, |key| self.is_held_by_members(key));
+        if announcements.wants_confirmation(|key| self.is_held_by_members(key)) {
+            match self.add_read(Read::Announcements) {
+                Some(token) => {
+                    announcements.asked(Confirmation { token, epoch }, |key| self.is_held_by_members(key));
+                    self.chain_event(ChainEvent::Read { token });
+                }
+                None => announcements.look_again(),
+            }
+        }
         self.announcements = announcements;
-        self.chain_event(ChainEvent::Read { token });
     }
 
     /// The chain has confirmed its membership, or could not.
--- a/system/control/src/node/introductions.rs
+++ b/system/control/src/node/introductions.rs
@@ -62,6 +62,7 @@
             self.sharing.peer_up(from, keys.into_iter().filter(is_shared));
         }
         self.reachable.insert(from, now);
+        self.announcements.look_again();
         let member = MemberId(node.member);
         self.chain_event(ChainEvent::MemberAnnounced { member, replaces: introduced.replaces.map(MemberId) });
         if changed {
@@ -131,6 +132,7 @@
     }
 
     pub(super) fn view_installed(&mut self, members: &Members) {
+        self.announcements.look_again();
         self.lease_voters(members);
     }
 }
--- a/system/control/src/node/messages.rs
+++ b/system/control/src/node/messages.rs
@@ -58,7 +58,10 @@
             }
             ControlMessage::Submitted { request, outcome } => self.finish_submission(request, outcome),
             ControlMessage::Share { number, entries } => self.take_share(from, number, entries),
-            ControlMessage::Shared { number } => self.sharing.acknowledged(from, number),
+            ControlMessage::Shared { number } => {
+                self.sharing.acknowledged(from, number);
+                self.announcements.look_again();
+            }
             ControlMessage::ModelUsed { model, host, path, min_version } => {
                 self.model_used(&model, &host, &path, min_version);
             }
--- a/system/control/src/sessions/announcements.rs
+++ b/system/control/src/sessions/announcements.rs
@@ -38,12 +38,15 @@
 /// Changes that are acknowledged once the whole chain holds them, each with where its acknowledgement goes.
 #[derive(Debug)]
 pub struct Announcements<R> {
+    /// In the order of their deadlines.
     waiting: Vec<Announcement<R>>,
+    /// Something has happened since the last look, so that a change may be held by all now.
+    changed: bool,
 }
 
 impl<R> Default for Announcements<R> {
     fn default() -> Self {
-        Self { waiting: Vec::new() }
+        Self { waiting: Vec::new(), changed: false }
     }
 }
 
@@ -54,16 +57,29 @@
             return Some(reply);
         }
         self.waiting.push(Announcement { key, deadline: now + PATIENCE, reply, asked: None });
+        self.changed = true;
         None
     }
 
+    /// A member has answered, or the membership has changed: who holds what is looked at again.
+    pub fn look_again(&mut self) {
+        self.changed = true;
+    }
+
     /// Those that have waited for too long. They are not acknowledged.
     pub fn expired(&mut self, now: Duration) -> Vec<R> {
+        if self.next_timer().is_none_or(|first| now < first) {
+            return Vec::new();
+        }
         self.take(|announcement| announcement.deadline <= now)
     }
 
-    /// Whether the chain is to be asked: all members hold a change for which it was not asked yet.
-    pub fn wants_confirmation(&self, is_held: impl Fn(&Key) -> bool) -> bool {
+    /// Whether the chain is to be asked: all members hold a change for which it was not asked yet. Nothing is looked at where nothing
+    /// has happened since the last look.
+    pub fn wants_confirmation(&mut self, is_held: impl Fn(&Key) -> bool) -> bool {
+        if !std::mem::take(&mut self.changed) {
+            return false;
+        }
         self.waiting.iter().any(|announcement| announcement.asked.is_none() && is_held(&announcement.key))
     }
 
@@ -90,11 +106,12 @@
         for announcement in &mut self.waiting {
             announcement.asked = announcement.asked.filter(|asked| asked.token != token);
         }
+        self.changed = true;
     }
 
     /// When the first one expires.
     pub fn next_timer(&self) -> Option<Duration> {
-        self.waiting.iter().map(|announcement| announcement.deadline).min()
+        self.waiting.first().map(|announcement| announcement.deadline)
     }
 
     fn take(&mut self, test: impl Fn(&Announcement<R>) -> bool) -> Vec<R> {
--- a/system/control/tests/announcements.rs
+++ b/system/control/tests/announcements.rs
@@ -103,3 +103,13 @@
     }
     assert_eq!(refused.get(), 3);
 }
+
+#[test]
+fn who_holds_what_is_looked_at_only_when_something_has_happened() {
+    let mut announcements: Announcements<u32> = Announcements::default();
+    announcements.add(START, key(1), 1);
+    assert!(!announcements.wants_confirmation(|_| false));
+    assert!(!announcements.wants_confirmation(|_| panic!("nothing has happened since the last look")));
+    announcements.look_again();
+    assert!(announcements.wants_confirmation(|_| true));
+}
--- a/system/data/src/rollout/mod.rs
+++ b/system/data/src/rollout/mod.rs
@@ -11,6 +11,7 @@
 pub mod front;
 mod generation;
 mod hold;
+mod job_route;
 mod kept;
 pub mod plan;
 mod results;
