--- a/system/control/src/node/sharing.rs
+++ b/system/control/src/node/sharing.rs
@@ -53,11 +53,8 @@
         if is_new {
             self.end_former_lives(&node);
         }
-        // The others would take over the session of a node that kept to a member which is cut off, and end it for its silence.
-        if !self.is_member() || self.relay.fresh(now) {
-            let control = self.control_addresses();
-            self.send(from, Envelope::Control(ControlMessage::HeartbeatTaken { sequence, control }));
-        }
+        let control = self.control_addresses();
+        self.send(from, Envelope::Control(ControlMessage::HeartbeatTaken { sequence, control }));
     }
 
     /// One process runs at an address: those before it are gone.
