Write the frame version by its name in a test of the transport's reconnects

Change: the test writes FRAME_VERSION, as the other tests of the crate do. What it asks for is the same.

--- a/system/transport/tests/reconnect.rs
+++ b/system/transport/tests/reconnect.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use common::{event, message, node, node_with, queue, run, settings, Note, PATIENCE};
-use gingerledge_transport::{DropReason, Incoming, Network, SendOutcome};
+use gingerledge_transport::{DropReason, Incoming, Network, SendOutcome, FRAME_VERSION};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -135,7 +135,7 @@
         let end =
             tokio::time::timeout(PATIENCE, older.read(&mut byte)).await.expect("the older one ends in time");
         assert!(matches!(end, Ok(0) | Err(_)), "{end:?}");
-        newer.write_all(&[1, 0, 0, 0, 2, 0, 7]).await.expect("the newer one lasts");
+        newer.write_all(&[FRAME_VERSION, 0, 0, 0, 2, 0, 7]).await.expect("the newer one lasts");
         assert_eq!(message(&mut inbox).await, (b.local_address(), Note::Number(7)));
     });
 }
