Share the rounds and beginnings that tests of the chain and the jobs wrote twice

Found in reading the whole change again: the chain's model wrote a round of heartbeats twice and two beginnings that differ in two numbers, the jobs' bench wrote learn_chain and a test is_kept out once more.

Change: one piece each. Test code only; assertions and budgets are the same.

--- a/system/chain/tests/model/group.rs
+++ b/system/chain/tests/model/group.rs
@@ -96,19 +96,19 @@
     /// Time passes without faults: heartbeats, timers, deliveries.
     pub fn calm(&mut self, rounds: usize) {
         for _ in 0..rounds {
-            for place in 0..self.nodes.len() {
-                self.nodes[place].now += ROUND;
-                for other in 0..self.nodes.len() {
-                    self.hear(place, other);
-                }
-                self.event(place, ChainEvent::Tick);
-            }
+            self.heartbeats_and_timers();
             self.deliver_all();
         }
     }
 
     /// One round of calm, which ends as soon as somebody proposes a membership; that message has not arrived yet.
     pub fn calm_until_proposal(&mut self) {
+        self.heartbeats_and_timers();
+        self.deliver_until(is_proposal);
+    }
+
+    /// One round in which every member hears all others.
+    fn heartbeats_and_timers(&mut self) {
         for place in 0..self.nodes.len() {
             self.nodes[place].now += ROUND;
             for other in 0..self.nodes.len() {
@@ -116,7 +116,6 @@
             }
             self.event(place, ChainEvent::Tick);
         }
-        self.deliver_until(is_proposal);
     }
 
     /// Delivers only what belongs to the vote; entries wait.
--- a/system/chain/tests/model/scenarios.rs
+++ b/system/chain/tests/model/scenarios.rs
@@ -33,17 +33,18 @@
 }
 
 fn write_and_tail_missed() -> Group {
-    let mut group = with_write(1);
-    group.submit(0);
-    group.miss(0, 2);
-    group.budget = Budget { repetitions: 1, writes: 1, reads: 1, ends: 1, ..Budget::default() };
-    group
+    write_and_missed(0, 2)
 }
 
 fn write_and_head_missed() -> Group {
+    write_and_missed(1, 0)
+}
+
+/// A write is under way, and a member hears nothing of another.
+fn write_and_missed(place: usize, missed: usize) -> Group {
     let mut group = with_write(1);
     group.submit(0);
-    group.miss(1, 0);
+    group.miss(place, missed);
     group.budget = Budget { repetitions: 1, writes: 1, reads: 1, ends: 1, ..Budget::default() };
     group
 }
--- a/system/jobs/tests/ages.rs
+++ b/system/jobs/tests/ages.rs
@@ -30,9 +30,7 @@
         bench.ask(end());
     }
     bench.pass(milliseconds);
-    let kept =
-        bench.backend.partition(PARTITION).is_some_and(|partition| partition.store().job("j").is_some());
-    assert_eq!(kept, stays);
+    assert_eq!(is_kept(&bench), stays);
 }
 
 #[test]
--- a/system/jobs/tests/bench/mod.rs
+++ b/system/jobs/tests/bench/mod.rs
@@ -54,9 +54,7 @@
         for edge in [EDGE, OTHER_EDGE] {
             bench.handle(BackendEvent::Edge { incarnation: edge, state: EdgeState::There(address(edge)) });
         }
-        let record = PartitionRecord { epoch: 1, chain: vec![ME], full: vec![ME] };
-        bench.handle(BackendEvent::Chain { partition: PARTITION, record });
-        bench.sync();
+        bench.learn_chain();
         bench
     }
 
@@ -99,8 +97,7 @@
 
     pub fn handle(&mut self, event: BackendEvent) {
         let mut actions = Vec::new();
-        let moment = self.now;
-        self.backend.handle(moment, event, &mut actions);
+        self.backend.handle(self.now, event, &mut actions);
         for action in actions {
             match action {
                 BackendAction::SendEdge { message, .. } => self.sent.push(message),
