--- a/system/jobs/src/node/disk.rs
+++ b/system/jobs/src/node/disk.rs
@@ -35,7 +35,11 @@
 ///
 /// The disk can't be read or written, or a record on it can't be decoded.
 pub(super) fn open(folder: &Path, settings: &JobsSettings, new_member: u64) -> Result<Opened, JobsError> {
-    let shape = RingSettings { files: settings.ring_files, file_bytes: settings.ring_file_bytes };
+    let shape = RingSettings {
+        files: settings.ring_files,
+        file_bytes: settings.ring_file_bytes,
+        growth_bytes: settings.ring_growth_bytes,
+    };
     let disk = FileDisk::open(folder).context(DiskSnafu)?;
     let (ring, recovered) = match Ring::open(disk, shape) {
         Err(error @ StorageError::Corrupt { .. }) => {
--- a/system/storage/src/forgetful.rs
+++ b/system/storage/src/forgetful.rs
@@ -81,6 +81,11 @@
         self.state().full = full;
     }
 
+    /// From now on, no file becomes longer, or files may again. Writes within their length succeed.
+    pub fn refuse_growth(&self, refuse: bool) {
+        self.state().refuse_growth = refuse;
+    }
+
     /// Damages a byte that had been synced.
     pub fn flip_bit(&self, name: &str, offset: u64, bit: u8) {
         self.state().flip_bit(name, offset, bit);
--- a/system/storage/src/forgetful/state.rs
+++ b/system/storage/src/forgetful/state.rs
@@ -26,6 +26,7 @@
     pub fail_writes: bool,
     pub fail_syncs: bool,
     pub full: bool,
+    pub refuse_growth: bool,
 }
 
 /// A file: what the process reads, what is durable, and the writes between the two.
@@ -54,7 +55,7 @@
 
     pub(super) fn create(&mut self, name: &str, length: u64) -> io::Result<()> {
         self.count_operation()?;
-        if self.full {
+        if self.full || (self.refuse_growth && self.is_longer(name, length)) {
             return Err(io::Error::other("no space is left on the disk"));
         }
         if !self.names.contains_key(name) {
@@ -113,6 +114,12 @@
         self.names.remove(name).map(|_| ()).ok_or_else(|| io::ErrorKind::NotFound.into())
     }
 
+    /// Whether a file would become longer by getting this length.
+    fn is_longer(&self, name: &str, length: u64) -> bool {
+        let found = self.file(name).map_or(0, |file| file.visible.len() as u64);
+        length > found
+    }
+
     pub(super) fn file(&self, name: &str) -> io::Result<&MemoryFile> {
         let id = self.names.get(name).ok_or(io::ErrorKind::NotFound)?;
         self.files.get(id).ok_or_else(|| io::ErrorKind::NotFound.into())
--- a/system/storage/src/layout.rs
+++ b/system/storage/src/layout.rs
@@ -30,6 +30,20 @@
     pub files: usize,
     /// Length of each file; rounded down to a multiple of 4,096, at least 8,192.
     pub file_bytes: u64,
+    /// The files get their length in pieces of so many bytes, one to two of them ahead of the log; rounded up to a
+    /// multiple of 512. A ring that is no longer than a piece gets its whole length at once. Not kept on the disk.
+    pub growth_bytes: u64,
+}
+
+impl RingSettings {
+    /// The [`RingSettings::growth_bytes`] of a ring that gets its whole length when it is created.
+    pub const AT_ONCE: u64 = u64::MAX;
+
+    /// The length of a piece in whole sectors.
+    pub(crate) fn piece_bytes(&self) -> u64 {
+        let sectors = self.growth_bytes.max(1).checked_next_multiple_of(SECTOR_BYTES);
+        sectors.unwrap_or(u64::MAX - u64::MAX % SECTOR_BYTES)
+    }
 }
 
 /// The layout of a ring, checked.
@@ -76,6 +90,12 @@
         self.files * self.data_bytes()
     }
 
+    /// Length of a file when all addresses below this one are reserved.
+    pub(crate) fn file_length(&self, file: u64, reserved_end: u64) -> u64 {
+        let reserved = reserved_end.saturating_sub(file * self.data_bytes());
+        FILE_HEADER_BYTES + reserved.min(self.data_bytes())
+    }
+
     fn data_bytes(&self) -> u64 {
         self.file_bytes - FILE_HEADER_BYTES
     }
--- a/system/storage/src/lib.rs
+++ b/system/storage/src/lib.rs
@@ -1,4 +1,4 @@
-//! A ring of preallocated files that keeps records through ends of the process and losses of power.
+//! A ring of files, reserved ahead of the log, that keeps records through ends of the process and losses of power.
 //!
 //! [`Ring`] is the log: [`Ring::append`] returns once its records are durable, [`Ring::snapshot`] replaces all that
 //! stood before and frees the files for reuse, and [`Ring::open`] gives back the last snapshot and the records
@@ -27,6 +27,7 @@
 mod frame;
 mod layout;
 mod recovery;
+mod reservation;
 mod ring;
 mod superblock;
 mod volume;
--- a/system/storage/src/recovery.rs
+++ b/system/storage/src/recovery.rs
@@ -7,6 +7,7 @@
 
 use crate::frame::{Batch, BatchKind, FrameHeader, FRAME_BYTES};
 use crate::layout::SECTOR_BYTES;
+use crate::reservation::Reservation;
 use crate::superblock::Superblock;
 use crate::volume::Volume;
 use crate::{Disk, StorageError};
@@ -37,10 +38,11 @@
 /// Reads all complete batches from the start that the superblock names.
 pub(crate) fn read_log<D: Disk>(
     volume: &mut Volume<D>,
+    reservation: &Reservation,
     superblock: &Superblock,
 ) -> Result<Log, StorageError> {
     let mut log = Log::empty(superblock);
-    let mut reader = Reader::new(volume, superblock.start);
+    let mut reader = Reader::new(volume, *reservation, superblock.start);
     loop {
         match read_batch(&mut reader, &log)? {
             BatchRead::Complete(batch, records) => log.add(batch, records),
@@ -114,6 +116,9 @@
     if !is_next {
         return unreadable(log.head, None);
     }
+    if !reader.is_reserved(batch.end) {
+        return Err(reader.corrupt(log.head, "a part of the space of a batch is missing"));
+    }
     let mut assembly = RecordAssembly::new(batch.end - batch.start);
     let mut position = batch.start;
     while position < batch.end {
--- a/system/storage/src/recovery/reader.rs
+++ b/system/storage/src/recovery/reader.rs
@@ -1,6 +1,7 @@
 //! Reading the log forwards through one buffer.
 
 use crate::frame::{FrameHeader, FRAME_BYTES, FRAME_HEADER_BYTES};
+use crate::reservation::Reservation;
 use crate::volume::Volume;
 use crate::{Disk, StorageError};
 
@@ -10,21 +11,27 @@
 /// Reads the ring from a start on, never more than its capacity.
 pub(super) struct Reader<'a, D> {
     volume: &'a mut Volume<D>,
+    reservation: Reservation,
     end: u64,
     buffer: Vec<u8>,
     buffer_start: u64,
 }
 
 impl<'a, D: Disk> Reader<'a, D> {
-    pub(super) fn new(volume: &'a mut Volume<D>, start: u64) -> Self {
-        let end = start + volume.layout.capacity();
-        Self { volume, end, buffer: Vec::new(), buffer_start: start }
+    pub(super) fn new(volume: &'a mut Volume<D>, reservation: Reservation, start: u64) -> Self {
+        let end = reservation.readable_end(&volume.layout, start);
+        Self { volume, reservation, end, buffer: Vec::new(), buffer_start: start }
     }
 
     pub(super) fn capacity(&self) -> u64 {
         self.volume.layout.capacity()
     }
 
+    /// Whether a batch that ends at this position can have been written.
+    pub(super) fn is_reserved(&self, end: u64) -> bool {
+        self.reservation.covers(&self.volume.layout, end)
+    }
+
     pub(super) fn corrupt(&self, position: u64, reason: &'static str) -> StorageError {
         self.volume.corrupt(position, reason)
     }
--- /dev/null
+++ b/system/storage/src/reservation.rs
@@ -0,0 +1,141 @@
+//! [`Reservation`]: how far the files of a ring have got their length.
+//!
+//! A ring that takes its whole length at its creation makes every copy of its disk as long as a full one. So its files
+//! grow in the order of the log, some space ahead of it, until the log has filled them all once. Space is durable
+//! before a batch is written into it, and behind every durable batch at least a sector is reserved. Recovery relies on both:
+//! a batch or a log that ends behind the reserved space proves that a file has lost a part of its length.
+
+use crate::error::StorageError;
+use crate::layout::{file_name, Layout, FILE_HEADER_BYTES, SECTOR_BYTES};
+use crate::volume::Volume;
+use crate::{Disk, DiskFile};
+
+/// What is reserved behind the end of every batch at least.
+const MIN_AHEAD_BYTES: u64 = SECTOR_BYTES;
+
+/// The space of a ring that may be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Reservation {
+    /// Addresses of the log below this one lie in files that are long enough. At the capacity the ring is complete.
+    end: u64,
+    /// The length of a piece: space is reserved one to two pieces ahead of the log.
+    piece_bytes: u64,
+}
+
+impl Reservation {
+    /// Creates all files of a new ring, with space for the first piece, and makes them durable.
+    pub(crate) fn create<D: Disk>(
+        disk: &mut D,
+        layout: &Layout,
+        piece_bytes: u64,
+    ) -> Result<Self, StorageError> {
+        let reservation = Self { end: layout.capacity().min(piece_bytes), piece_bytes };
+        for file in 0..layout.files() {
+            disk.create(&file_name(file), layout.file_length(file, reservation.end))?;
+            disk.sync_file(&file_name(file))?;
+        }
+        disk.sync_folder()?;
+        Ok(reservation)
+    }
+
+    /// Finds what is reserved from the lengths of the files. All files must be there: their names were durable before the
+    /// first superblock was written.
+    pub(crate) fn find(found: &[DiskFile], layout: &Layout, piece_bytes: u64) -> Result<Self, StorageError> {
+        let mut end = 0;
+        let mut incomplete: Option<StorageError> = None;
+        for file in 0..layout.files() {
+            let name = file_name(file);
+            let length = found.iter().find(|found| found.name == name).map(|found| found.length);
+            let length = length.ok_or_else(|| corrupt(name.clone(), 0, "the file is missing"))?;
+            let too_short = corrupt(name, length, "the file is too short");
+            let reserved = length.min(layout.file_bytes()).checked_sub(FILE_HEADER_BYTES);
+            let Some(reserved) = reserved.filter(|reserved| reserved % SECTOR_BYTES == 0) else {
+                return Err(too_short);
+            };
+            // A file grows only once the one before it is complete.
+            if let Some(error) = incomplete.take_if(|_| reserved > 0) {
+                return Err(error);
+            }
+            end += reserved;
+            if length < layout.file_bytes() {
+                incomplete.get_or_insert(too_short);
+            }
+        }
+        Ok(Self { end, piece_bytes })
+    }
+
+    /// Repeats the last growth: its length may have been read from the memory of the operating system only.
+    pub(crate) fn make_durable<D: Disk>(&self, volume: &mut Volume<D>) -> Result<(), StorageError> {
+        let (last, _) = volume.layout.locate(self.end.saturating_sub(1));
+        set_length(volume, last, self.end)
+    }
+
+    /// Checks that the space behind the last complete batch is there.
+    pub(crate) fn check_head<D: Disk>(&self, volume: &Volume<D>, head: u64) -> Result<(), StorageError> {
+        if self.covers(&volume.layout, head + MIN_AHEAD_BYTES) {
+            return Ok(());
+        }
+        Err(volume.corrupt(self.end, "the space behind the log is missing"))
+    }
+
+    /// Whether a batch that ends at this position can have been written.
+    pub(crate) fn covers(&self, layout: &Layout, end: u64) -> bool {
+        self.is_complete(layout) || end <= self.end
+    }
+
+    /// Position behind the last byte that can be read in a log that starts here.
+    pub(crate) fn readable_end(&self, layout: &Layout, start: u64) -> u64 {
+        let end_of_ring = start + layout.capacity();
+        if self.is_complete(layout) {
+            return end_of_ring;
+        }
+        end_of_ring.min(self.end)
+    }
+
+    /// Reserves space for a batch that ends at this position, and a piece ahead of it. If the disk refuses, the space
+    /// reserved earlier is used up first.
+    pub(crate) fn grow<D: Disk>(&mut self, volume: &mut Volume<D>, end: u64) -> Result<(), StorageError> {
+        if self.is_complete(&volume.layout) {
+            return Ok(());
+        }
+        let grown = self.grow_to(volume, self.target(&volume.layout, end));
+        match grown {
+            Err(error) if !self.covers(&volume.layout, end + MIN_AHEAD_BYTES) => Err(error),
+            _ => Ok(()),
+        }
+    }
+
+    fn is_complete(&self, layout: &Layout) -> bool {
+        self.end >= layout.capacity()
+    }
+
+    /// One to two pieces ahead of a position, so that it changes once in a piece.
+    fn target(&self, layout: &Layout, position: u64) -> u64 {
+        let ahead = position.checked_add(self.piece_bytes);
+        let target = ahead.and_then(|ahead| ahead.checked_next_multiple_of(self.piece_bytes));
+        target.map_or(layout.capacity(), |target| target.min(layout.capacity()))
+    }
+
+    fn grow_to<D: Disk>(&mut self, volume: &mut Volume<D>, target: u64) -> Result<(), StorageError> {
+        if target <= self.end {
+            return Ok(());
+        }
+        let (first, _) = volume.layout.locate(self.end);
+        let (last, _) = volume.layout.locate(target - 1);
+        for file in first..=last {
+            set_length(volume, file, target)?;
+        }
+        self.end = target;
+        Ok(())
+    }
+}
+
+/// Gives a file the length that it has when the space up to an address is reserved, durably.
+fn set_length<D: Disk>(volume: &mut Volume<D>, file: u64, end: u64) -> Result<(), StorageError> {
+    volume.disk.create(&file_name(file), volume.layout.file_length(file, end))?;
+    volume.disk.sync_file(&file_name(file))
+}
+
+fn corrupt(file: String, offset: u64, reason: &'static str) -> StorageError {
+    StorageError::Corrupt { file, offset, reason }
+}
--- a/system/storage/src/ring.rs
+++ b/system/storage/src/ring.rs
@@ -11,6 +11,7 @@
 use crate::frame::{batch_bytes, Batch, BatchKind};
 use crate::layout::{file_name, is_ring_file, Layout, RingSettings};
 use crate::recovery::{read_log, Log};
+use crate::reservation::Reservation;
 use crate::superblock::{read_slots, Slots, Superblock};
 use crate::volume::Volume;
 use crate::{Disk, StorageError};
@@ -30,6 +31,8 @@
 #[derive(Debug)]
 pub struct Ring<D: Disk> {
     volume: Volume<D>,
+    /// The part of the files that may be written.
+    reservation: Reservation,
     /// The last superblock known to be durable.
     superblock: Superblock,
     /// Where the snapshot ends with which the log starts; the start of the log, if there is none.
@@ -52,8 +55,8 @@
     /// [`StorageError::Settings`] if a new ring can't have this layout.
     pub fn open(mut disk: D, settings: RingSettings) -> Result<(Self, Recovered), StorageError> {
         match read_slots(&mut disk)? {
-            Slots::Newest(superblock) => Self::recover(disk, superblock),
-            Slots::Empty => Self::create(disk, Layout::new(settings)?),
+            Slots::Newest(superblock) => Self::recover(disk, superblock, settings.piece_bytes()),
+            Slots::Empty => Self::create(disk, Layout::new(settings)?, settings.piece_bytes()),
             Slots::Unreadable => Err(StorageError::Corrupt {
                 file: file_name(0),
                 offset: 0,
@@ -62,13 +65,9 @@
         }
     }
 
-    fn create(mut disk: D, layout: Layout) -> Result<(Self, Recovered), StorageError> {
+    fn create(mut disk: D, layout: Layout, piece_bytes: u64) -> Result<(Self, Recovered), StorageError> {
         remove_unfinished(&mut disk)?;
-        for file in 0..layout.files() {
-            disk.create(&file_name(file), layout.file_bytes())?;
-            disk.sync_file(&file_name(file))?;
-        }
-        disk.sync_folder()?;
+        let reservation = Reservation::create(&mut disk, &layout, piece_bytes)?;
         let mut volume = Volume { disk, layout };
         let superblock = Superblock {
             generation: 0,
@@ -80,14 +79,22 @@
             synced_to: 0,
         };
         superblock.write(&mut volume)?;
-        let ring = Self::start(volume, superblock, Log::empty(&superblock))?;
+        let ring = Self::start(volume, reservation, superblock, Log::empty(&superblock))?;
         Ok((ring, Recovered { empty: true, ..Recovered::default() }))
     }
 
-    fn recover(mut disk: D, superblock: Superblock) -> Result<(Self, Recovered), StorageError> {
-        check_files(&mut disk, &superblock.layout)?;
+    fn recover(
+        mut disk: D,
+        superblock: Superblock,
+        piece_bytes: u64,
+    ) -> Result<(Self, Recovered), StorageError> {
+        let reservation = Reservation::find(&disk.list()?, &superblock.layout, piece_bytes)?;
         let mut volume = Volume { disk, layout: superblock.layout };
-        let mut log = read_log(&mut volume, &superblock)?;
+        let mut log = read_log(&mut volume, &reservation, &superblock)?;
+        reservation.check_head(&volume, log.head)?;
+        if log.head < volume.layout.capacity() {
+            reservation.make_durable(&mut volume)?;
+        }
         // Both may have been read from the memory of the operating system only: after a kill between a write and
         // its sync, or after a failed sync, which leaves pages that look clean. Written again, they are durable.
         superblock.write(&mut volume)?;
@@ -96,13 +103,18 @@
         }
         let snapshot = std::mem::take(&mut log.snapshot);
         let records = std::mem::take(&mut log.records);
-        let ring = Self::start(volume, superblock, log)?;
+        let ring = Self::start(volume, reservation, superblock, log)?;
         Ok((ring, Recovered { snapshot, records, empty: false }))
     }
 
     /// Starts a new epoch, so that the remains of an unfinished batch behind the head are never mistaken for a part
     /// of what is written there now.
-    fn start(mut volume: Volume<D>, found: Superblock, log: Log) -> Result<Self, StorageError> {
+    fn start(
+        mut volume: Volume<D>,
+        reservation: Reservation,
+        found: Superblock,
+        log: Log,
+    ) -> Result<Self, StorageError> {
         let superblock = Superblock {
             generation: found.generation + 1,
             epoch: found.epoch.max(log.epoch()) + 1,
@@ -115,6 +127,7 @@
         superblock.write(&mut volume)?;
         Ok(Self {
             volume,
+            reservation,
             superblock,
             snapshot_end: log.snapshot_end.unwrap_or(log.start),
             head: log.head,
@@ -124,7 +137,8 @@
         })
     }
 
-    /// Appends records; they are durable when this returns. One write and one sync, if they fit in one file.
+    /// Appends records; they are durable when this returns. One write and one sync, if they fit in one file; another
+    /// sync once in a piece of the ring, while the files still grow.
     ///
     /// # Errors
     ///
@@ -179,6 +193,7 @@
         let batch =
             Batch { kind, epoch: self.superblock.epoch, number: self.next_batch, start: self.head, end };
         self.is_broken = true;
+        self.reservation.grow(&mut self.volume, end)?;
         write_batch(&mut self.volume, batch, records, &mut self.buffer)?;
         self.is_broken = false;
         self.head = end;
@@ -229,19 +244,6 @@
     disk.sync_folder()
 }
 
-/// All files must be there: their names were durable before the first superblock was written.
-fn check_files<D: Disk>(disk: &mut D, layout: &Layout) -> Result<(), StorageError> {
-    let found = disk.list()?;
-    for file in (0..layout.files()).map(file_name) {
-        let length = found.iter().find(|found| found.name == file).map(|found| found.length);
-        if length.is_none_or(|length| length < layout.file_bytes()) {
-            let reason = if length.is_none() { "the file is missing" } else { "the file is too short" };
-            return Err(StorageError::Corrupt { file, offset: length.unwrap_or(0), reason });
-        }
-    }
-    Ok(())
-}
-
 /// Writes a batch again as it was read, and syncs it.
 fn rewrite<D: Disk>(volume: &mut Volume<D>, batch: &Batch) -> Result<(), StorageError> {
     const CHUNK_BYTES: u64 = 256 * 1024;
--- a/system/storage/tests/faults.rs
+++ b/system/storage/tests/faults.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::{open, record, Model, MIDDLE, SMALL};
-use gingerledge_storage::{ForgetfulDisk, Ring, StorageError};
+use common::{open, record, Model, GROWING_MIDDLE, MIDDLE, SMALL};
+use gingerledge_storage::{ForgetfulDisk, Ring, RingSettings, StorageError};
 use yare::parameterized;
 
 type Fault = fn(&ForgetfulDisk, bool);
@@ -107,15 +107,15 @@
 }
 
 /// Random faults, snapshots that heal, and losses of power: what was acknowledged is there.
-#[test]
-fn acknowledged_records_survive_repeated_faults_and_losses_of_power() {
+#[parameterized(whole = { MIDDLE }, growing = { GROWING_MIDDLE })]
+fn acknowledged_records_survive_repeated_faults_and_losses_of_power(settings: RingSettings) {
     for seed in 0..500 {
         let mut rng = fastrand::Rng::with_seed(seed);
         let disk = ForgetfulDisk::new();
         let mut possible = vec![Model::default()];
         let mut number = 0;
         for _ in 0..6 {
-            let (mut ring, found) = open(disk.clone(), MIDDLE);
+            let (mut ring, found) = open(disk.clone(), settings);
             assert!(possible.contains(&found), "seed {seed}: {:?}", found.numbers());
             let mut model = found;
             possible = vec![model.clone()];
--- a/system/storage/tests/power_loss.rs
+++ b/system/storage/tests/power_loss.rs
@@ -2,12 +2,13 @@
 
 mod common;
 
-use common::{open, record, Model, MIDDLE, SMALL};
+use common::{open, record, Model, GROWING, GROWING_MIDDLE, MIDDLE, SMALL};
 use gingerledge_storage::{Disk, ForgetfulDisk, Ring, RingSettings, StorageError};
 use yare::parameterized;
 
 /// A ring with batches that take two writes, of which a loss of power can keep the second alone.
-const WIDE: RingSettings = RingSettings { files: 3, file_bytes: 512 * 1024 };
+const WIDE: RingSettings =
+    RingSettings { files: 3, file_bytes: 512 * 1024, growth_bytes: RingSettings::AT_ONCE };
 /// Four frames, exactly as much as is written at once, with the header of each and the length of the record.
 const ONE_WRITE: usize = 4 * (65_536 - 64) - 4;
 const TWO_WRITES: usize = ONE_WRITE + 100_000;
@@ -116,6 +117,8 @@
     one_frame = { SMALL, 3_000, 1_500 },
     several_frames = { MIDDLE, 80_000, 300 },
     several_writes = { WIDE, 180_000, 100 },
+    growing = { GROWING, 3_000, 1_500 },
+    growing_by_less_than_a_batch = { GROWING_MIDDLE, 80_000, 300 },
 )]
 fn acknowledged_records_survive_repeated_losses_of_power(
     settings: RingSettings,
@@ -140,6 +143,8 @@
 #[parameterized(
     one_frame = { SMALL, 3_000 },
     several_frames = { MIDDLE, 90_000 },
+    growing = { GROWING, 3_000 },
+    growing_by_less_than_a_batch = { GROWING_MIDDLE, 90_000 },
 )]
 fn a_loss_of_power_at_each_step_loses_no_acknowledged_record(
     settings: RingSettings,
@@ -163,10 +168,10 @@
     }
 }
 
-#[test]
-fn a_loss_of_power_at_each_step_of_a_recovery_loses_no_record() {
+#[parameterized(whole = { MIDDLE }, growing = { GROWING_MIDDLE })]
+fn a_loss_of_power_at_each_step_of_a_recovery_loses_no_record(settings: RingSettings) {
     for seed in 0..60 {
-        let mut simulation = CrashSimulation::new(seed, MIDDLE, 60_000);
+        let mut simulation = CrashSimulation::new(seed, settings, 60_000);
         simulation.disk.stop_after(20 + seed);
         assert_power_is_off(simulation.open_and_work(40), seed);
         for step in 0..8 {
--- a/system/storage/tests/writer.rs
+++ b/system/storage/tests/writer.rs
@@ -162,7 +162,8 @@
 #[test]
 fn the_queue_is_bounded_by_bytes() {
     let disk = GatedDisk::new();
-    let (writer, events) = start(&disk, RingSettings { files: 4, file_bytes: 16 << 20 });
+    let (writer, events) =
+        start(&disk, RingSettings { files: 4, file_bytes: 16 << 20, growth_bytes: RingSettings::AT_ONCE });
     let mut tokens = 0..;
     for _ in 0..2 {
         disk.shut(true);
