Start no more groups than an edge's processor carries, until their start is due

Ties go to a store to which a connection is idle. A store whose load is unknown counts as loaded as the average of those known, in place of empty. An edge places no more at a store than it may open connections. Rounds of the driver are further apart where the share of a core is small; prefix stores of a group are looked up once a group.

--- a/system/data/src/forward/store_selection.rs
+++ b/system/data/src/forward/store_selection.rs
@@ -47,12 +47,18 @@
         let stores = shared.stores_of(outgoing.route.services.get(service)?);
         let affinity = shared.affinity.borrow();
         let preferred = self.prompts.get(service).and_then(|prompt| affinity.preferred_store(prompt));
+        let reports: Vec<usize> = stores.iter().filter_map(|store| store.others_in_flight(now)).collect();
+        let assumed_others = average(&reports);
         let candidates = stores.iter().map(|store| {
             let id = store.target.id.as_str();
-            let is_suspect = shared.health.is_suspect(id, now);
-            let was_tried = self.tried.iter().any(|tried| tried.target.id == id);
             let bonus = preferred.filter(|&(preferred, _)| preferred == id).map_or(0, |(_, bonus)| bonus);
-            Candidate { affinity_bonus: bonus, ..store.candidate(now, is_suspect, was_tried) }
+            Candidate {
+                affinity_bonus: bonus,
+                has_idle_connection: shared.stores.idle_connections(id) > 0,
+                is_suspect: shared.health.is_suspect(id, now),
+                was_tried: self.tried.iter().any(|tried| tried.target.id == id),
+                ..store.candidate(now, assumed_others)
+            }
         });
         choose_store(candidates, fastrand::u64(..)).and_then(|position| stores.get(position).cloned())
     }
@@ -73,6 +79,12 @@
     }
 }
 
+/// The average, rounded down; 0 of none. A store whose load is unknown counts as loaded as those that reported theirs: else a store would
+/// look better for never having been asked, and each request would open a connection to another one.
+fn average(values: &[usize]) -> usize {
+    values.iter().sum::<usize>().checked_div(values.len()).unwrap_or_default()
+}
+
 fn prompts(outgoing: &OutgoingRequest) -> Vec<Prompt> {
     let parts =
         headers::text(&outgoing.headers, &headers::PROMPT_PREFIX).filter(|_| outgoing.route.route.sticky);
--- a/system/data/src/index.rs
+++ b/system/data/src/index.rs
@@ -77,16 +77,20 @@
         self.load_report.get().filter(|report| now.saturating_sub(report.received_at) < LOAD_REPORT_TTL)
     }
 
-    /// The store as a candidate for a request.
-    pub fn candidate(&self, now: Duration, is_suspect: bool, was_tried: bool) -> Candidate {
+    /// Requests of others that ran or waited there by a recent report.
+    pub fn others_in_flight(&self, now: Duration) -> Option<usize> {
+        self.recent_report(now).map(|report| report.others_in_flight)
+    }
+
+    /// The store as a candidate for a request, as far as its own state tells; without a recent report, `assumed_others` requests of
+    /// others count.
+    pub fn candidate(&self, now: Duration, assumed_others: usize) -> Candidate {
         Candidate {
             in_flight: self.in_flight.get(),
-            others_in_flight: self.recent_report(now).map_or(0, |report| report.others_in_flight),
+            others_in_flight: self.others_in_flight(now).unwrap_or(assumed_others),
             slots: self.slots,
-            affinity_bonus: 0,
             is_own_zone: self.is_own_zone,
-            is_suspect,
-            was_tried,
+            ..Candidate::default()
         }
     }
 }
--- a/system/data/src/rollout/driver.rs
+++ b/system/data/src/rollout/driver.rs
@@ -26,7 +26,11 @@
 use crate::Shared;
 
 /// The least time between two rounds. Outcomes that arrive meanwhile are handled together, since each round looks at whole batch jobs.
-const BATCHING_DELAY: Duration = Duration::from_millis(4);
+const MIN_BATCHING_DELAY: Duration = Duration::from_millis(4);
+/// Where an edge has a small share of a core, rounds are so far apart that they take a twentieth of it: one takes some 50 us of a core.
+const BATCHING_DELAY_OF_A_CORE: Duration = Duration::from_millis(1);
+/// The longest time between two rounds of a driver that has something to do.
+const MAX_BATCHING_DELAY: Duration = Duration::from_millis(40);
 /// Work that waits for capacity is tried again that often, since a slot may become free without an event at this edge.
 const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// The shortest sleep until a timer.
@@ -36,7 +40,7 @@
 pub(super) async fn run(shared: Rc<Shared>) {
     loop {
         let next_timer = run_round(&shared);
-        tokio::time::sleep(BATCHING_DELAY).await;
+        tokio::time::sleep(batching_delay(shared.settings().limits.cpu_share)).await;
         let work = shared.rollout.jobs.work();
         match next_timer {
             None => work.await,
@@ -51,6 +55,13 @@
     }
 }
 
+/// The least time between two rounds of an edge with this share of a core.
+fn batching_delay(cpu_share: f64) -> Duration {
+    let delay = BATCHING_DELAY_OF_A_CORE.as_secs_f64() / cpu_share;
+    let delay = Duration::try_from_secs_f64(delay).unwrap_or(MAX_BATCHING_DELAY);
+    delay.clamp(MIN_BATCHING_DELAY, MAX_BATCHING_DELAY)
+}
+
 /// A batch job that this edge is to drive.
 pub(super) struct Assignment {
     /// The batch job.
--- a/system/data/src/rollout/job_execution.rs
+++ b/system/data/src/rollout/job_execution.rs
@@ -355,12 +355,17 @@
     checkpointed: &CheckpointedTexts,
 ) -> Vec<PartialText> {
     let mut parts = checkpointed.next_parts(plan.texts_not_in_flight(), MAX_CHECKPOINT_BYTES);
+    let mut remaining_bytes = MAX_CHECKPOINT_BYTES.saturating_sub(data_bytes(&parts));
     for (item, stream) in streams.iter() {
-        let bytes: usize = parts.iter().map(|part| part.data.len()).sum();
         let text = stream.text.borrow();
         let view = TextView { item, origin: plan.origin(item), text: &text, is_complete: false };
-        let remaining_bytes = MAX_CHECKPOINT_BYTES.saturating_sub(bytes);
-        parts.extend(checkpointed.next_parts(std::iter::once(view), remaining_bytes));
+        let next = checkpointed.next_parts(std::iter::once(view), remaining_bytes);
+        remaining_bytes = remaining_bytes.saturating_sub(data_bytes(&next));
+        parts.extend(next);
     }
     parts
 }
+
+fn data_bytes(parts: &[PartialText]) -> usize {
+    parts.iter().map(|part| part.data.len()).sum()
+}
--- a/system/data/src/rollout/plan/mod.rs
+++ b/system/data/src/rollout/plan/mod.rs
@@ -44,10 +44,36 @@
     pub max_attempts: u32,
     /// Items that wait are abandoned from then on, on the clock of the plan; `None` if never.
     pub abandon_after: Option<Duration>,
+    /// Groups start only while this edge has no more requests in flight than this, theirs included, unless their start is due.
+    pub max_streams: u32,
+    /// When the start of each group is due.
+    pub start_window: StartWindow,
     /// Surplus groups start only while this edge has no more requests in flight than this, theirs included.
     pub max_streams_for_surplus: u32,
 }
 
+/// The time in which the groups that the trainer waits for are due to start, one after the other at even distances; on the clock of the
+/// plan. It bounds for how long [`Rules::max_streams`] holds a group back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartWindow {
+    /// The duration of the window, from the submission of the batch job.
+    pub duration: Duration,
+    /// Its end, when all are due.
+    pub end: Duration,
+}
+
+impl StartWindow {
+    /// How many of so many groups are due to have started by now.
+    fn groups_due(self, now: Duration, groups: usize) -> usize {
+        let left = self.end.saturating_sub(now);
+        if left.is_zero() {
+            return groups;
+        }
+        let elapsed = self.duration.saturating_sub(left);
+        (groups as f64 * elapsed.as_secs_f64() / self.duration.as_secs_f64()) as usize
+    }
+}
+
 /// What the driver does after an outcome.
 #[derive(Clone, Debug, PartialEq)]
 pub enum NextStep {
--- a/system/data/src/rollout/plan/placement.rs
+++ b/system/data/src/rollout/plan/placement.rs
@@ -19,6 +19,8 @@
     pub in_flight: u32,
     /// The most requests that this edge may have in flight there.
     pub limit: u32,
+    /// Idle connections of this edge to it.
+    pub idle_connections: u32,
     /// Whether it failed recently; such a store is chosen only where there is no other.
     pub is_suspect: bool,
     /// Whether it is in the edge's zone.
@@ -52,8 +54,8 @@
 /// Surplus groups leave one part in so many of the capacity free.
 const SURPLUS_RESERVE_DIVISOR: u32 = 2;
 
-/// Where nothing of a batch job was placed for so long, its surplus groups start however many requests this edge has in flight, as long
-/// as the stores have capacity: no item may wait for seconds beside stores that are half empty.
+/// Where nothing of a batch job was placed for so long, its groups start however many requests this edge has in flight, as long as the
+/// stores have capacity: no item may wait for seconds beside stores that are half empty.
 const MAX_IDLE: Duration = Duration::from_secs(3);
 
 /// The working state of one call of [`JobPlan::place`].
@@ -62,12 +64,71 @@
     stores: &'a mut [StoreView],
     placed: Vec<Placement>,
     single_version: bool,
-    /// The most requests in flight from this edge with which a surplus group may start.
-    max_streams_for_surplus: u32,
+    limits: StreamLimits,
+    capacity: Capacity,
+    /// Whether each store, by its position, has the prompt of the group that is being placed in its prefix cache.
+    has_prefix_cached: Vec<bool>,
     /// Drawn for each call: breaks ties among equal stores.
     salt: u64,
 }
 
+/// The most requests that this edge may have in flight with a group that starts.
+#[derive(Clone, Copy, Debug)]
+struct StreamLimits {
+    /// With one of the groups that the trainer waits for.
+    desired: u32,
+    /// With a surplus group.
+    surplus: u32,
+}
+
+impl StreamLimits {
+    const NONE: Self = Self { desired: u32::MAX, surplus: u32::MAX };
+}
+
+/// What the stores and this edge have capacity for, followed while items are placed.
+#[derive(Clone, Copy, Debug)]
+struct Capacity {
+    /// The sum of the limits of all stores with an allowed version.
+    total: u32,
+    /// How much of it is free.
+    free: u32,
+    /// Requests that this edge has in flight at all stores.
+    in_flight: u32,
+}
+
+impl Capacity {
+    fn of(stores: &[StoreView], min_version: u64) -> Self {
+        let mut capacity = Self { total: 0, free: 0, in_flight: 0 };
+        for store in stores {
+            capacity.in_flight = capacity.in_flight.saturating_add(store.in_flight);
+            if store.version >= min_version {
+                capacity.total = capacity.total.saturating_add(store.limit);
+                capacity.free = capacity.free.saturating_add(store.limit.saturating_sub(store.in_flight));
+            }
+        }
+        capacity
+    }
+
+    /// An item is placed at a store, which has an allowed version and was below its limit.
+    fn on_placed(&mut self) {
+        self.in_flight = self.in_flight.saturating_add(1);
+        self.free = self.free.saturating_sub(1);
+    }
+
+    /// Whether a group that the trainer waits for may start: there is capacity for all its items, or for as many as half of all limits
+    /// admit, and this edge carries few enough requests, or none.
+    fn admits(self, items: u32, limit: u32) -> bool {
+        let is_below_limit = self.in_flight == 0 || self.in_flight.saturating_add(items) <= limit;
+        is_below_limit && self.free >= items.min((self.total / 2).max(1))
+    }
+
+    /// Whether a surplus group may start: part of the capacity stays free, and this edge carries few enough requests.
+    fn admits_surplus(self, items: u32, limit: u32) -> bool {
+        self.free >= (self.total / SURPLUS_RESERVE_DIVISOR).saturating_add(items)
+            && self.in_flight.saturating_add(items) <= limit
+    }
+}
+
 impl JobPlan {
     /// Places all items that can start now, and counts them as in flight in `stores`.
     ///
@@ -81,14 +142,20 @@
         let salt = self.random.u64(..);
         let last_placed = *self.last_placed.get_or_insert(now);
         let was_idle = now.saturating_sub(last_placed) >= MAX_IDLE;
-        let max_streams_for_surplus = if was_idle { u32::MAX } else { rules.max_streams_for_surplus };
-        let single_version = rules.single_version;
+        let limits = if was_idle {
+            StreamLimits::NONE
+        } else {
+            StreamLimits { desired: rules.max_streams, surplus: rules.max_streams_for_surplus }
+        };
+        let groups_due = rules.start_window.groups_due(now, self.groups.desired);
         let mut round = PlacementRound {
+            capacity: Capacity::of(stores, self.job.min_version),
+            has_prefix_cached: Vec::new(),
             plan: self,
             stores,
             placed: Vec::new(),
-            single_version,
-            max_streams_for_surplus,
+            single_version: rules.single_version,
+            limits,
             salt,
         };
         let (unstarted, started): (Vec<usize>, Vec<usize>) =
@@ -100,16 +167,12 @@
         let groups_waited_for = round.plan.groups.desired.saturating_sub(started.len());
         for (number, &group) in unstarted.iter().enumerate() {
             let ready: Vec<u32> = round.plan.ready_items(group, now).collect();
-            let may_start = if number < groups_waited_for {
-                round.has_capacity_for(ready.len())
-            } else {
-                round.has_surplus_capacity(ready.len())
-            };
-            if !may_start {
+            let is_surplus = number >= groups_waited_for;
+            let is_due = started.len() + number < groups_due;
+            if !round.may_start(ready.len(), is_surplus, is_due) {
                 break;
             }
-            if let Some(group) = round.plan.groups.all.get_mut(group).filter(|_| number >= groups_waited_for)
-            {
+            if let Some(group) = round.plan.groups.all.get_mut(group).filter(|_| is_surplus) {
                 group.is_surplus = true;
             }
             round.fill(group, ready);
@@ -157,37 +220,30 @@
 }
 
 impl PlacementRound<'_> {
-    /// Whether a group may start: there is capacity for all its items, or for as many as half of all limits admit.
-    fn has_capacity_for(&self, items: usize) -> bool {
-        let (total_limit, free) = self.capacity();
-        let needed = u32::try_from(items).unwrap_or(u32::MAX).min((total_limit / 2).max(1));
-        free >= needed
-    }
-
-    /// Whether a surplus group may start: part of the capacity stays free, and this edge has few enough requests in flight.
-    fn has_surplus_capacity(&self, items: usize) -> bool {
-        let (total_limit, free) = self.capacity();
-        let needed = u32::try_from(items).unwrap_or(u32::MAX);
-        let in_flight = self.stores.iter().map(|store| store.in_flight).fold(needed, u32::saturating_add);
-        free >= (total_limit / SURPLUS_RESERVE_DIVISOR).saturating_add(needed)
-            && in_flight <= self.max_streams_for_surplus
-    }
-
-    /// The sum of the limits of all stores with an allowed version, and how much of it is free.
-    fn capacity(&self) -> (u32, u32) {
-        let fitting = self.stores.iter().filter(|store| store.version >= self.plan.job.min_version);
-        let total_limit = fitting.clone().map(|store| store.limit).fold(0, u32::saturating_add);
-        let free =
-            fitting.map(|store| store.limit.saturating_sub(store.in_flight)).fold(0, u32::saturating_add);
-        (total_limit, free)
+    /// Whether a group with so many items may start. One whose start is due waits for no stream of this edge to end.
+    fn may_start(&self, items: usize, is_surplus: bool, is_due: bool) -> bool {
+        let items = u32::try_from(items).unwrap_or(u32::MAX);
+        if is_surplus {
+            self.capacity.admits_surplus(items, self.limits.surplus)
+        } else {
+            let limit = if is_due { u32::MAX } else { self.limits.desired };
+            self.capacity.admits(items, limit)
+        }
     }
 
     /// Places the items of one group together.
     fn fill(&mut self, group: usize, items: Vec<u32>) {
+        if items.is_empty() {
+            return;
+        }
         for &index in &items {
             self.discard_text_if_version_lost(index);
         }
-        let best_store = |round: &Self, &index: &u32| round.best_store(group, index);
+        if let Some(group) = self.plan.groups.all.get(group) {
+            let is_cached = |store: &StoreView| group.has_prefix_cached_at(&store.id);
+            self.has_prefix_cached = self.stores.iter().map(is_cached).collect();
+        }
+        let best_store = |round: &Self, &index: &u32| round.best_store(index);
         batch_filling::fill(self, items, best_store, |round, index, store| round.assign(group, index, store));
     }
 
@@ -208,10 +264,9 @@
     }
 
     /// The best store for an item: not suspect, the least load; ties go to one with the group's prompt in its prefix cache, then to
-    /// the edge's own zone, then to a random one.
-    fn best_store(&self, group: usize, index: u32) -> Option<(LoadKey, usize)> {
+    /// one to which a connection is idle, then to the edge's own zone, then to a random one.
+    fn best_store(&self, index: u32) -> Option<(LoadKey, usize)> {
         let item = self.plan.items.get(index as usize)?;
-        let group = self.plan.groups.all.get(group)?;
         let required_version = self.required_version(item);
         let eligible = |store: &StoreView| match required_version {
             Some(version) => store.version == version,
@@ -225,7 +280,8 @@
         let best = fitting.min_by_key(|(position, store)| {
             (
                 load_key(store),
-                !group.has_prefix_cached_at(&store.id),
+                !self.has_prefix_cached.get(*position).copied().unwrap_or_default(),
+                store.idle_connections == 0,
                 !store.is_own_zone,
                 tie_breaker(self.salt, *position),
                 *position,
@@ -243,6 +299,11 @@
             return;
         };
         store.in_flight += 1;
+        store.idle_connections = store.idle_connections.saturating_sub(1);
+        self.capacity.on_placed();
+        if let Some(is_cached) = self.has_prefix_cached.get_mut(position) {
+            *is_cached = true;
+        }
         let mut is_surplus = false;
         if let Some(group) = self.plan.groups.all.get_mut(group) {
             group.on_prompt_sent(&store.id);
--- a/system/data/src/rollout/store_views.rs
+++ b/system/data/src/rollout/store_views.rs
@@ -51,17 +51,21 @@
         Some(entry) => entry,
         None => read_versions(shared, service, model, &stores, now),
     };
+    // A request beyond that would hold a place in the store's count while it waits here for a connection.
+    let max_limit = u32::try_from(shared.stores.connection_limit(service)).unwrap_or(u32::MAX);
     let mut capacities = shared.rollout.stores.capacities.borrow_mut();
     let rates = shared.rollout.stores.progress_rates.borrow();
     let known = stores.iter().zip(&entry.versions);
     let weight_loading = shared.rollout.stores.weight_loading.borrow();
     let views = known.map(|(store, (id, version))| {
         let in_flight = u32::try_from(store.in_flight.get()).unwrap_or(u32::MAX);
-        let limit = capacities.limit(id, u32::try_from(store.slots).unwrap_or(u32::MAX), now);
+        let slots = u32::try_from(store.slots).unwrap_or(u32::MAX);
+        let limit = capacities.limit(id, slots, now).min(max_limit);
         StoreView {
             id: Rc::clone(id),
             version: *version,
             in_flight,
+            idle_connections: u32::try_from(shared.stores.idle_connections(id)).unwrap_or(u32::MAX),
             limit: weight_loading.limit(id, model, in_flight, limit, now),
             is_suspect: shared.health.is_suspect(id, now),
             is_own_zone: store.is_own_zone,
--- a/system/data/src/routing/store_choice.rs
+++ b/system/data/src/routing/store_choice.rs
@@ -11,6 +11,8 @@
     pub slots: usize,
     /// By how many thousandths of its slots it may be more utilized than others, for its prefix cache.
     pub affinity_bonus: usize,
+    /// Whether this edge has an idle connection to it.
+    pub has_idle_connection: bool,
     /// Whether it is in the edge's own zone.
     pub is_own_zone: bool,
     /// Whether it failed recently.
@@ -28,13 +30,18 @@
     }
 }
 
-/// The position of the best store that was not tried: not suspect, then the least utilized, then of the own zone; ties are broken
-/// uniformly at random, if `draw` is uniform.
+/// The position of the best store that was not tried: not suspect, then the least utilized, then one to which a connection is idle, then
+/// of the own zone; ties are broken uniformly at random, if `draw` is uniform.
 pub fn choose_store(candidates: impl Iterator<Item = Candidate>, draw: u64) -> Option<usize> {
     let mut best = None;
     let mut ties = 0_u64;
     for (position, candidate) in candidates.enumerate().filter(|(_, candidate)| !candidate.was_tried) {
-        let rank = (candidate.is_suspect, candidate.utilization(), !candidate.is_own_zone);
+        let rank = (
+            candidate.is_suspect,
+            candidate.utilization(),
+            !candidate.has_idle_connection,
+            !candidate.is_own_zone,
+        );
         match best {
             Some((known, _)) if known < rank => {}
             Some((known, _)) if known == rank => {
--- a/system/data/src/stores/client.rs
+++ b/system/data/src/stores/client.rs
@@ -75,12 +75,18 @@
         self.pool.set_total_limit(limit);
     }
 
+    /// The number of idle connections to a store.
+    pub fn idle_connections(&self, store: &str) -> usize {
+        self.pool.idle_connections(store)
+    }
+
     /// Closes connections that were idle for too long, and idle ones to stores for which `is_known` is false.
     pub fn close_expired(&self, is_known: impl Fn(&str) -> bool) {
         self.pool.close_expired(is_known);
     }
 
-    fn limit(&self, service: &str) -> usize {
+    /// The most connections that this edge may have to each store of a service.
+    pub fn connection_limit(&self, service: &str) -> usize {
         self.limits.borrow().get(service).copied().unwrap_or(DEFAULT_LIMIT)
     }
 
@@ -93,7 +99,7 @@
         timeouts: AttemptTimeouts,
     ) -> Result<(PooledConnection, Response<Incoming>), AttemptError> {
         let began = Instant::now();
-        let limit = self.limit(&target.service);
+        let limit = self.connection_limit(&target.service);
         let mut source = ConnectionSource::IdleOrNew;
         loop {
             let acquired = self.pool.acquire(target, limit, timeouts.connect, source).await;
--- a/system/data/src/stores/pool.rs
+++ b/system/data/src/stores/pool.rs
@@ -147,6 +147,11 @@
         });
     }
 
+    /// The number of idle connections to a store.
+    pub(super) fn idle_connections(&self, id: &str) -> usize {
+        self.stores.borrow().get(id).map_or(0, |store| store.idle.borrow().len())
+    }
+
     fn store(&self, target: &StoreTarget) -> Rc<StorePool> {
         let mut stores = self.stores.borrow_mut();
         if let Some(store) = stores.get(&target.id).filter(|store| store.address == target.address) {
--- a/system/data/tests/edge_routing.rs
+++ b/system/data/tests/edge_routing.rs
@@ -29,6 +29,8 @@
     filling_counts_not_requests = { &[store(2, 4), store(3, 12)], Some(1) },
     read_prompt_counts = { &[store(1, 4), Candidate { affinity_bonus: 300, ..store(2, 4) }], Some(1) },
     read_prompt_does_not_beat_much_room = { &[store(0, 4), Candidate { affinity_bonus: 300, ..store(2, 4) }], Some(0) },
+    idle_connection_breaks_ties = { &[Candidate { is_own_zone: true, ..store(1, 4) }, Candidate { has_idle_connection: true, ..store(1, 4) }], Some(1) },
+    idle_connection_does_not_beat_room = { &[store(0, 4), Candidate { has_idle_connection: true, ..store(1, 4) }], Some(0) },
     own_zone_breaks_ties = { &[store(1, 4), Candidate { is_own_zone: true, ..store(1, 4) }], Some(1) },
     own_zone_does_not_beat_room = { &[store(0, 4), Candidate { is_own_zone: true, ..store(1, 4) }], Some(0) },
     others_requests_count = { &[Candidate { others_in_flight: 4, ..store(0, 4) }, store(2, 4)], Some(1) },
--- a/system/data/tests/rollout_placement.rs
+++ b/system/data/tests/rollout_placement.rs
@@ -3,7 +3,7 @@
 mod rollout_plan_common;
 
 use gingerledge_data::rollout::plan::{
-    priority, GenerationOutcome, JobPlan, NextStep, Rules, StepProgress, StoreView,
+    priority, GenerationOutcome, JobPlan, NextStep, Rules, StartWindow, StepProgress, StoreView,
 };
 use rollout_plan_common::*;
 use yare::parameterized;
@@ -74,6 +74,27 @@
     }
 }
 
+/// Two generations go to the two stores with idle connections, and only then to another one.
+#[test]
+fn ties_go_to_an_idle_connection_before_the_own_zone() {
+    for seed in 0..20 {
+        let near = StoreView { is_own_zone: true, ..store("near", 1, 0) };
+        let connected = |id| StoreView { idle_connections: 1, ..store(id, 1, 0) };
+        let mut stores = vec![near, connected("a"), connected("b")];
+        let mut plan = JobPlan::new(job(3, 1, 3, 1), &[], seed);
+        let placements = plan.place(ms(0), &mut stores, rules(false));
+        let order: Vec<String> = placed(&placements, &stores).into_iter().map(|(_, store)| store).collect();
+        assert_eq!(order.last().map(String::as_str), Some("near"), "seed {seed}: {order:?}");
+        assert!(stores.iter().all(|store| store.idle_connections == 0), "seed {seed}");
+    }
+}
+
+#[test]
+fn an_idle_connection_does_not_outweigh_a_request_in_flight() {
+    let connected = StoreView { idle_connections: 4, ..store("connected", 1, 1) };
+    assert_eq!(after_placing(1, vec![connected, store("a", 1, 0)]), [1, 1]);
+}
+
 #[test]
 fn remaining_ties_are_broken_at_random() {
     let mut met = std::collections::BTreeSet::new();
@@ -252,6 +273,67 @@
     assert_eq!(placements.iter().filter(|placement| placement.is_surplus).count(), expected);
 }
 
+#[test]
+fn an_edge_starts_no_more_groups_than_it_carries_streams() {
+    let mut plan = JobPlan::new(job(3, 4, 3, 1), &[], 1);
+    let mut stores = vec![StoreView { limit: 100, ..store("a", 1, 0) }];
+    let rules = Rules { max_streams: 11, ..rules(false) };
+    assert_eq!(plan.place(ms(0), &mut stores, rules).len(), 8, "a third group would be a twelfth stream");
+    assert!(plan.has_items_to_place(ms(0)), "it waits for streams to end");
+    stores[0].in_flight = 7;
+    let placements = plan.place(ms(10), &mut stores, rules);
+    assert_eq!(placements.iter().map(|placement| placement.item).collect::<Vec<_>>(), [8, 9, 10, 11]);
+}
+
+/// Four groups are due to start in the first second: one of them after each quarter, whatever the edge carries.
+#[parameterized(
+    at_once = { 0, 4 },
+    before_the_second_is_due = { 499, 4 },
+    second = { 500, 8 },
+    third = { 750, 12 },
+    all = { 1_000, 16 },
+)]
+fn groups_start_when_they_are_due_whatever_the_edge_carries(milliseconds: u64, expected: usize) {
+    let mut plan = JobPlan::new(job(4, 4, 4, 1), &[], 1);
+    let mut stores = vec![StoreView { limit: 100, ..store("a", 1, 0) }];
+    let start_window = StartWindow { duration: ms(1_000), end: ms(1_000) };
+    let rules = Rules { max_streams: 4, start_window, ..rules(false) };
+    let first = plan.place(ms(0), &mut stores, rules).len();
+    let then = plan.place(ms(milliseconds), &mut stores, rules).len();
+    assert_eq!(first + then, expected);
+}
+
+/// Streams that were cut go on at once: their groups have started, and their items count among those in flight already.
+#[test]
+fn items_of_a_started_group_go_on_whatever_the_edge_carries() {
+    let mut plan = JobPlan::new(job(1, 2, 1, 1), &[], 1);
+    let mut stores = vec![StoreView { limit: 100, ..store("a", 1, 0) }];
+    let rules = Rules { max_streams: 2, ..rules(false) };
+    plan.place(ms(0), &mut stores, rules);
+    plan.generation_ended(ms(1), 1, text(3, 1), GenerationOutcome::Interrupted, rules);
+    stores[0].in_flight = 50;
+    assert_eq!(placed(&plan.place(ms(1), &mut stores, rules), &stores), [(1, "a".to_owned())]);
+}
+
+#[parameterized(alone = { 0, 4 }, beside_others = { 1, 0 })]
+fn a_group_larger_than_what_an_edge_carries_starts_alone(in_flight: u32, expected: usize) {
+    let mut plan = JobPlan::new(job(1, 4, 1, 1), &[], 1);
+    let mut stores = vec![StoreView { limit: 100, ..store("a", 1, in_flight) }];
+    let rules = Rules { max_streams: 3, ..rules(false) };
+    assert_eq!(plan.place(ms(0), &mut stores, rules).len(), expected);
+}
+
+/// The same bound on waiting holds for the groups that the trainer waits for.
+#[parameterized(not_yet = { 2_900, 0 }, in_time = { 3_000, 4 })]
+fn no_group_waits_long_for_streams_of_the_edge_to_end(milliseconds: u64, expected: usize) {
+    let mut plan = JobPlan::new(job(2, 4, 2, 1), &[], 1);
+    let mut stores = vec![StoreView { limit: 100, ..store("a", 1, 0) }];
+    let rules = Rules { max_streams: 4, ..rules(false) };
+    let begun = 60_000;
+    assert_eq!(plan.place(ms(begun), &mut stores, rules).len(), 4);
+    assert_eq!(plan.place(ms(begun + milliseconds), &mut stores, rules).len(), expected);
+}
+
 /// The pages allow no item to rest for five seconds beside stores that are half empty.
 #[parameterized(not_yet = { 2_900, 0 }, in_time = { 3_000, 4 })]
 fn an_edge_that_carries_many_streams_lets_no_group_rest_for_long(milliseconds: u64, expected: usize) {
--- a/system/data/tests/rollout_plan_common/mod.rs
+++ b/system/data/tests/rollout_plan_common/mod.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use gingerledge_data::rollout::event_stream::Event;
-use gingerledge_data::rollout::plan::{GeneratedText, Placement, Rules, StoreView};
+use gingerledge_data::rollout::plan::{GeneratedText, Placement, Rules, StartWindow, StoreView};
 use gingerledge_wire::{ItemRecord, JobRecord, ScoringRecord};
 
 /// A batch job of groups of equal size.
@@ -43,7 +43,14 @@
 }
 
 pub fn rules(single_version: bool) -> Rules {
-    Rules { single_version, max_attempts: 3, abandon_after: None, max_streams_for_surplus: 1_000 }
+    Rules {
+        single_version,
+        max_attempts: 3,
+        abandon_after: None,
+        max_streams: 2_000,
+        start_window: StartWindow { duration: ms(1_000_000), end: ms(1_000_000) },
+        max_streams_for_surplus: 1_000,
+    }
 }
 
 /// A store with room for plenty.
@@ -53,6 +60,7 @@
         version,
         in_flight,
         limit: 14,
+        idle_connections: 0,
         is_suspect: false,
         is_own_zone: false,
         interval_percent: 100,
--- a/system/data/tests/rollout_plan_simulation.rs
+++ b/system/data/tests/rollout_plan_simulation.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use gingerledge_data::rollout::plan::{
-    GeneratedText, GenerationOutcome, JobPlan, NextStep, Placement, Rules, ScoringOutcome, StoreView,
+    GeneratedText, GenerationOutcome, JobPlan, NextStep, Placement, Rules, ScoringOutcome, StartWindow,
+    StoreView,
 };
 use gingerledge_wire::ResultRecord;
 use rollout_plan_common::*;
@@ -55,6 +56,8 @@
             single_version: random.bool(),
             max_attempts: MAX_ATTEMPTS,
             abandon_after: None,
+            max_streams: 2_000,
+            start_window: StartWindow { duration: ms(1_000_000), end: ms(1_000_000) },
             max_streams_for_surplus: 1_000,
         };
         let slots = random.u32(1..6);
