--- a/system/control/src/node/disk.rs
+++ b/system/control/src/node/disk.rs
@@ -93,7 +93,7 @@
     let bytes = (disk_mb * MEBIBYTE / RING_DIVISOR).clamp(MIN_RING_BYTES, MAX_RING_BYTES);
     let file_bytes = bytes / RING_FILES;
     let settings =
-        RingSettings { files: RING_FILES as usize, file_bytes, growth_bytes: RingSettings::AT_ONCE };
+        RingSettings { files: RING_FILES as usize, file_bytes, extent_bytes: RingSettings::AT_ONCE };
     let disk = FileDisk::open(folder).context(StorageSnafu)?;
     let (ring, recovered) = Ring::open(disk, settings).context(StorageSnafu)?;
     Ok((ring, read(recovered)?))
--- a/system/jobs/src/node/disk.rs
+++ b/system/jobs/src/node/disk.rs
@@ -38,7 +38,7 @@
     let shape = RingSettings {
         files: settings.ring_files,
         file_bytes: settings.ring_file_bytes,
-        growth_bytes: settings.ring_growth_bytes,
+        extent_bytes: settings.ring_extent_bytes,
     };
     let disk = FileDisk::open(folder).context(DiskSnafu)?;
     let (ring, recovered) = match Ring::open(disk, shape) {
--- a/system/jobs/src/settings.rs
+++ b/system/jobs/src/settings.rs
@@ -16,9 +16,9 @@
 const MIN_RING_BYTES: u64 = 64 * MEBIBYTE;
 /// Files of the storage ring.
 const RING_FILES: usize = 8;
-/// The storage ring gets its length in pieces of so many bytes: more than a loaded backend writes in the seconds for which a disk may
+/// The storage ring gets its length in extents of so many bytes: more than a loaded backend writes in the seconds for which a disk may
 /// take no more bytes.
-const RING_GROWTH_BYTES: u64 = 4 * MEBIBYTE;
+const RING_EXTENT_BYTES: u64 = 4 * MEBIBYTE;
 /// Share of the ring for the state; a ring accepts snapshots of up to 7/16 of its length.
 const RING_STATE_PERCENT: u64 = 35;
 
@@ -55,8 +55,8 @@
     pub ring_files: usize,
     /// Length of each file of the storage ring, in bytes.
     pub ring_file_bytes: u64,
-    /// Length of the pieces in which the storage ring grows, in bytes.
-    pub ring_growth_bytes: u64,
+    /// Length of the extents in which the storage ring grows, in bytes.
+    pub ring_extent_bytes: u64,
 }
 
 impl JobsSettings {
@@ -91,7 +91,7 @@
             max_read_bytes: MEBIBYTE,
             ring_files: RING_FILES,
             ring_file_bytes: ring / RING_FILES as u64,
-            ring_growth_bytes: RING_GROWTH_BYTES,
+            ring_extent_bytes: RING_EXTENT_BYTES,
         }
     }
 }
--- a/system/storage/src/layout.rs
+++ b/system/storage/src/layout.rs
@@ -30,18 +30,18 @@
     pub files: usize,
     /// Length of each file; rounded down to a multiple of 4,096, at least 8,192.
     pub file_bytes: u64,
-    /// The files get their length in pieces of so many bytes, one to two of them ahead of the log; rounded up to a
-    /// multiple of 512. A ring that is no longer than a piece gets its whole length at once. Not kept on the disk.
-    pub growth_bytes: u64,
+    /// The files get their length in extents of so many bytes, one to two of them ahead of the log; rounded up to a
+    /// multiple of 512. A ring that is no longer than an extent gets its whole length at once. Not kept on the disk.
+    pub extent_bytes: u64,
 }
 
 impl RingSettings {
-    /// The [`RingSettings::growth_bytes`] of a ring that gets its whole length when it is created.
+    /// The [`RingSettings::extent_bytes`] of a ring that gets its whole length when it is created.
     pub const AT_ONCE: u64 = u64::MAX;
 
-    /// The length of a piece in whole sectors.
-    pub(crate) fn piece_bytes(&self) -> u64 {
-        let sectors = self.growth_bytes.max(1).checked_next_multiple_of(SECTOR_BYTES);
+    /// The length of an extent in whole sectors.
+    pub(crate) fn aligned_extent_bytes(&self) -> u64 {
+        let sectors = self.extent_bytes.max(1).checked_next_multiple_of(SECTOR_BYTES);
         sectors.unwrap_or(u64::MAX - u64::MAX % SECTOR_BYTES)
     }
 }
--- a/system/storage/src/reservation.rs
+++ b/system/storage/src/reservation.rs
@@ -18,18 +18,18 @@
 pub(crate) struct Reservation {
     /// Addresses of the log below this one lie in files that are long enough. At the capacity the ring is complete.
     end: u64,
-    /// The length of a piece: space is reserved one to two pieces ahead of the log.
-    piece_bytes: u64,
+    /// The length of an extent: space is reserved one to two extents ahead of the log.
+    extent_bytes: u64,
 }
 
 impl Reservation {
-    /// Creates all files of a new ring, with space for the first piece, and makes them durable.
+    /// Creates all files of a new ring, with space for the first extent, and makes them durable.
     pub(crate) fn create<D: Disk>(
         disk: &mut D,
         layout: &Layout,
-        piece_bytes: u64,
+        extent_bytes: u64,
     ) -> Result<Self, StorageError> {
-        let reservation = Self { end: layout.capacity().min(piece_bytes), piece_bytes };
+        let reservation = Self { end: layout.capacity().min(extent_bytes), extent_bytes };
         for file in 0..layout.files() {
             disk.create(&file_name(file), layout.file_length(file, reservation.end))?;
             disk.sync_file(&file_name(file))?;
@@ -40,7 +40,7 @@
 
     /// Finds what is reserved from the lengths of the files. All files must be there: their names were durable before the
     /// first superblock was written.
-    pub(crate) fn find(found: &[DiskFile], layout: &Layout, piece_bytes: u64) -> Result<Self, StorageError> {
+    pub(crate) fn find(found: &[DiskFile], layout: &Layout, extent_bytes: u64) -> Result<Self, StorageError> {
         let mut end = 0;
         let mut incomplete: Option<StorageError> = None;
         for file in 0..layout.files() {
@@ -61,7 +61,7 @@
                 incomplete.get_or_insert(too_short);
             }
         }
-        Ok(Self { end, piece_bytes })
+        Ok(Self { end, extent_bytes })
     }
 
     /// Repeats the last growth: its length may have been read from the memory of the operating system only.
@@ -92,7 +92,7 @@
         end_of_ring.min(self.end)
     }
 
-    /// Reserves space for a batch that ends at this position, and a piece ahead of it. If the disk refuses, the space
+    /// Reserves space for a batch that ends at this position, and an extent ahead of it. If the disk refuses, the space
     /// reserved earlier is used up first.
     pub(crate) fn grow<D: Disk>(&mut self, volume: &mut Volume<D>, end: u64) -> Result<(), StorageError> {
         if self.is_complete(&volume.layout) {
@@ -109,10 +109,10 @@
         self.end >= layout.capacity()
     }
 
-    /// One to two pieces ahead of a position, so that it changes once in a piece.
+    /// One to two extents ahead of a position, so that it changes once in an extent.
     fn target(&self, layout: &Layout, position: u64) -> u64 {
-        let ahead = position.checked_add(self.piece_bytes);
-        let target = ahead.and_then(|ahead| ahead.checked_next_multiple_of(self.piece_bytes));
+        let ahead = position.checked_add(self.extent_bytes);
+        let target = ahead.and_then(|ahead| ahead.checked_next_multiple_of(self.extent_bytes));
         target.map_or(layout.capacity(), |target| target.min(layout.capacity()))
     }
 
--- a/system/storage/src/ring.rs
+++ b/system/storage/src/ring.rs
@@ -55,8 +55,8 @@
     /// [`StorageError::Settings`] if a new ring can't have this layout.
     pub fn open(mut disk: D, settings: RingSettings) -> Result<(Self, Recovered), StorageError> {
         match read_slots(&mut disk)? {
-            Slots::Newest(superblock) => Self::recover(disk, superblock, settings.piece_bytes()),
-            Slots::Empty => Self::create(disk, Layout::new(settings)?, settings.piece_bytes()),
+            Slots::Newest(superblock) => Self::recover(disk, superblock, settings.aligned_extent_bytes()),
+            Slots::Empty => Self::create(disk, Layout::new(settings)?, settings.aligned_extent_bytes()),
             Slots::Unreadable => Err(StorageError::Corrupt {
                 file: file_name(0),
                 offset: 0,
@@ -65,9 +65,9 @@
         }
     }
 
-    fn create(mut disk: D, layout: Layout, piece_bytes: u64) -> Result<(Self, Recovered), StorageError> {
+    fn create(mut disk: D, layout: Layout, extent_bytes: u64) -> Result<(Self, Recovered), StorageError> {
         remove_unfinished(&mut disk)?;
-        let reservation = Reservation::create(&mut disk, &layout, piece_bytes)?;
+        let reservation = Reservation::create(&mut disk, &layout, extent_bytes)?;
         let mut volume = Volume { disk, layout };
         let superblock = Superblock {
             generation: 0,
@@ -86,9 +86,9 @@
     fn recover(
         mut disk: D,
         superblock: Superblock,
-        piece_bytes: u64,
+        extent_bytes: u64,
     ) -> Result<(Self, Recovered), StorageError> {
-        let reservation = Reservation::find(&disk.list()?, &superblock.layout, piece_bytes)?;
+        let reservation = Reservation::find(&disk.list()?, &superblock.layout, extent_bytes)?;
         let mut volume = Volume { disk, layout: superblock.layout };
         let mut log = read_log(&mut volume, &reservation, &superblock)?;
         reservation.check_head(&volume, log.head)?;
@@ -138,7 +138,7 @@
     }
 
     /// Appends records; they are durable when this returns. One write and one sync, if they fit in one file; another
-    /// sync once in a piece of the ring, while the files still grow.
+    /// sync once in an extent of the ring, while the files still grow.
     ///
     /// # Errors
     ///
--- a/system/storage/tests/common/mod.rs
+++ b/system/storage/tests/common/mod.rs
@@ -6,15 +6,15 @@
 
 /// A ring in which every batch is one frame, and which is soon full.
 pub const SMALL: RingSettings =
-    RingSettings { files: 4, file_bytes: 32 * 1024, growth_bytes: RingSettings::AT_ONCE };
+    RingSettings { files: 4, file_bytes: 32 * 1024, extent_bytes: RingSettings::AT_ONCE };
 /// A ring with batches of several frames that cross files.
 pub const MIDDLE: RingSettings =
-    RingSettings { files: 3, file_bytes: 192 * 1024, growth_bytes: RingSettings::AT_ONCE };
+    RingSettings { files: 3, file_bytes: 192 * 1024, extent_bytes: RingSettings::AT_ONCE };
 
 /// The small ring, which grows with its log.
-pub const GROWING: RingSettings = RingSettings { growth_bytes: 8 * 1024, ..SMALL };
+pub const GROWING: RingSettings = RingSettings { extent_bytes: 8 * 1024, ..SMALL };
 /// The ring with batches of several frames, which grows by less than a frame.
-pub const GROWING_MIDDLE: RingSettings = RingSettings { growth_bytes: 20_000, ..MIDDLE };
+pub const GROWING_MIDDLE: RingSettings = RingSettings { extent_bytes: 20_000, ..MIDDLE };
 
 /// A record that differs from those of other numbers in its first bytes, and hardly repeats itself.
 pub fn record(number: u64, length: usize) -> Vec<u8> {
--- a/system/storage/tests/golden_disk.rs
+++ b/system/storage/tests/golden_disk.rs
@@ -10,10 +10,10 @@
 
 /// A small ring, which is written round soon.
 const SMALL: RingSettings =
-    RingSettings { files: 3, file_bytes: 12 * 1024, growth_bytes: RingSettings::AT_ONCE };
+    RingSettings { files: 3, file_bytes: 12 * 1024, extent_bytes: RingSettings::AT_ONCE };
 /// A ring that takes batches of several frames.
 const LARGE: RingSettings =
-    RingSettings { files: 3, file_bytes: 192 * 1024, growth_bytes: RingSettings::AT_ONCE };
+    RingSettings { files: 3, file_bytes: 192 * 1024, extent_bytes: RingSettings::AT_ONCE };
 /// Batches that are written to the small ring; their bytes are more than twice the ring's.
 const BATCHES: u64 = 41;
 /// After so many of them the process starts again, and with that a new epoch begins.
--- a/system/storage/tests/growth.rs
+++ b/system/storage/tests/growth.rs
@@ -28,22 +28,22 @@
 }
 
 #[test]
-fn a_new_ring_takes_one_piece_and_the_headers_of_its_files() {
+fn a_new_ring_takes_one_extent_and_the_headers_of_its_files() {
     let disk = ForgetfulDisk::new();
     open(disk.clone(), GROWING);
-    let piece = GROWING.growth_bytes;
-    assert_eq!(lengths(&disk), [FILE_HEADER + piece, FILE_HEADER, FILE_HEADER, FILE_HEADER]);
+    let extent = GROWING.extent_bytes;
+    assert_eq!(lengths(&disk), [FILE_HEADER + extent, FILE_HEADER, FILE_HEADER, FILE_HEADER]);
 }
 
 #[test]
-fn a_ring_of_one_piece_is_complete_at_once() {
+fn a_ring_of_one_extent_is_complete_at_once() {
     let disk = ForgetfulDisk::new();
-    open(disk.clone(), RingSettings { growth_bytes: SMALL.file_bytes * 4, ..SMALL });
+    open(disk.clone(), RingSettings { extent_bytes: SMALL.file_bytes * 4, ..SMALL });
     assert_eq!(lengths(&disk), [SMALL.file_bytes; RING_FILES]);
 }
 
 #[test]
-fn one_to_two_pieces_are_reserved_ahead_of_the_log() {
+fn one_to_two_extents_are_reserved_ahead_of_the_log() {
     let disk = ForgetfulDisk::new();
     let (mut ring, _) = open(disk.clone(), GROWING);
     let capacity = (SMALL.file_bytes - FILE_HEADER) * RING_FILES as u64;
@@ -52,7 +52,7 @@
         log += 3 * SECTOR;
         let reserved = lengths(&disk).iter().map(|length| length - FILE_HEADER).sum::<u64>();
         let ahead =
-            (log + GROWING.growth_bytes).min(capacity)..=(log + 2 * GROWING.growth_bytes).min(capacity);
+            (log + GROWING.extent_bytes).min(capacity)..=(log + 2 * GROWING.extent_bytes).min(capacity);
         assert!(ahead.contains(&reserved), "{reserved} bytes are reserved for a log of {log}");
     }
 }
@@ -61,7 +61,7 @@
 fn a_growth_is_durable_before_the_batch_that_needs_it() {
     let disk = ForgetfulDisk::new();
     let (mut ring, _) = open(disk.clone(), GROWING);
-    let model = fill(&mut ring, 5 * GROWING.growth_bytes);
+    let model = fill(&mut ring, 5 * GROWING.extent_bytes);
     for loss in 0..40 {
         disk.power_loss(loss);
         assert_eq!(open(disk.clone(), GROWING).1.numbers(), model.numbers(), "loss {loss}");
@@ -120,7 +120,7 @@
         }
     };
     assert!(matches!(error, StorageError::Io { .. }), "{error}");
-    assert!(log + 3 * SECTOR >= 2 * GROWING.growth_bytes, "{log} bytes were taken");
+    assert!(log + 3 * SECTOR >= 2 * GROWING.extent_bytes, "{log} bytes were taken");
     assert!(matches!(ring.snapshot(&[record(1, 1_200)]), Err(StorageError::Io { .. })));
     disk.refuse_growth(false);
     ring.snapshot(&[record(2, 1_200)]).unwrap();
@@ -135,7 +135,7 @@
     for seed in 0..60 {
         let disk = ForgetfulDisk::new();
         let (mut ring, _) = open(disk.clone(), GROWING);
-        // The next append has to reserve a piece: the power of the first operation lasts, that of its sync does not.
+        // The next append has to reserve an extent: the power of the first operation lasts, that of its sync does not.
         disk.stop_after(1);
         ring.append(&[record(1, 1_200)]).unwrap_err();
         disk.restart();
@@ -184,7 +184,7 @@
 fn a_gap_between_grown_files_is_reported() {
     let mut disk = ForgetfulDisk::new();
     let (mut ring, _) = open(disk.clone(), GROWING);
-    fill(&mut ring, 4 * GROWING.growth_bytes);
+    fill(&mut ring, 4 * GROWING.extent_bytes);
     disk.create("ring-000", FILE_HEADER + 8 * SECTOR).unwrap();
     assert_eq!(damage(disk, GROWING), Some(("ring-000".to_owned(), FILE_HEADER + 8 * SECTOR)));
 }
--- a/system/storage/tests/power_loss.rs
+++ b/system/storage/tests/power_loss.rs
@@ -8,7 +8,7 @@
 
 /// A ring with batches that take two writes, of which a loss of power can keep the second alone.
 const WIDE: RingSettings =
-    RingSettings { files: 3, file_bytes: 512 * 1024, growth_bytes: RingSettings::AT_ONCE };
+    RingSettings { files: 3, file_bytes: 512 * 1024, extent_bytes: RingSettings::AT_ONCE };
 /// Four frames, exactly as much as is written at once, with the header of each and the length of the record.
 const ONE_WRITE: usize = 4 * (65_536 - 64) - 4;
 const TWO_WRITES: usize = ONE_WRITE + 100_000;
--- a/system/storage/tests/ring.rs
+++ b/system/storage/tests/ring.rs
@@ -143,7 +143,7 @@
 #[test]
 fn a_record_of_32_mb_crosses_the_files_of_a_128_mb_ring() {
     let settings =
-        RingSettings { files: 16, file_bytes: 8 * 1024 * 1024, growth_bytes: RingSettings::AT_ONCE };
+        RingSettings { files: 16, file_bytes: 8 * 1024 * 1024, extent_bytes: RingSettings::AT_ONCE };
     let disk = ForgetfulDisk::new();
     let (mut ring, _) = open(disk.clone(), settings);
     let records = [record(1, 32 * 1024 * 1024), record(2, 10)];
@@ -164,7 +164,7 @@
 #[test]
 fn recovery_reads_little_more_than_what_was_written() {
     let settings =
-        RingSettings { files: 4, file_bytes: 4 * 1024 * 1024, growth_bytes: RingSettings::AT_ONCE };
+        RingSettings { files: 4, file_bytes: 4 * 1024 * 1024, extent_bytes: RingSettings::AT_ONCE };
     let disk = ForgetfulDisk::new();
     let (mut ring, _) = open(disk.clone(), settings);
     ring.append(&[record(1, 100_000)]).unwrap();
@@ -187,11 +187,11 @@
 }
 
 #[parameterized(
-    one_file = { RingSettings { files: 1, file_bytes: 1 << 20, growth_bytes: RingSettings::AT_ONCE } },
-    too_many_files = { RingSettings { files: 1000, file_bytes: 1 << 20, growth_bytes: RingSettings::AT_ONCE } },
-    no_room_in_a_file = { RingSettings { files: 4, file_bytes: 4096, growth_bytes: RingSettings::AT_ONCE } },
-    no_bytes = { RingSettings { files: 4, file_bytes: 0, growth_bytes: RingSettings::AT_ONCE } },
-    huge = { RingSettings { files: 4, file_bytes: u64::MAX, growth_bytes: RingSettings::AT_ONCE } },
+    one_file = { RingSettings { files: 1, file_bytes: 1 << 20, extent_bytes: RingSettings::AT_ONCE } },
+    too_many_files = { RingSettings { files: 1000, file_bytes: 1 << 20, extent_bytes: RingSettings::AT_ONCE } },
+    no_room_in_a_file = { RingSettings { files: 4, file_bytes: 4096, extent_bytes: RingSettings::AT_ONCE } },
+    no_bytes = { RingSettings { files: 4, file_bytes: 0, extent_bytes: RingSettings::AT_ONCE } },
+    huge = { RingSettings { files: 4, file_bytes: u64::MAX, extent_bytes: RingSettings::AT_ONCE } },
 )]
 fn unusable_settings_are_rejected(settings: RingSettings) {
     let error = Ring::open(ForgetfulDisk::new(), settings).map(|_| ()).unwrap_err();
--- a/system/storage/tests/writer.rs
+++ b/system/storage/tests/writer.rs
@@ -163,7 +163,7 @@
 fn the_queue_is_bounded_by_bytes() {
     let disk = GatedDisk::new();
     let (writer, events) =
-        start(&disk, RingSettings { files: 4, file_bytes: 16 << 20, growth_bytes: RingSettings::AT_ONCE });
+        start(&disk, RingSettings { files: 4, file_bytes: 16 << 20, extent_bytes: RingSettings::AT_ONCE });
     let mut tokens = 0..;
     for _ in 0..2 {
         disk.shut(true);
