Delegate a batch job to another edge of the zone where this one carries too many streams

Change: an edge that drives others passes a batch job on by AssignDriver, under the term that it was granted, and remembers it; the head replaces the driver as before if nobody renews. Tests also for placement by connections, stores of unknown load, and a refused fencing token (412), which no test had sent.

--- a/system/control/tests/nodes/coordination.rs
+++ b/system/control/tests/nodes/coordination.rs
@@ -242,6 +242,35 @@
     });
 }
 
+/// The stores have seen orders of a coordinator after this one, which has not heard of it. It is refused once by each, and goes on under a
+/// higher token.
+#[test]
+fn a_refused_fencing_token_is_given_up_for_a_higher_one() {
+    run(async {
+        let cluster = Cluster::start(29);
+        let mut stores = Vec::new();
+        for number in 0..STORES as u8 {
+            stores.push(store(&cluster, number).await);
+        }
+        cluster.until(0, &Call::post("/configuration/replace", "Base-Version: 0\r\n", &engine()), 200).await;
+        cluster.until(1, &Call::post("/version-put", "", r#"{"model":"a","version":2}"#), 200).await;
+        cluster.status_until(2, |status| loaded(status, "a", 2) == STORES).await;
+        let active = coordinator(&cluster).await;
+        let token = stores[0].ledger().fence;
+        stores.iter().for_each(|store| store.ledger().fence = token + 1);
+        cluster.until(active, &Call::post("/version-put", "", r#"{"model":"a","version":3}"#), 200).await;
+        cluster.status_until(active, |status| loaded(status, "a", 3) == STORES).await;
+        let refused: Vec<Vec<u64>> =
+            stores.iter().map(|store| store.ledger().refused_tokens.clone()).collect();
+        assert!(refused.iter().any(|tokens| !tokens.is_empty()), "the old token was tried");
+        assert!(refused.iter().all(|tokens| tokens.len() <= 1), "{refused:?}");
+        for store in &stores {
+            let orders = store.ledger().orders.clone();
+            assert!(orders.last().is_some_and(|(_, last, _, _)| *last > token), "{orders:?}");
+        }
+    });
+}
+
 /// The node that coordinates.
 async fn coordinator(cluster: &Cluster) -> u8 {
     for node in [0, 1, 2].into_iter().cycle() {
--- a/system/data/src/rollout/job_execution.rs
+++ b/system/data/src/rollout/job_execution.rs
@@ -178,6 +178,11 @@
         }
     }
 
+    /// Items of the groups that the trainer waits for and whose texts are not complete, from the average size of these groups.
+    pub(super) fn desired_items_left(&self) -> usize {
+        self.plan.desired_items() * self.timeline.groups_left() / self.plan.desired_groups().max(1)
+    }
+
     /// Applies the outcome of a task; returns the item that is to be scored now, if any.
     pub(super) fn on_task_ended(&mut self, now: Duration, outcome: TaskOutcome) -> Option<u32> {
         let rules = self.rules?;
--- a/system/data/src/rollout/job_route.rs
+++ b/system/data/src/rollout/job_route.rs
@@ -39,6 +39,11 @@
     route.filter(|route| route.kind() == Some(RouteKind::Deployment))
 }
 
+/// How many streams this edge carries before each further one slows the others down.
+pub(super) fn max_streams(shared: &Shared) -> u32 {
+    (shared.settings().limits.cpu_share * MAX_STREAMS_PER_CORE) as u32
+}
+
 /// The rules of a route for a batch job. Its items may be abandoned once the batch job is certainly old enough: its age is a lower
 /// bound, and no wall clock is read.
 pub(super) fn rules(shared: &Shared, age: JobAge, route: &Route) -> Rules {
@@ -51,7 +56,7 @@
         single_version: route.single_version,
         max_attempts: route.max_attempts,
         abandon_after,
-        max_streams: (cpu_share * MAX_STREAMS_PER_CORE) as u32,
+        max_streams: max_streams(shared),
         start_window: StartWindow { duration, end: age.reaches(duration) },
         max_streams_for_surplus: (cpu_share * MAX_STREAMS_FOR_SURPLUS_PER_CORE) as u32,
     }
--- a/system/data/src/rollout/mod.rs
+++ b/system/data/src/rollout/mod.rs
@@ -10,6 +10,7 @@
 
 mod backend_client;
 mod checkpoint;
+mod delegation;
 mod driver;
 mod driver_lease;
 pub mod event_stream;
@@ -33,9 +34,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use gingerledge_wire::{DriverLeaseState, JobsMessage};
+use gingerledge_wire::{DriverLeaseState, Envelope, JobsMessage};
 
 pub use backend_client::{BackendClient, ChainMember, RequestOutcome};
+use delegation::Delegations;
 use running_jobs::RunningJobs;
 use store_observations::StoreObservations;
 
@@ -48,6 +50,8 @@
     pub(crate) backends: BackendClient,
     /// The batch jobs that this edge drives.
     jobs: RunningJobs,
+    /// The batch jobs that were submitted here and that another edge drives.
+    delegations: Delegations,
     /// What generations revealed about the stores.
     stores: StoreObservations,
 }
@@ -70,6 +74,9 @@
         }
         JobsMessage::StopDriver { job, term } => {
             shared.rollout.jobs.stop(&job, term, DriverLeaseState::Fenced, shared.now());
+            if let Some(delegate) = shared.rollout.delegations.delegate_of(&job, term) {
+                shared.send(delegate, &Envelope::Jobs(JobsMessage::StopDriver { job, term }));
+            }
         }
         JobsMessage::Request { .. } => log::warn!("request for a backend received by an edge"),
     }
--- a/system/data/src/rollout/plan/groups.rs
+++ b/system/data/src/rollout/plan/groups.rs
@@ -67,4 +67,10 @@
         };
         Self { all, desired }
     }
+
+    /// How many items the groups have that the trainer waits for, if it waits for the first ones.
+    #[must_use]
+    pub fn desired_items(&self) -> usize {
+        self.all.iter().take(self.desired).map(|group| group.items.len()).sum()
+    }
 }
--- a/system/data/src/rollout/plan/mod.rs
+++ b/system/data/src/rollout/plan/mod.rs
@@ -122,6 +122,12 @@
         self.groups.desired
     }
 
+    /// How many items the groups have that the trainer waits for.
+    #[must_use]
+    pub fn desired_items(&self) -> usize {
+        self.groups.desired_items()
+    }
+
     /// The group of each item, and how many groups there are.
     #[must_use]
     pub fn groups_of_items(&self) -> (Vec<usize>, usize) {
--- a/system/data/src/rollout/running_jobs.rs
+++ b/system/data/src/rollout/running_jobs.rs
@@ -171,6 +171,16 @@
         self.executions.borrow().all.is_empty()
     }
 
+    /// Whether this edge drives a batch job.
+    pub(super) fn is_running(&self, job: &str) -> bool {
+        self.executions.borrow().by_job.contains_key(job)
+    }
+
+    /// Items of the groups that trainers wait for and whose texts are not complete, of all batch jobs; about as many streams are needed.
+    pub(super) fn desired_items_left(&self) -> usize {
+        self.executions.borrow().all.values().map(JobExecution::desired_items_left).sum()
+    }
+
     /// The cache of partial texts.
     pub(super) fn partial_texts(&self) -> &SharedPartialTexts {
         &self.partial_texts
--- a/system/data/src/rollout/trainer_api.rs
+++ b/system/data/src/rollout/trainer_api.rs
@@ -15,7 +15,7 @@
 
 use super::backend_client::{member_address, ChainMember};
 use super::submission::{self, Arrival};
-use super::{driver, driver_lease};
+use super::{delegation, driver, driver_lease};
 use crate::{CloseConnection, Reply, ReplyBody, Shared};
 
 /// The time-out of a submission whose client sets no deadline.
@@ -85,8 +85,12 @@
         Some(JobsResponse::Created { driver_term }) => {
             driver_lease::report_model_use(shared, &job);
             if let Some(term) = driver_term {
-                let lease_valid_until = sent_at + driver_lease::lease_duration(shared);
-                driver::start_job(shared, driver::Assignment::of_new(job, term), lease_valid_until);
+                let assignment = driver::Assignment::of_new(job, term);
+                let age = shared.now().saturating_sub(sent_at);
+                if !delegation::delegate(shared, &assignment, age) {
+                    let lease_valid_until = sent_at + driver_lease::lease_duration(shared);
+                    driver::start_job(shared, assignment, lease_valid_until);
+                }
             }
             Ok(ReplyBody::status(StatusCode::ACCEPTED))
         }
--- a/system/data/tests/edge_forwarding.rs
+++ b/system/data/tests/edge_forwarding.rs
@@ -253,6 +253,21 @@
     .await;
 }
 
+/// The near store reports requests of others, and nothing is known of the far one, which is no reason to open a connection to it.
+#[tokio::test]
+async fn a_store_of_unknown_load_is_no_better_than_one_with_an_idle_connection() {
+    local(async {
+        let loaded = || Turn::Say(answer("200 OK", "Server-Load: 3,0,4\r\n", "near"));
+        let (edge, near, far) = two(vec![loaded(), loaded(), loaded()], vec![]).await;
+        let mut client = Client::connect(edge.address, None).await;
+        for id in ["u1", "u2", "u3"] {
+            assert_eq!(client.ask("POST", "/idem/x", id, "b").await.body(), "near");
+        }
+        assert_eq!((near.connections(), far.connections()), (1, 0));
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn an_idle_connection_is_closed_for_another_store_at_the_total_limit() {
     local(async {
--- a/system/data/tests/rollout_common/mod.rs
+++ b/system/data/tests/rollout_common/mod.rs
@@ -75,9 +75,15 @@
 
     /// With another `cancelMs`, of which a hold is nine tenths.
     pub async fn start_with(route: Route, cancel_ms: u64) -> World {
+        Self::start_on(route, cancel_ms, 1.0).await
+    }
+
+    /// On an edge with this share of a core.
+    pub async fn start_on(route: Route, cancel_ms: u64, cpu_share: f64) -> World {
         let settings = format!(
             r#"{{"nodeName":"edge-1","role":"edge","machineClass":"edge","ip":"127.0.0.1","zone":"home",
-            "internalPorts":[7380,7395],"seeds":["127.0.0.1:8144"],"bounds":{{"cancelMs":{cancel_ms}}}}}"#
+            "internalPorts":[7380,7395],"seeds":["127.0.0.1:8144"],"limits":{{"cpuShare":{cpu_share}}},
+            "bounds":{{"cancelMs":{cancel_ms}}}}}"#
         );
         let settings = Settings::parse(settings.as_bytes()).expect("settings");
         let (network, mut inbox) = Network::bind(NetworkSettings::new(loopback())).await.expect("network");
@@ -113,6 +119,19 @@
         self.learn(Key::Configuration, version, value);
     }
 
+    /// Another edge is there.
+    pub fn learn_edge(&self, incarnation: u64, address: SocketAddr, zone: &str) {
+        let node = NodeRecord {
+            role: Role::Edge,
+            name: format!("edge-{incarnation}"),
+            incarnation,
+            member: 0,
+            address,
+            zone: zone.to_owned(),
+        };
+        self.learn(Key::Node(incarnation), 1, Value::Node(node));
+    }
+
     fn learn_backend(&self) {
         let node = NodeRecord {
             role: Role::Backend,
--- a/system/data/tests/rollout_driver.rs
+++ b/system/data/tests/rollout_driver.rs
@@ -64,6 +64,20 @@
     });
 }
 
+/// Two edges share six connections to the store, which has more slots: the other generations wait in the plan, where any store may get them.
+#[test]
+fn no_more_generations_are_placed_at_a_store_than_it_may_have_connections() {
+    run(async {
+        let world = World::start(Route::default()).await;
+        let a = engine("a", |_| Does::HangAfter(1)).await;
+        world.learn_engine(&a);
+        world.shared.stores.set_limit("engines", 6, 2);
+        world.drive(job("j", 1, 8));
+        until("three requests", || a.heard().len() == 3).await;
+        assert_eq!(world.shared.counts.count("a"), 3);
+    });
+}
+
 #[test]
 fn an_item_is_sent_as_it_was_submitted() {
     run(async {
--- a/system/data/tests/rollout_front.rs
+++ b/system/data/tests/rollout_front.rs
@@ -3,6 +3,8 @@
 mod common;
 mod rollout_common;
 
+use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use base64::engine::general_purpose::STANDARD;
@@ -10,7 +12,8 @@
 use bytes::Bytes;
 use gingerledge_data::{rollout, CloseConnection, Reply, ReplyBody};
 use gingerledge_protocol::{ItemState, ResultPage};
-use gingerledge_wire::{JobRecord, JobsRequest, JobsResponse, ResultRecord};
+use gingerledge_transport::{Incoming, Network, NetworkSettings};
+use gingerledge_wire::{Envelope, JobRecord, JobsMessage, JobsRequest, JobsResponse, ResultRecord};
 use http_body_util::BodyExt;
 use hyper::http::{Method, Request, StatusCode};
 use rollout_common::*;
@@ -92,6 +95,84 @@
     });
 }
 
+/// Another edge, which only notes what it is sent.
+async fn other_edge() -> (SocketAddr, Rc<RefCell<Vec<JobsMessage>>>) {
+    let (network, mut inbox) =
+        Network::<Envelope>::bind(NetworkSettings::new(loopback())).await.expect("network");
+    let messages = Rc::new(RefCell::new(Vec::new()));
+    let received = Rc::clone(&messages);
+    let address = network.local_address();
+    tokio::task::spawn_local(async move {
+        while let Some(incoming) = inbox.next().await {
+            if let Incoming::Message { message: Envelope::Jobs(message), .. } = incoming {
+                received.borrow_mut().push(message);
+            }
+        }
+        drop(network);
+    });
+    (address, messages)
+}
+
+/// An edge that carries six streams and drives a batch job of four items, none of which ends; and the stores.
+async fn loaded_edge() -> (World, [Engine; 2]) {
+    let world = World::start_on(Route::default(), 3_000, 0.002).await;
+    let engine = |id| Engine::start(id, 2, |_| Does::HangAfter(1));
+    let engines = [engine("a").await, engine("b").await];
+    engines.iter().for_each(|engine| world.learn_engine(engine));
+    assert_eq!(world.status(hand_in("j", submitted(&job("j", 1, 4)), 5_000)).await, StatusCode::ACCEPTED);
+    until("its streams", || requests(&engines) == 4).await;
+    (world, engines)
+}
+
+fn requests(engines: &[Engine]) -> usize {
+    engines.iter().map(|engine| engine.heard().len()).sum()
+}
+
+#[test]
+fn a_batch_job_beyond_what_the_edge_carries_is_driven_by_another_edge_of_its_zone() {
+    run(async {
+        let (world, engines) = loaded_edge().await;
+        let (delegate, messages) = other_edge().await;
+        let (of_other_zone, messages_of_other_zone) = other_edge().await;
+        world.learn_edge(8, delegate, "home");
+        world.learn_edge(9, of_other_zone, "away");
+        // The second submission is that of a client whose answer was lost.
+        for _ in 0..2 {
+            let status = world.status(hand_in("k", submitted(&job("k", 1, 3)), 5_000)).await;
+            assert_eq!(status, StatusCode::ACCEPTED);
+        }
+        until("the assignment", || !messages.borrow().is_empty()).await;
+        world.backend.send(world.shared.address(), JobsMessage::StopDriver { job: "k".to_owned(), term: 1 });
+        until("the end", || messages.borrow().len() == 2).await;
+        let [JobsMessage::AssignDriver { job, term: 1, .. }, JobsMessage::StopDriver { job: ended, term: 1 }] =
+            &messages.borrow()[..]
+        else {
+            panic!("{:?}", messages.borrow())
+        };
+        assert_eq!((job.id.as_str(), ended.as_str()), ("k", "k"));
+        assert!(messages_of_other_zone.borrow().is_empty());
+        assert_eq!(requests(&engines), 4, "this edge starts none of its items");
+    });
+}
+
+#[parameterized(
+    it_carries_both = { 2, true },
+    it_knows_no_other_edge = { 3, false },
+)]
+fn a_batch_job_is_driven_by_the_edge_that_took_it_where(items: usize, is_other_known: bool) {
+    run(async {
+        let (world, engines) = loaded_edge().await;
+        let (delegate, messages) = other_edge().await;
+        if is_other_known {
+            world.learn_edge(8, delegate, "home");
+        }
+        let status = world.status(hand_in("k", submitted(&job("k", 1, items)), 5_000)).await;
+        assert_eq!(status, StatusCode::ACCEPTED);
+        until("its streams", || requests(&engines) == 4 + items).await;
+        assert!(messages.borrow().is_empty());
+    });
+}
+
 #[test]
 fn the_backend_stores_the_batch_job_as_the_trainer_sent_it() {
     run(async {
--- a/testkit/system/src/store.rs
+++ b/testkit/system/src/store.rs
@@ -52,6 +52,8 @@
     pub versions: BTreeMap<String, u64>,
     /// The highest fencing token seen.
     pub fence: u64,
+    /// The fencing tokens of orders that were refused since a higher one had been seen.
+    pub refused_tokens: Vec<u64>,
     /// Heartbeats that were acknowledged.
     pub acknowledged: u64,
     /// Whether it says that it drains.
@@ -191,6 +193,7 @@
     };
     let mut ledger = locked(ledger);
     if order.fencing_token < ledger.fence {
+        ledger.refused_tokens.push(order.fencing_token);
         return plain(412, &[], "");
     }
     ledger.fence = order.fencing_token;
