--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -9,22 +9,23 @@
     [ -x "$program" ] || { echo "not built: ${program#"$root"/}" >&2; exit 2; }
 done
 work=$(mktemp -d) || exit 2
-stand_in_id=
+timeout_id=
 end_all() {
-    [ -z "$stand_in_id" ] || kill -KILL "$stand_in_id" 2>/dev/null
+    if [ -n "$timeout_id" ]; then
+        kill -TERM "$timeout_id" 2>/dev/null
+        wait "$timeout_id" 2>/dev/null
+    fi
+    # The stand-in ends its processes itself and then removes the list; it is left only if the stand-in was killed.
     if [ -f "$work/process-ids" ]; then
         while read -r id; do kill -KILL "$id" 2>/dev/null; done <"$work/process-ids"
     fi
-    rm -rf -- "$work"
+    rm -rf -- "$work" 2>/dev/null || { sleep 0.5; rm -rf -- "$work"; }
 }
 trap end_all EXIT
 trap 'exit 2' INT TERM HUP
-"$stand_in" "$root/target/release" "$work" "$here/record.txt" "${TROUBLE:-1}" &
-stand_in_id=$!
-(sleep 110 && kill -KILL "$stand_in_id") >/dev/null 2>&1 &
-watchdog_id=$!
-wait "$stand_in_id"
+timeout --kill-after=1 110 "$stand_in" "$root/target/release" "$work" "$here/record.txt" "${TROUBLE:-1}" &
+timeout_id=$!
+wait "$timeout_id"
 result=$?
-kill "$watchdog_id" 2>/dev/null
-stand_in_id=
+timeout_id=
 case $result in 0 | 1) exit "$result" ;; *) exit 2 ;; esac
--- a/review/3/surplus_failure.rs
+++ b/review/3/surplus_failure.rs
@@ -352,9 +352,10 @@
     }
 }
 
-/// The processes of the deployment. They are killed when this is dropped.
+/// The processes of the deployment. They are killed when this is dropped, and the list of their ids is removed.
 struct Fleet {
     children: Vec<Child>,
+    process_ids: PathBuf,
 }
 
 impl Drop for Fleet {
@@ -363,6 +364,7 @@
             let _ = child.kill();
             let _ = child.wait();
         }
+        let _ = fs::remove_file(&self.process_ids);
     }
 }
 
@@ -475,8 +477,9 @@
 }
 
 fn start_fleet(network: u8, programs: &Path, folder: &Path) -> io::Result<Fleet> {
-    let mut fleet = Fleet { children: Vec::new() };
-    let mut process_ids = File::create(folder.join("process-ids"))?;
+    let list = folder.join("process-ids");
+    let mut process_ids = File::create(&list)?;
+    let mut fleet = Fleet { children: Vec::new(), process_ids: list };
     for machine in machines(network) {
         let program = match machine.class {
             "core" => "gingerledge-control",
