--- a/review/3/surplus_failure.rs
+++ b/review/3/surplus_failure.rs
@@ -28,15 +28,15 @@
 /// Stores of the service that makes samples. One of them is in trouble: 1 of 7 is less than the share of 0.15 of the pages.
 const SAMPLE_STORES: usize = 7;
 const TROUBLED_STORE: usize = 0;
-/// Doses of the pages: how long, which part of the requests of a store fails, which part of the answers is spoiled.
+/// Doses of the pages: how long, which part of the requests of the troubled store fails, which part of its answers is spoiled.
 const TROUBLE_TIME: Duration = Duration::from_millis(4900);
 const MAX_FAILED_PART: f64 = 0.4;
 const MAX_SPOILED_PART: f64 = 0.03;
 
-const BATCH_JOBS: usize = 12;
-const GROUPS_PER_JOB: usize = 8;
+const BATCH_JOBS: usize = 16;
+const GROUPS_PER_JOB: usize = 16;
 const ITEMS_PER_GROUP: usize = 4;
-const BETWEEN_JOBS: Duration = Duration::from_millis(450);
+const BETWEEN_JOBS: Duration = Duration::from_millis(300);
 const EVENTS: usize = 5;
 const BETWEEN_EVENTS: Duration = Duration::from_millis(20);
 
@@ -59,6 +59,8 @@
     chosen: Vec<String>,
     /// Requests for samples since the start of the disruption, at the troubled store and at all.
     troubled_requests: u32,
+    /// Answers to these that the troubled store has sent whole.
+    troubled_answers: u32,
     requests: u32,
     failed: u32,
     spoiled: u32,
@@ -290,6 +292,7 @@
             if is_spoiled {
                 *surplus = Some((id.to_owned(), answer.clone()));
             }
+            self.count_answer();
             return stream.write_all(answer.as_bytes());
         }
         let head = format!(
@@ -305,10 +308,21 @@
             stream.write_all(format!("{:x}\r\n{data}\r\n", data.len()).as_bytes())?;
         }
         stream.write_all(b"0\r\n\r\n")?;
+        self.count_answer();
         self.world.note(&format!("store {} answers item {id}, run {run}: 200, whole", self.id));
         Ok(())
     }
 
+    /// Counts an answer of the troubled store, from the start of the disruption on.
+    fn count_answer(&self) {
+        let mut seen = lock(&self.world.seen);
+        if self.number == TROUBLED_STORE
+            && seen.trouble_since.is_some_and(|since| since.elapsed() < TROUBLE_TIME)
+        {
+            seen.troubled_answers += 1;
+        }
+    }
+
     /// Counts a run of an item. Returns its number, whether it fails, and whether its answer comes twice.
     fn decide(&self, id: &str) -> (u32, bool, bool) {
         let trouble = self.world.trouble;
@@ -331,7 +345,7 @@
             return (run, false, false);
         }
         let may_fail = f64::from(seen.failed + 2) <= MAX_FAILED_PART * f64::from(seen.troubled_requests);
-        let may_spoil = f64::from(seen.spoiled + 1) <= MAX_SPOILED_PART * f64::from(seen.requests);
+        let may_spoil = f64::from(seen.spoiled + 1) <= MAX_SPOILED_PART * f64::from(seen.troubled_answers);
         let is_chosen = seen.chosen.iter().any(|chosen| chosen == id);
         let (fails, is_spoiled) = if is_chosen {
             (seen.failures.get(id).is_some_and(|&failures| failures < 2), false)
@@ -661,12 +675,13 @@
     let summary = format!(
         concat!(
             "{} requests for samples in the time of the disruption; {} at the troubled store, of which {} were answered 500; ",
-            "{} surplus answers; {} items failed twice; {} results break the rule"
+            "{} surplus answers beside its {} answers; {} items failed twice; {} results break the rule"
         ),
         seen.requests,
         seen.troubled_requests,
         seen.failed,
         seen.spoiled,
+        seen.troubled_answers,
         seen.failures.values().filter(|&&failures| failures == 2).count(),
         broken
     );
