Continue copies of partitions instead of starting them again while they are under way

With many partitions on one link a round trip lasts longer than 200 ms, so the repeats filled the link and the copies did not end (congestion collapse, RFC 896).

An overdue transfer is probed with an empty chunk, which the receiver acknowledges with what it holds; only that answer sets the transfer back. The probe's timer follows the measured round trip and doubles, as does that of the request to resume. The same on the path of entries: what is in flight is bounded in bytes, and an overdue follower is asked with an empty message. No message changes on the wire, so older processes understand all of it.

--- a/system/chain/src/interface.rs
+++ b/system/chain/src/interface.rs
@@ -216,3 +216,23 @@
         epoch: u64,
     },
 }
+
+/// A snapshot that a replica sends to one follower, for a host that limits how many are sent at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OutgoingSnapshot {
+    /// The follower.
+    pub receiver: MemberId,
+    /// How far the transfer is.
+    pub state: OutgoingSnapshotState,
+}
+
+/// How far the transfer of a snapshot is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OutgoingSnapshotState {
+    /// The host has not encoded the snapshot yet.
+    Waiting,
+    /// The snapshot is being sent.
+    Sending,
+    /// The receiver has answered none of several probes.
+    Stalled,
+}
--- a/system/chain/src/lib.rs
+++ b/system/chain/src/lib.rs
@@ -19,8 +19,8 @@
 
 pub use control_chain::ControlChain;
 pub use interface::{
-    Action, ChainAction, ChainEvent, Event, MembershipAction, MembershipEvent, ReplicaAction, ReplicaEvent,
-    ViewAction, ViewEvent,
+    Action, ChainAction, ChainEvent, Event, MembershipAction, MembershipEvent, OutgoingSnapshot,
+    OutgoingSnapshotState, ReplicaAction, ReplicaEvent, ViewAction, ViewEvent,
 };
 pub use members::{MemberId, Membership, View};
 pub use message::{AgreementMessage, ChainMessage, Heartbeat, ProposalNumber, ReplicaMessage};
--- a/system/chain/src/replica/mod.rs
+++ b/system/chain/src/replica/mod.rs
@@ -28,8 +28,8 @@
 use std::time::Duration;
 
 use crate::{
-    Event, LogRecord, MemberId, ReplicaAction, ReplicaEvent, ReplicaMessage, ReplicaSettings, View,
-    ViewAction, ViewEvent,
+    Event, LogRecord, MemberId, OutgoingSnapshot, ReplicaAction, ReplicaEvent, ReplicaMessage,
+    ReplicaSettings, View, ViewAction, ViewEvent,
 };
 use barrier::Barriers;
 use log::Log;
@@ -191,6 +191,18 @@
         self.log.last_index()
     }
 
+    /// Whether this member waits for [`Event::SnapshotReady`] because a follower needs a snapshot. The host may delay it, to limit
+    /// the number of snapshots that are sent at a time.
+    #[must_use]
+    pub fn awaits_snapshot(&self) -> bool {
+        self.is_snapshot_requested && self.followers.iter().any(Progress::needs_snapshot)
+    }
+
+    /// The snapshots that followers need from this member.
+    pub fn outgoing_snapshots(&self) -> impl Iterator<Item = OutgoingSnapshot> + '_ {
+        self.followers.iter().filter_map(Progress::outgoing_snapshot)
+    }
+
     /// Stops taking part in an epoch from now on. The caller must make the seal durable before it sends a message that depends on
     /// it.
     pub fn seal_in_memory(&mut self, epoch: u64) {
--- a/system/chain/src/replica/replication.rs
+++ b/system/chain/src/replica/replication.rs
@@ -63,6 +63,10 @@
         let is_sender = |follower: &&mut Progress| follower.member == from && follower.role == role;
         let Some(follower) = self.followers.iter_mut().find(is_sender) else { return };
         follower.last_message_at = now;
+        if last_index < compacted_index && follower.needs_snapshot() {
+            // The transfer is under way already. The probe of an overdue one finds out if the follower has lost what it received.
+            return;
+        }
         follower.last_progress_at = now;
         follower.in_sync_index = in_sync_index;
         if last_index < compacted_index {
@@ -109,15 +113,14 @@
             return;
         };
         follower.last_message_at = now;
-        if let ProgressState::Snapshot { index: Some(index), .. } = follower.state {
-            if durable_index >= index {
+        if let ProgressState::Snapshot(transfer) = &follower.state {
+            if transfer.index().is_some_and(|index| durable_index >= index) {
                 follower.become_replicate(durable_index);
                 follower.last_progress_at = now;
                 self.send_batch(from, out);
             }
         } else if durable_index > follower.acked_index {
-            follower.acked_index = durable_index;
-            follower.next_index = follower.next_index.max(durable_index + 1);
+            follower.on_entries_acked(durable_index);
             follower.last_progress_at = now;
         }
         if self.successor() == Some(from) {
@@ -146,12 +149,8 @@
             return;
         };
         follower.last_message_at = now;
-        if let ProgressState::Snapshot { index: Some(index), received_bytes, sent_bytes } =
-            &mut follower.state
-        {
-            if *index == snapshot_index && acked_bytes > *received_bytes {
-                *received_bytes = acked_bytes;
-                *sent_bytes = (*sent_bytes).max(Some(acked_bytes));
+        if let ProgressState::Snapshot(transfer) = &mut follower.state {
+            if transfer.on_chunk_ack(now, snapshot_index, acked_bytes) {
                 follower.last_progress_at = now;
             }
         }
@@ -197,7 +196,8 @@
         let Some(follower) = self.followers.iter().find(|follower| follower.member == member) else {
             return false;
         };
-        let is_window_open = follower.next_index <= follower.acked_index + self.settings.max_inflight_entries;
+        let is_window_open = follower.next_index <= follower.acked_index + self.settings.max_inflight_entries
+            && follower.inflight_bytes() < self.settings.max_inflight_bytes;
         follower.state == ProgressState::Replicate
             && is_window_open
             && follower.next_index <= self.sendable_index(follower)
@@ -215,7 +215,19 @@
             return false;
         }
         let commands = self.next_batch(follower.next_index, self.sendable_index(follower));
+        self.send_entries(position, commands, out)
+    }
+
+    /// Sends entries to a follower. Without any, the message only asks for an acknowledgement. Returns whether it sent any.
+    fn send_entries(
+        &mut self,
+        position: usize,
+        commands: Vec<Vec<u8>>,
+        out: &mut Vec<ReplicaAction>,
+    ) -> bool {
+        let follower = &self.followers[position];
         let sent_entries = commands.len() as u64;
+        let sent_bytes = commands.iter().map(Vec::len).sum();
         let message = ReplicaMessage::Append {
             epoch: self.epoch(),
             first_index: follower.next_index,
@@ -223,8 +235,8 @@
             commit_index: self.log.commit_index(),
             in_sync_index: follower.in_sync_index,
         };
-        out.push(ReplicaAction::Send { to: member, message });
-        self.followers[position].next_index += sent_entries;
+        out.push(ReplicaAction::Send { to: follower.member, message });
+        self.followers[position].on_batch_sent(sent_entries, sent_bytes);
         sent_entries > 0
     }
 
@@ -273,26 +285,36 @@
         let resend_interval = self.settings.resend_interval;
         let has_uncommitted = self.has_uncommitted();
         let overdue = self.followers.iter().filter(|follower| {
-            follower.is_outstanding(has_uncommitted) && follower.last_progress_at + resend_interval <= now
+            follower.is_outstanding(has_uncommitted) && follower.resend_at(resend_interval) <= now
         });
         for member in overdue.map(|follower| follower.member).collect::<Vec<_>>() {
             self.resend_to(now, member, out);
         }
     }
 
+    /// Asks a follower for an acknowledgement, without sending again what may still be on the way: it answers with what it holds, or
+    /// requests the entries that it lacks.
     fn resend_to(&mut self, now: Duration, member: MemberId, out: &mut Vec<ReplicaAction>) {
-        let Some(follower) = self.followers.iter_mut().find(|follower| follower.member == member) else {
+        let epoch = self.epoch();
+        let can_send_entries = self.can_send_to(member);
+        let Some(position) = self.followers.iter().position(|follower| follower.member == member) else {
             return;
         };
+        let follower = &mut self.followers[position];
         follower.last_progress_at = now;
-        match &mut follower.state {
+        match &follower.state {
             ProgressState::Probe => self.request_resume(now, out),
-            ProgressState::Snapshot { received_bytes, sent_bytes, .. } => {
-                *sent_bytes = (*received_bytes > 0).then_some(*received_bytes);
+            ProgressState::Snapshot(_) => {
+                if let Some(snapshot) = &self.snapshot {
+                    follower.probe_transfer(epoch, snapshot, out);
+                }
             }
-            ProgressState::Replicate => {
+            ProgressState::Replicate if can_send_entries => {
                 self.send_batch(member, out);
             }
+            ProgressState::Replicate => {
+                self.send_entries(position, Vec::new(), out);
+            }
         }
     }
 
@@ -303,7 +325,7 @@
         }
         let has_uncommitted = self.has_uncommitted();
         let outstanding = self.followers.iter().filter(|follower| follower.is_outstanding(has_uncommitted));
-        outstanding.map(|follower| follower.last_progress_at + self.settings.resend_interval).min()
+        outstanding.map(|follower| follower.resend_at(self.settings.resend_interval)).min()
     }
 
     /// Whether there are durable entries that are not committed, in a chain that is long enough to commit.
--- a/system/chain/src/replica/upstream.rs
+++ b/system/chain/src/replica/upstream.rs
@@ -9,6 +9,10 @@
 /// serve it.
 const LEARNER_IDLE_RESENDS: u32 = 2;
 
+/// Upper bound of the number of times that the interval between two requests to resume doubles. Low enough that a learner that waits
+/// for an answer is not evicted.
+const MAX_RESUME_DOUBLINGS: u32 = 2;
+
 /// The member from which entries are received in the current view, and the state of the reception.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Upstream {
@@ -17,6 +21,8 @@
     awaits_resume_reply: bool,
     /// When a [`ReplicaMessage::Resume`] was last sent, or a message from the source last arrived.
     last_message_at: Duration,
+    /// Number of requests to resume that were sent because of silence, since the last message from the source.
+    overdue_resumes: u32,
     /// Index of the last entry that the source knows to be committed.
     commit_index: u64,
     /// Index up to which entries must be durable at this member before it is in sync in the view.
@@ -50,6 +56,13 @@
         self.is_installing_snapshot
     }
 
+    /// Handles the arrival of entries or of a part of a snapshot from the source.
+    fn on_received(&mut self, now: Duration) {
+        self.awaits_resume_reply = false;
+        self.last_message_at = now;
+        self.overdue_resumes = 0;
+    }
+
     /// Whether nothing has been received in this view yet, so that there is nothing to acknowledge.
     fn has_received_nothing(&self) -> bool {
         self.awaits_resume_reply
@@ -125,8 +138,7 @@
             }
             return;
         }
-        self.upstream.awaits_resume_reply = false;
-        self.upstream.last_message_at = now;
+        self.upstream.on_received(now);
         self.upstream.incoming_snapshot = None;
         self.upstream.commit_index = self.upstream.commit_index.max(commit_index);
         self.upstream.in_sync_index = self.upstream.in_sync_index.or(in_sync_index);
@@ -159,9 +171,8 @@
             out.push(ReplicaAction::Send { to: from, message });
             return;
         }
-        self.upstream.last_message_at = now;
         // The chunk answers the `Resume`; the snapshot itself is acknowledged as soon as it is durable.
-        self.upstream.awaits_resume_reply = false;
+        self.upstream.on_received(now);
         let Some(received_bytes) = self.add_chunk(&chunk) else { return };
         let message =
             ReplicaMessage::SnapshotChunkAck { epoch: self.epoch(), index: chunk.index, received_bytes };
@@ -231,6 +242,7 @@
     /// Resends the request to resume if the source has sent nothing for too long.
     pub(super) fn resend_overdue_resume(&mut self, now: Duration, out: &mut Vec<ReplicaAction>) {
         if self.upstream_timer().is_some_and(|at| at <= now) {
+            self.upstream.overdue_resumes = self.upstream.overdue_resumes.saturating_add(1);
             self.send_resume(now, out);
         }
     }
@@ -242,7 +254,8 @@
             return None;
         }
         if self.upstream.awaits_resume_reply || (self.is_in_chain() && !self.in_sync) {
-            return Some(self.upstream.last_message_at + self.settings.resend_interval);
+            let doublings = self.upstream.overdue_resumes.min(MAX_RESUME_DOUBLINGS);
+            return Some(self.upstream.last_message_at + self.settings.resend_interval * 2u32.pow(doublings));
         }
         let is_learner = !self.is_in_chain();
         is_learner
--- a/system/chain/src/settings.rs
+++ b/system/chain/src/settings.rs
@@ -13,6 +13,8 @@
     pub batch_bytes: usize,
     /// Maximum number of entries in flight to a follower without acknowledgement.
     pub max_inflight_entries: u64,
+    /// Size of the entries in flight to a follower from which on no more are sent, in bytes.
+    pub max_inflight_bytes: usize,
     /// Maximum number of uncommitted entries at the head; further commands are rejected as busy.
     pub max_uncommitted_entries: u64,
     /// Maximum size of the commands at the head that are not committed and applied, in bytes; further commands are rejected as
@@ -45,6 +47,7 @@
             batch_entries: 256,
             batch_bytes: 256 * 1024,
             max_inflight_entries: 2048,
+            max_inflight_bytes: 512 * 1024,
             max_uncommitted_entries: 4096,
             max_uncommitted_bytes: 8 * 1024 * 1024,
             retain_entries: 1024,
--- a/system/chain/tests/simulation/mod.rs
+++ b/system/chain/tests/simulation/mod.rs
@@ -25,6 +25,7 @@
     ReplicaSettings {
         batch_entries: 4,
         max_inflight_entries: 16,
+        max_inflight_bytes: 96,
         retain_entries: 20,
         chunk_bytes: 16,
         ..settings
