Never send two requests with the same id on one connection to a store

Cause: a store may send an answer again, in front of the answer to the next request on the connection, and only the id tells them apart. An item keeps its id in all its runs, as do the attempts of one request and the calls for one reward. After an answer of 500 the connection went back into the pool, the next run went over it, and the surplus answer of the first run counted for the second.

Change: a connection keeps the hashes of the ids that it has carried, at most 256, and never carries a request with one of them again; then it is closed. At the limit of connections one that may not carry the request gives way to a new one. All requests to stores go through this pool: forwarded requests, runs of items, and reward calls. Orders to stores have no id; their repeats ask for the same order, so it doesn't matter which of the answers counts.

--- a/system/data/src/stores/client.rs
+++ b/system/data/src/stores/client.rs
@@ -11,6 +11,7 @@
 use hyper::http::{HeaderValue, Method, Request, Response};
 use tokio::time::timeout;
 
+use super::carried_ids::IdHash;
 use super::pool::{ConnectionPool, ConnectionSource, PoolError, PooledConnection};
 use super::response_class::{classify_response, reported_load, ResponseClass};
 use super::{AttemptError, AttemptTimeouts, StoreBody, StoreResponse, StoreTarget};
@@ -102,9 +103,10 @@
     ) -> Result<(PooledConnection, Response<Incoming>), AttemptError> {
         let started_at = Instant::now();
         let limit = self.connection_limit(&target.service);
+        let id = IdHash::new(request.headers().get(headers::ATTEMPT_ID).map_or(&[], HeaderValue::as_bytes));
         let mut source = ConnectionSource::IdleOrNew;
         loop {
-            let acquired = self.pool.acquire(target, limit, timeouts.connect, source).await;
+            let acquired = self.pool.acquire(target, id, limit, timeouts.connect, source).await;
             let mut connection = acquired.map_err(to_attempt_error)?;
             if !target.accepts_requests.get() {
                 return Err(AttemptError::StoreRemoved);
--- a/system/data/src/stores/connection.rs
+++ b/system/data/src/stores/connection.rs
@@ -1,6 +1,6 @@
 //! One connection to a store: a hyper client, and the task that drives its I/O until the connection is dropped.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +12,8 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::carried_ids::CarriedIds;
+
 /// Size of the read buffer, which bounds the response head and the part of a body that has not been forwarded yet.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -21,6 +23,8 @@
     pub sender: http1::SendRequest<Full<Bytes>>,
     /// When the connection became idle, on the clock of its pool; `None` while it carries a request.
     pub idle_since: Rc<Cell<Option<Duration>>>,
+    /// The ids of the requests that the connection has carried.
+    pub carried_ids: RefCell<CarriedIds>,
     /// Slot that the connection occupies in its pool.
     pub slot: S,
     task: AbortHandle,
@@ -44,7 +48,8 @@
                 on_closed(idle_since_at_close.get());
             }
         });
-        Some(Self { sender, idle_since, slot, task: task.abort_handle() })
+        let carried_ids = RefCell::default();
+        Some(Self { sender, idle_since, carried_ids, slot, task: task.abort_handle() })
     }
 }
 
--- a/system/data/src/stores/mod.rs
+++ b/system/data/src/stores/mod.rs
@@ -2,6 +2,7 @@
 //! attempt fails.
 
 mod attempt;
+mod carried_ids;
 mod client;
 mod connection;
 mod health;
--- a/system/data/src/stores/pool.rs
+++ b/system/data/src/stores/pool.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use super::carried_ids::IdHash;
 use super::connection::Connection;
 use super::StoreTarget;
 
@@ -100,29 +101,43 @@
         self.total_connection_limit.set(limit);
     }
 
-    /// Acquires a connection to a store: an idle one if there is one, or a new one if fewer than `limit` are open. Otherwise waits
-    /// up to `connect_timeout` until a connection is released.
+    /// Acquires a connection to a store for a request with the id `id`: an idle one that has carried no request with this id, or a
+    /// new one if fewer than `limit` are open. Otherwise waits up to `connect_timeout` until a connection is released.
     pub(super) async fn acquire(
         &self,
         target: &StoreTarget,
+        id: IdHash,
         limit: usize,
         connect_timeout: Duration,
         source: ConnectionSource,
     ) -> Result<PooledConnection, PoolError> {
         let store = self.store(target);
+        let connection = self.acquire_from(&store, id, limit, connect_timeout, source).await?;
+        connection.carried_ids.borrow_mut().add(id);
+        Ok(connection)
+    }
+
+    async fn acquire_from(
+        &self,
+        store: &Rc<StorePool>,
+        id: IdHash,
+        limit: usize,
+        connect_timeout: Duration,
+        source: ConnectionSource,
+    ) -> Result<PooledConnection, PoolError> {
         if source == ConnectionSource::IdleOrNew {
-            if let Some(connection) = store.take_idle().await {
+            if let Some(connection) = store.take_idle(id).await {
                 return Ok(connection);
             }
         }
-        if store.open_connections.get() < limit {
-            return self.open(&store, connect_timeout).await;
+        if store.has_free_slot(limit) {
+            return self.open(store, connect_timeout).await;
         }
-        let wait = store.wait_for_release(limit, source);
+        let wait = store.wait_for_release(id, limit, source);
         match timeout(connect_timeout, wait).await {
             Err(_elapsed) => Err(PoolError::LimitReached),
             Ok(Some(connection)) => Ok(connection),
-            Ok(None) => self.open(&store, connect_timeout).await,
+            Ok(None) => self.open(store, connect_timeout).await,
         }
     }
 
@@ -184,8 +199,11 @@
         }
     }
 
-    /// Returns a connection to the pool after a complete response.
+    /// Returns a connection to the pool after a complete response, or closes it if it may carry no further request.
     pub(super) fn release(self: &Rc<Self>, connection: PooledConnection) {
+        if connection.carried_ids.borrow().is_full() {
+            return;
+        }
         connection.idle_since.set(Some(self.clock_origin.elapsed()));
         self.idle_connections.borrow_mut().push(connection);
         self.released.notify_one();
@@ -222,10 +240,11 @@
         drop(expired);
     }
 
-    /// Takes an idle connection that is open and ready to send a request; closes expired ones on the way.
-    async fn take_idle(&self) -> Option<PooledConnection> {
+    /// Takes an idle connection that is open, ready to send a request, and has carried none with the id `id`; closes expired ones on
+    /// the way.
+    async fn take_idle(&self, id: IdHash) -> Option<PooledConnection> {
         loop {
-            let connection = self.idle_connections.borrow_mut().pop()?;
+            let connection = self.remove_idle(id)?;
             if connection.sender.is_closed() || self.is_expired(&connection) {
                 continue;
             }
@@ -239,16 +258,38 @@
         }
     }
 
+    /// Removes the idle connection that was used last among those that may carry a request with the id `id`.
+    fn remove_idle(&self, id: IdHash) -> Option<PooledConnection> {
+        let mut idle_connections = self.idle_connections.borrow_mut();
+        let position =
+            idle_connections.iter().rposition(|connection| connection.carried_ids.borrow().permits(id))?;
+        Some(idle_connections.remove(position))
+    }
+
+    /// Whether a new connection may be opened. At the limit, an idle connection is closed for it: one that may not carry the request.
+    fn has_free_slot(&self, limit: usize) -> bool {
+        if self.open_connections.get() >= limit {
+            let replaced = self.idle_connections.borrow_mut().pop();
+            drop(replaced);
+        }
+        self.open_connections.get() < limit
+    }
+
     /// Waits for an idle connection. Returns `None` when a new connection may be opened instead.
-    async fn wait_for_release(&self, limit: usize, source: ConnectionSource) -> Option<PooledConnection> {
+    async fn wait_for_release(
+        &self,
+        id: IdHash,
+        limit: usize,
+        source: ConnectionSource,
+    ) -> Option<PooledConnection> {
         loop {
             self.released.notified().await;
             if source == ConnectionSource::IdleOrNew {
-                if let Some(connection) = self.take_idle().await {
+                if let Some(connection) = self.take_idle(id).await {
                     return Some(connection);
                 }
             }
-            if self.open_connections.get() < limit {
+            if self.has_free_slot(limit) {
                 return None;
             }
         }
--- a/system/data/tests/rollout_checkpoints.rs
+++ b/system/data/tests/rollout_checkpoints.rs
@@ -3,6 +3,7 @@
 mod common;
 mod rollout_common;
 
+use common::runtime::run;
 use std::borrow::Cow;
 
 use gingerledge_data::rollout::event_stream::Event;
@@ -199,9 +200,3 @@
         assert_eq!(String::from_utf8_lossy(&world.backend.results("j")[0].text), whole_text("i0"));
     });
 }
-
-/// Runs a test on one thread.
-fn run(test: impl std::future::Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("runtime");
-    runtime.block_on(local(test));
-}
--- a/system/data/tests/rollout_common/engine.rs
+++ b/system/data/tests/rollout_common/engine.rs
@@ -47,6 +47,8 @@
     NothingMore,
     /// A whole answer of this status with the stamp `stamp of ID`.
     Answer(&'static str),
+    /// A whole answer of this status, and the same answer again in front of the one to the next request on the connection.
+    AnswerAgainLate(&'static str),
     /// 503 with `Not-Executed`.
     Refuse,
     /// Nothing.
@@ -128,7 +130,11 @@
 
 impl State {
     async fn serve(&self, mut stream: TcpStream) {
+        let mut surplus: Option<String> = None;
         while let Some(text) = read_request(&mut stream).await {
+            if let Some(answer) = surplus.take() {
+                say(&mut stream, &answer).await;
+            }
             let number = |name| header(&text, name).and_then(|value| value.parse().ok());
             let id = header(&text, "attempt-id").expect("an id");
             let nth = self.heard.borrow().iter().filter(|asked| asked.id == id).count();
@@ -140,6 +146,9 @@
                 || asked.expect_version.is_some_and(|version| version != self.version.get());
             let does =
                 if misdirected { Does::Answer("421 Misdirected Request") } else { (self.script)(&asked) };
+            if let Does::AnswerAgainLate(status) = does {
+                surplus = Some(whole_answer(status, &asked.id));
+            }
             if !self.take(&asked, does, &mut stream).await {
                 return;
             }
@@ -152,11 +161,8 @@
         let first = asked.last_event.unwrap_or(0) + 1;
         let events = |last: u64| (first..=last).map(|event| piece(id, event)).collect::<Vec<_>>();
         match does {
-            Does::Answer(status) => {
-                let answer = format!(
-                    "HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\nServer-Signature: stamp of {id}\r\nContent-Length: 2\r\n\r\nok"
-                );
-                say(stream, &answer).await
+            Does::Answer(status) | Does::AnswerAgainLate(status) => {
+                say(stream, &whole_answer(status, id)).await
             }
             Does::Refuse => {
                 let answer = format!(
@@ -212,6 +218,12 @@
     }
 }
 
+fn whole_answer(status: &str, id: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\nServer-Signature: stamp of {id}\r\nContent-Length: 2\r\n\r\nok"
+    )
+}
+
 fn piece(id: &str, event: u64) -> String {
     format!("id: {event}\ndata: {id}.{event}\n\n")
 }
--- a/system/data/tests/rollout_common/mod.rs
+++ b/system/data/tests/rollout_common/mod.rs
@@ -18,7 +18,7 @@
     StoreRecord, Value, PARTITION_COUNT,
 };
 
-pub use crate::common::runtime::{local, PATIENCE};
+pub use crate::common::runtime::PATIENCE;
 #[allow(unused_imports)]
 pub use backend::{Backend, Says};
 #[allow(unused_imports)]
--- a/system/data/tests/rollout_driver.rs
+++ b/system/data/tests/rollout_driver.rs
@@ -3,6 +3,7 @@
 mod common;
 mod rollout_common;
 
+use common::runtime::run;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -378,9 +379,3 @@
         assert_eq!(ran, BTreeSet::from(["i0".to_owned(), "i2".to_owned()]));
     });
 }
-
-/// Runs a test on one thread.
-fn run(test: impl std::future::Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("runtime");
-    runtime.block_on(local(test));
-}
--- a/system/data/tests/rollout_driver_lease.rs
+++ b/system/data/tests/rollout_driver_lease.rs
@@ -3,6 +3,7 @@
 mod common;
 mod rollout_common;
 
+use common::runtime::run;
 use std::time::Duration;
 
 use gingerledge_wire::{JobsMessage, JobsRequest, JobsResponse};
@@ -201,9 +202,3 @@
         assert_eq!((engine.open(), engine.heard().len()), (2, 2));
     });
 }
-
-/// Runs a test on one thread.
-fn run(test: impl std::future::Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("runtime");
-    runtime.block_on(local(test));
-}
--- a/system/data/tests/rollout_front.rs
+++ b/system/data/tests/rollout_front.rs
@@ -3,6 +3,7 @@
 mod common;
 mod rollout_common;
 
+use common::runtime::run;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -359,9 +360,3 @@
         assert_eq!((page.results.len(), page.next_page_token), (expected, 7 + expected as u64));
     });
 }
-
-/// Runs a test on one thread.
-fn run(test: impl std::future::Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("runtime");
-    runtime.block_on(local(test));
-}
--- a/system/data/tests/rollout_transcripts.rs
+++ b/system/data/tests/rollout_transcripts.rs
@@ -7,11 +7,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use common::runtime::local;
 use edge_common::{transcript, Client};
 use gingerledge_data::front::{self, Front, FrontLimits};
 use gingerledge_system_testkit::Transcript;
 use gingerledge_wire::JobsResponse;
-use rollout_common::{local, loopback, until, Does, Engine, Route, Says, World, EVENTS};
+use rollout_common::{loopback, until, Does, Engine, Route, Says, World, EVENTS};
 use tokio::net::TcpListener;
 
 const SUBMISSION: &str = concat!(
