--- a/system/jobs/src/backend/mod.rs
+++ b/system/jobs/src/backend/mod.rs
@@ -4,6 +4,7 @@
 //! durable as a whole or not at all, and passes [`BackendEvent::Durable`] once they are synced. Nothing is acknowledged earlier.
 
 mod record;
+mod snapshot_admission;
 mod write_queue;
 
 use std::net::SocketAddr;
@@ -140,6 +141,7 @@
             BackendEvent::Durable { token } => self.on_durable(now, token, out),
             BackendEvent::TimerExpired => self.on_timer_expired(now, out),
         }
+        self.admit_snapshots(now, out);
         if let Some(batch) = self.writes.close_batch(now) {
             out.push(BackendAction::Persist { token: batch.token, records: batch.records });
         }
@@ -265,6 +267,14 @@
         });
     }
 
+    /// Has partitions send the snapshots for which there are slots.
+    fn admit_snapshots(&mut self, now: Duration, out: &mut Vec<BackendAction>) {
+        for _ in 0..PARTITION_COUNT {
+            let Some(number) = snapshot_admission::next_admitted(&self.partitions) else { return };
+            self.with_partition(now, number, out, Partition::provide_snapshot);
+        }
+    }
+
     fn with_each_partition(
         &mut self,
         now: Duration,
--- a/system/jobs/src/partition/mod.rs
+++ b/system/jobs/src/partition/mod.rs
@@ -33,7 +33,8 @@
 use std::time::Duration;
 
 use gingerledge_chain::{
-    LogRecord, MemberId, ReplicaAction, ReplicaEvent, ReplicaMessage, View, ViewAction, ViewEvent,
+    LogRecord, MemberId, OutgoingSnapshot, ReplicaAction, ReplicaEvent, ReplicaMessage, View, ViewAction,
+    ViewEvent,
 };
 use gingerledge_wire::{DriverTerm, JobId, JobRecord, JobsRequest, JobsResponse, PartitionRecord};
 
@@ -59,6 +60,8 @@
 pub struct Partition {
     replica: ReplicaHost,
     state: AppliedState,
+    /// Number of members in sync, according to the newest record of the control plane.
+    in_sync_members: usize,
     /// Role of the replica for which the components below are initialized.
     role: Role,
     read_tokens: ReadTokens,
@@ -90,6 +93,7 @@
         Self {
             replica,
             state: AppliedState::default(),
+            in_sync_members: 0,
             role: Role::default(),
             read_tokens: ReadTokens::default(),
             reads: PendingReads::new(settings),
@@ -107,6 +111,9 @@
 
     /// Installs a chain that the control plane has set.
     pub fn install_chain(&mut self, context: &mut Context<'_>, record: &PartitionRecord) {
+        if record.epoch >= self.replica.epoch() {
+            self.in_sync_members = record.in_sync.len();
+        }
         for view in self.replica.views_to_install(record) {
             self.handle_replica_event(context, ReplicaEvent::View(ViewEvent::Install { view }));
         }
@@ -117,6 +124,34 @@
         self.handle_replica_event(context, ReplicaEvent::Message { from, message });
     }
 
+    /// Whether the replica waits for [`Partition::provide_snapshot`].
+    #[must_use]
+    pub fn awaits_snapshot(&self) -> bool {
+        self.replica.awaits_snapshot()
+    }
+
+    /// The snapshots that other members need from this replica.
+    pub fn outgoing_snapshots(&self) -> impl Iterator<Item = OutgoingSnapshot> + '_ {
+        self.replica.outgoing_snapshots()
+    }
+
+    /// Number of members in sync, according to the control plane.
+    #[must_use]
+    pub fn in_sync_members(&self) -> usize {
+        self.in_sync_members
+    }
+
+    /// Encodes the state and starts to send it to the member that needs it.
+    pub fn provide_snapshot(&mut self, context: &mut Context<'_>) {
+        match self.state.store().encode() {
+            Ok(bytes) => {
+                let index = self.state.index();
+                self.handle_replica_event(context, ReplicaEvent::SnapshotReady { index, bytes });
+            }
+            Err(error) => self.fail(context, &error),
+        }
+    }
+
     /// Handles the completion of writes: all records up to and including those of this token are durable.
     pub fn on_durable(&mut self, context: &mut Context<'_>, token: u64) {
         if let Some(event) = self.replica.durable_event(token) {
@@ -240,7 +275,6 @@
             ReplicaAction::Apply { index, command, should_reply } => {
                 self.apply(context, index, &command, should_reply);
             }
-            ReplicaAction::TakeSnapshot => self.take_snapshot(context),
             ReplicaAction::InstallSnapshot { index, bytes } => self.install_snapshot(context, index, &bytes),
             ReplicaAction::ReadReady { token, .. } => self.on_read_confirmed(context, token),
             ReplicaAction::ReadFailed { token } => self.on_read_failed(context, token),
@@ -252,7 +286,9 @@
                     persist(context, write);
                 }
             }
-            ReplicaAction::BecameInSync { .. }
+            // The backend decides when the snapshot is sent: see `Partition::provide_snapshot`.
+            ReplicaAction::TakeSnapshot
+            | ReplicaAction::BecameInSync { .. }
             | ReplicaAction::View(_)
             | ReplicaAction::BarrierCommitted { .. } => {}
         }
@@ -282,16 +318,6 @@
         }
     }
 
-    fn take_snapshot(&mut self, context: &Context<'_>) {
-        match self.state.store().encode() {
-            Ok(bytes) => {
-                let event = ReplicaEvent::SnapshotReady { index: self.state.index(), bytes };
-                self.replica.handle_event(context.now, event);
-            }
-            Err(error) => self.fail(context, &error),
-        }
-    }
-
     fn install_snapshot(&mut self, context: &Context<'_>, index: u64, bytes: &[u8]) {
         match self.state.install_snapshot(index, bytes) {
             Ok(()) => self.retention.observe_all(context.now, self.state.store()),
--- a/system/jobs/src/partition/replica_host.rs
+++ b/system/jobs/src/partition/replica_host.rs
@@ -3,7 +3,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use gingerledge_chain::{LogRecord, MemberId, Replica, ReplicaAction, ReplicaEvent, ReplicaSettings, View};
+use gingerledge_chain::{
+    LogRecord, MemberId, OutgoingSnapshot, Replica, ReplicaAction, ReplicaEvent, ReplicaSettings, View,
+};
 use gingerledge_wire::PartitionRecord;
 
 /// Maximum number of missed views that are installed one by one; a replica that missed more rejoins with a snapshot.
@@ -120,6 +122,16 @@
         (self.replica.is_in_sync() && !self.has_failed).then(|| self.replica.epoch())
     }
 
+    /// Whether the replica waits for a snapshot of the state, to send it to another member.
+    pub(super) fn awaits_snapshot(&self) -> bool {
+        self.replica.awaits_snapshot() && !self.has_failed
+    }
+
+    /// The snapshots that other members need from this replica.
+    pub(super) fn outgoing_snapshots(&self) -> impl Iterator<Item = OutgoingSnapshot> + '_ {
+        self.replica.outgoing_snapshots()
+    }
+
     /// Time at which [`ReplicaEvent::TimerExpired`] must be passed next.
     pub(super) fn next_timer(&self) -> Option<Duration> {
         self.replica.next_timer()
