Take entries of four fields in KNOWN-RED.txt, and those that are no tests of cargo

An entry is `name | command and seed | what was seen | issue`. Where the command is `cargo test`, the name has to be that of exactly one test, which is passed over; three at most, as before. Any other entry is printed and passes over nothing. As strict as before: no empty field, no name twice, no doc test, the number of an issue; and new: the command says its seed, or `no seed`, and an entry without a command of cargo may not have the name of a test, so that a forgotten command is noticed.

--- a/broker/tests/known_red.rs
+++ b/broker/tests/known_red.rs
@@ -75,6 +75,11 @@
     }
 }
 
+/// The entry of a test of cargo.
+fn cargo_entry(name: &str, issue: &str) -> String {
+    format!("{name} | cargo test -p x {name}, no seed | fails | {issue}")
+}
+
 #[test]
 fn an_absent_or_empty_list_passes_over_nothing() {
     for (name, list) in [("absent", None), ("empty", Some("")), ("blank", Some("\n  \n"))] {
@@ -84,36 +89,65 @@
 
 #[test]
 fn what_is_listed_is_passed_over_and_said() {
-    let one = "deep::known | a store's reset comes too late | issue 31";
+    let one = "deep::known | cargo test -p x deep::known, seed 7 | a store's reset comes too late | issue 31";
     let (skips, said) = Checkout::new("one", Some(one)).judged();
     assert_eq!(skips.unwrap(), ["--skip", "deep::known"]);
     assert_eq!(said, format!("passed over, known to fail: {one}\n"));
-    let three = format!("known | c | #31\n{one}\nknown_too | c: 2 of 3 | 31\n");
+    let three = format!("{}\n{one}\n{}\n", cargo_entry("known", "#31"), cargo_entry("known_too", "31"));
     let (skips, said) = Checkout::new("three", Some(&three)).judged();
     assert_eq!(skips.unwrap(), ["--skip", "known", "--skip", "deep::known", "--skip", "known_too"]);
     assert_eq!(said.lines().count(), 3, "{said}");
 }
 
+/// Guards against an entry for a day of the bench or a script that makes the run fail, or passes over a test.
+#[test]
+fn an_entry_that_is_no_test_of_cargo_is_said_and_passes_over_nothing() {
+    let day = "review/2 | bench run site.toml day.toml --seed 3 | LOST 14 | issue 59";
+    let said_of = |entry: &str| format!("known to fail, no test of cargo, passes over nothing: {entry}\n");
+    assert_eq!(Checkout::new("day", Some(day)).judged(), (Ok(vec![]), said_of(day)));
+    let soak = "soak_of_signals | target/release/soak --seed 7 | a request without an answer | issue 59";
+    assert_eq!(Checkout::new("soak", Some(soak)).judged(), (Ok(vec![]), said_of(soak)));
+    let test = cargo_entry("known", "31");
+    let (skips, said) = Checkout::new("mixed", Some(&format!("{day}\n{test}\n{soak}\n"))).judged();
+    assert_eq!(skips.unwrap(), ["--skip", "known"]);
+    assert_eq!(said.lines().count(), 3, "{said}");
+    let days = (1..6).map(|number| day.replace("review/2", &format!("review/{number}")));
+    let (skips, said) = Checkout::new("days", Some(&days.collect::<Vec<_>>().join("\n"))).judged();
+    assert_eq!((skips, said.lines().count()), (Ok(vec![]), 5));
+    let readme = "test --locked --workspace".to_owned();
+    let (called, well) = Checkout::new("run-day", Some(day)).run();
+    assert_eq!((called.last(), well), (Some(&readme), true), "{called:?}");
+}
+
 #[test]
 fn a_list_that_is_too_long_malformed_or_names_no_one_test_fails() {
-    let line = "known | c | issue 31";
+    let line = cargo_entry("known", "issue 31");
+    let malformed = "expected `name | command and seed | what was seen | number of the issue`";
+    let four: String = ["a", "b", "c", "d"].map(|name| cargo_entry(name, "1") + "\n").concat();
     for (name, list, fault) in [
-        ("four", "a | c | 1\nb | c | 1\nc | c | 1\nd | c | 1\n", "4 tests are listed, where three may be"),
-        ("unknown", "unknown | c | issue 31", "no test is called `unknown`"),
+        ("four", four.as_str(), "4 tests are listed, where three may be"),
+        ("unknown", &cargo_entry("unknown", "issue 31"), "no test is called `unknown`"),
         // No module is left out, and no part of a name is one.
-        ("part", "own | c | issue 31", "no test is called `own`"),
-        ("pattern", "know.* | c | issue 31", "expected `test name | cause | number of the issue`"),
-        ("bench", "measured | c | issue 31", "no test is called `measured`"),
-        ("second", &format!("{line}\nunknown | c | issue 31"), "no test is called `unknown`"),
-        ("shared", "twice | c | issue 31", "2 tests are called `twice`"),
+        ("part", &cargo_entry("own", "issue 31"), "no test is called `own`"),
+        ("pattern", &cargo_entry("know.*", "issue 31"), "`know.*`: a test of cargo has a path of Rust"),
+        ("bench", &cargo_entry("measured", "issue 31"), "no test is called `measured`"),
+        ("second", &format!("{line}\n{}", cargo_entry("unknown", "1")), "no test is called `unknown`"),
+        ("shared", &cargo_entry("twice", "issue 31"), "2 tests are called `twice`"),
         ("again", &format!("{line}\n{line}\n"), "`known` is listed twice"),
-        ("name", "known", "`known`: expected `test name | cause | number of the issue`"),
-        ("cause", "known |  | issue 31", "expected `test name | cause | number of the issue`"),
-        ("issue", "known | c | soon", "expected `test name | cause | number of the issue`"),
-        ("fields", "known | c | d | issue 31", "expected `test name | cause | number of the issue`"),
-        ("comment", "# none", "expected `test name | cause | number of the issue`"),
-        ("doc", "src/lib.rs - Aggregator (line 31) | c | issue 31", "doc tests can't be passed over"),
-        ("option", "--help | c | issue 31", "expected `test name | cause | number of the issue`"),
+        ("again-other", "a b | x, no seed | s | 1\na b | y, no seed | s | 1", "`a b` is listed twice"),
+        ("name", "known", malformed),
+        ("former", "known | cause | issue 31", malformed),
+        ("command", "known |  | seen | issue 31", malformed),
+        ("seed", "known | cargo test known | seen | issue 31", "`known`: its command says no seed"),
+        ("seed-other", "review/2 | run.sh | seen | issue 31", "`review/2`: its command says no seed"),
+        ("seen", "known | cargo test known, no seed |  | issue 31", malformed),
+        ("issue", "known | cargo test known, no seed | seen | soon", malformed),
+        ("fields", "known | cargo test known, no seed | c | d | issue 31", malformed),
+        ("comment", "# none", malformed),
+        ("doc", &cargo_entry("src/lib.rs - Aggregator (line 31)", "31"), "doc tests can't be passed over"),
+        ("option", &cargo_entry("--help", "issue 31"), "`--help`: a test of cargo has a path of Rust"),
+        // A test whose command was forgotten would be neither passed over nor noticed.
+        ("test", "known | run.sh, no seed | seen | 31", "`known` is a test of cargo, and its command isn't"),
     ] {
         let (judged, said) = Checkout::new(name, Some(list)).judged();
         assert_eq!(judged, Err(String::new()), "{name}: {said}");
@@ -130,9 +164,10 @@
         !called.iter().any(|call| call.contains("--list")),
         "nothing is built to look up no names: {called:?}"
     );
-    let (called, well) = Checkout::new("run-two", Some("known | c | 31\ndeep::known | c | 31\n")).run();
+    let [known, deep] = ["known", "deep::known"].map(|name| cargo_entry(name, "31"));
+    let (called, well) = Checkout::new("run-two", Some(&format!("{known}\n{deep}\n"))).run();
     let tests = format!("{readme} -- --exact --skip known --skip deep::known");
     assert_eq!((called.last(), well), (Some(&tests), true), "{called:?}");
-    let (called, well) = Checkout::new("run-unknown", Some("unknown | c | 31\n")).run();
+    let (called, well) = Checkout::new("run-unknown", Some(&cargo_entry("unknown", "31"))).run();
     assert!(!well && called.last().unwrap().contains("--list"), "no test runs: {called:?}");
 }
