Soak the scheduler with signals, restarts and changes in overlapping series

Clients keep using their open connections until the process is gone; edges are ended in overlapping series, some with a second SIGTERM; machines with a disk one at a time; SIGHUP comes in bursts; configurations follow each other; batch jobs run all the while. Judged in all: MIXED, TWICE, REFUSED, LOST of configurations, batch jobs, results and bodies, and processes that end by themselves or not in time.

--- a/system/bin/tests/common/mod.rs
+++ b/system/bin/tests/common/mod.rs
@@ -125,6 +125,7 @@
         models: if engine { vec!["m0".to_owned()] } else { Vec::new() },
         events: 8,
         pause: Duration::from_millis(5),
+        work: Duration::ZERO,
         heartbeat: Duration::from_millis(300),
     }
 }
--- a/system/control/tests/nodes/coordination.rs
+++ b/system/control/tests/nodes/coordination.rs
@@ -199,6 +199,7 @@
         models: vec!["a".to_owned(), "b".to_owned()],
         events: 1,
         pause: Duration::from_millis(1),
+        work: Duration::ZERO,
         heartbeat: Duration::from_millis(300),
     };
     Store::start(settings, (0..3).map(|node| cluster.address(node)).collect()).await.expect("a store")
--- a/testkit/system/src/bin/demo-rollout.rs
+++ b/testkit/system/src/bin/demo-rollout.rs
@@ -69,6 +69,7 @@
         models: if engine { vec!["m0".to_owned()] } else { Vec::new() },
         events: 10,
         pause: Duration::from_millis(10),
+        work: Duration::ZERO,
         heartbeat: Duration::from_millis(500),
     }
 }
--- a/testkit/system/src/bin/mixed-versions.rs
+++ b/testkit/system/src/bin/mixed-versions.rs
@@ -218,6 +218,7 @@
         models: if is_engine { vec![MODEL.to_owned()] } else { Vec::new() },
         events: 8,
         pause: Duration::from_millis(5),
+        work: Duration::ZERO,
         heartbeat: Duration::from_millis(300),
     }
 }
--- a/testkit/system/src/fleet.rs
+++ b/testkit/system/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::json;
@@ -219,6 +219,39 @@
         self.signal(name, Signal::CONT)
     }
 
+    /// Asks a machine's process to end, as the platform does before a planned stop.
+    ///
+    /// # Errors
+    ///
+    /// The signal can't be sent.
+    pub fn terminate(&self, name: &str) -> Result<(), FleetError> {
+        self.signal(name, Signal::TERM)
+    }
+
+    /// Tells a machine's process that its settings have changed.
+    ///
+    /// # Errors
+    ///
+    /// The signal can't be sent.
+    pub fn hang_up(&self, name: &str) -> Result<(), FleetError> {
+        self.signal(name, Signal::HUP)
+    }
+
+    /// The status with which a machine's process has ended, if it has; the machine may then be started again.
+    ///
+    /// # Errors
+    ///
+    /// The system can't tell.
+    pub fn take_ended(&mut self, name: &str) -> Result<Option<ExitStatus>, FleetError> {
+        let Some(node) = self.nodes.iter_mut().find(|node| node.name == name) else { return Ok(None) };
+        let Some(child) = &mut node.child else { return Ok(None) };
+        let status = child.try_wait().context(SystemSnafu { what: name })?;
+        if status.is_some() {
+            node.child = None;
+        }
+        Ok(status)
+    }
+
     fn signal(&self, name: &str, signal: Signal) -> Result<(), FleetError> {
         let process = self.process(name).and_then(|id| Pid::from_raw(i32::try_from(id).ok()?));
         let Some(process) = process else { return Ok(()) };
--- a/testkit/system/src/lib.rs
+++ b/testkit/system/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fault_days;
 mod fleet;
 mod operator;
+pub mod soak;
 mod store;
 mod trainer;
 mod transcript;
--- /dev/null
+++ b/testkit/system/src/soak/report.rs
@@ -0,0 +1,50 @@
+//! What a soak has found.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::path::{Path, PathBuf};
+
+/// Violations of the rules, and counts of what happened.
+#[derive(Clone, Debug)]
+pub struct SoakReport {
+    /// What the rules forbid, a line each.
+    pub violations: Vec<String>,
+    /// How often what happened.
+    pub counts: BTreeMap<&'static str, u64>,
+    /// The requests of clients that may run once at most, or that were promised not to run.
+    pub(super) requests: Vec<RequestRecord>,
+    folder: PathBuf,
+}
+
+/// A request of a client, and what the client was told.
+#[derive(Clone, Debug)]
+pub(super) struct RequestRecord {
+    pub id: String,
+    pub is_idempotent: bool,
+    /// Whether the answer promised that the request has not run and never will.
+    pub is_promised_not_run: bool,
+}
+
+impl SoakReport {
+    pub(super) fn new(folder: &Path) -> Self {
+        let (violations, counts, requests) = (Vec::new(), BTreeMap::new(), Vec::new());
+        Self { violations, counts, requests, folder: folder.to_owned() }
+    }
+
+    pub(super) fn count(&mut self, what: &'static str) {
+        *self.counts.entry(what).or_default() += 1;
+    }
+}
+
+impl fmt::Display for SoakReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:?}", self.counts)?;
+        for violation in &self.violations {
+            write!(formatter, "\n  VIOLATION {violation}")?;
+        }
+        if !self.violations.is_empty() {
+            write!(formatter, "\n  logs and disks in {}", self.folder.display())?;
+        }
+        Ok(())
+    }
+}
--- a/testkit/system/src/store.rs
+++ b/testkit/system/src/store.rs
@@ -37,6 +37,8 @@
     pub events: u64,
     /// The time between two events.
     pub pause: Duration,
+    /// The time that a request other than a stream takes.
+    pub work: Duration,
     /// The time between two heartbeats.
     pub heartbeat: Duration,
 }
@@ -161,6 +163,10 @@
             let model = header("Model");
             let expected = header("Expect-Version").and_then(|version| version.parse::<u64>().ok());
             let _ = request.into_body().collect().await;
+            if model.is_none() {
+                *locked(&ledger).runs.entry(id.clone()).or_default() += 1;
+                tokio::time::sleep(settings.work).await;
+            }
             Ok(run(&settings, ledger, id, after, model, expected))
         }
     }
@@ -219,7 +225,6 @@
 ) -> Response<Body> {
     let signature = format!("stamp.{}.{id}", settings.id);
     let Some(model) = model else {
-        *locked(&ledger).runs.entry(id.clone()).or_default() += 1;
         let headers = [("Attempt-Id", id.as_str()), ("Server-Signature", signature.as_str())];
         return plain(200, &headers, "the store's bytes");
     };
