Retransmit requests to backends less and less often

Related to the copies that start again: an edge sent a request without a response again every 400 ms, whole, also while the backend had not read the first copy yet. A request may be as long as a batch job (16 MB), and its partition answers nothing while it has no tail in sync, so the repeats of all edges filled the links that the copies need.

A new chain or address, and lost messages, still get the request at once: the destination is looked up every 400 ms as before.

--- a/system/data/src/rollout/backend_client.rs
+++ b/system/data/src/rollout/backend_client.rs
@@ -13,9 +13,10 @@
 use gingerledge_wire::{partition_of, Envelope, JobsMessage, JobsRequest, JobsResponse, Registry, Role};
 use tokio::sync::Notify;
 
+use super::retransmission::{Destination, Retransmission};
 use crate::Shared;
 
-/// The time without a response after which a request is retransmitted.
+/// The time without a response after which a request is first retransmitted, and the interval at which its destination is looked up.
 const RETRANSMIT_INTERVAL: Duration = Duration::from_millis(400);
 /// The backoff after a backend was unavailable, or no backend of the partition is known.
 const UNAVAILABLE_BACKOFF: Duration = Duration::from_millis(50);
@@ -114,22 +115,28 @@
         retransmit_interval: Duration,
     ) -> (Option<JobsResponse>, u32) {
         let mut response = pin!(response);
+        let mut retransmission = Retransmission::new(retransmit_interval);
         let mut transmissions = 0;
         loop {
-            let was_sent = outgoing.send(request);
-            transmissions += u32::from(was_sent);
-            let retransmit_delay = if was_sent { retransmit_interval } else { UNAVAILABLE_BACKOFF };
+            let destination = outgoing.destination();
+            let now = outgoing.shared.now();
+            if let Some(to) = destination.filter(|to| retransmission.is_due(now, *to)) {
+                outgoing.send(request, to);
+                retransmission.on_sent(now, to);
+                transmissions += 1;
+            }
+            let look_up_delay = if destination.is_some() { retransmit_interval } else { UNAVAILABLE_BACKOFF };
             tokio::select! {
                 biased;
                 response = response.as_mut() => return (response, transmissions),
-                () = self.messages_lost.notified() => {}
-                () = tokio::time::sleep(retransmit_delay) => {}
+                () = self.messages_lost.notified() => retransmission.on_messages_lost(),
+                () = tokio::time::sleep(look_up_delay) => {}
             }
         }
     }
 }
 
-/// A request with its destination, from which each transmission is made.
+/// A request, from which each transmission is made.
 struct OutgoingRequest<'a> {
     shared: &'a Rc<Shared>,
     partition: u16,
@@ -138,21 +145,24 @@
 }
 
 impl OutgoingRequest<'_> {
-    /// Transmits the request once. Returns false, without sending, if the newest record of the partition names no reachable member.
-    fn send(&self, request: u64) -> bool {
-        let destination =
-            self.shared.registry(|registry| member_address(registry, self.partition, self.member));
-        let Some((address, epoch)) = destination else { return false };
+    /// The destination according to the newest record of the partition; `None` if that names no reachable member.
+    fn destination(&self) -> Option<Destination> {
+        let (address, epoch) =
+            self.shared.registry(|registry| member_address(registry, self.partition, self.member))?;
+        Some(Destination { address, epoch })
+    }
+
+    /// Transmits the request once.
+    fn send(&self, request: u64, to: Destination) {
         let message = JobsMessage::Request {
             request,
             reply_to: self.shared.address(),
             edge: self.shared.incarnation,
             partition: self.partition,
-            epoch,
+            epoch: to.epoch,
             body: self.body.clone(),
         };
-        self.shared.send(address, &Envelope::Jobs(message));
-        true
+        self.shared.send(to.address, &Envelope::Jobs(message));
     }
 }
 
--- a/system/data/src/rollout/mod.rs
+++ b/system/data/src/rollout/mod.rs
@@ -22,6 +22,7 @@
 mod partial_texts;
 pub mod plan;
 mod results;
+mod retransmission;
 mod running_jobs;
 mod scoring;
 mod store_observations;
--- a/system/data/tests/rollout_front.rs
+++ b/system/data/tests/rollout_front.rs
@@ -277,6 +277,25 @@
     });
 }
 
+/// Guards against a batch job that is sent to its backend whole again and again, while that has not read the first copy yet.
+#[test]
+fn a_request_without_a_response_is_retransmitted_less_and_less_often() {
+    run(async {
+        let world = World::start(Route::default()).await;
+        let creations = Rc::new(std::cell::Cell::new(0));
+        let counted = Rc::clone(&creations);
+        world.backend.says(move |asked| {
+            let is_creation = matches!(asked, JobsRequest::CreateJob { .. });
+            counted.set(counted.get() + u32::from(is_creation));
+            is_creation.then_some(Says::Nothing)
+        });
+        // The interval is 400 ms at first: transmissions at 0, 400, 1,200 and 2,800 ms.
+        let answer = world.answer(hand_in("j", submitted(&job("j", 1, 1)), 4_000)).await;
+        assert!(answer.is_err(), "a copy may have been taken");
+        assert!((2..=4).contains(&creations.get()), "{} transmissions", creations.get());
+    });
+}
+
 #[parameterized(
     unknown = { Says::This(JobsResponse::NotFound), StatusCode::NOT_FOUND },
     not_sure = { Says::This(JobsResponse::Unavailable), StatusCode::SERVICE_UNAVAILABLE },
