--- a/testkit/system/src/bin/rollout-soak.rs
+++ b/testkit/system/src/bin/rollout-soak.rs
@@ -88,5 +88,6 @@
         kind: if seed % 2 == 1 { SoakKind::Planned } else { SoakKind::Faults },
         size,
         duration: Duration::from_secs(options.seconds),
+        kills_edges: false,
     }
 }
--- a/testkit/system/src/soak/mod.rs
+++ b/testkit/system/src/soak/mod.rs
@@ -81,6 +81,8 @@
     pub size: SoakSize,
     /// How long the disruptions go on.
     pub duration: Duration,
+    /// Whether edges are killed where they would be asked to end, which a run of planned work must report.
+    pub kills_edges: bool,
 }
 
 /// What clients, trainer, operator and disruptions share.
--- a/testkit/system/src/soak/plan.rs
+++ b/testkit/system/src/soak/plan.rs
@@ -63,6 +63,7 @@
         let mut at = millis(rng, 200..3_000);
         while at < settings.duration {
             let disruption = match (settings.kind, rng.u8(..10)) {
+                _ if settings.kills_edges => Disruption::Kill { down: millis(rng, 100..1_500) },
                 (SoakKind::Faults, 0..3) => Disruption::Kill { down: millis(rng, 100..1_500) },
                 (SoakKind::Faults, 3) => Disruption::Freeze { time: millis(rng, 200..2_500) },
                 _ => Disruption::Terminate { down: millis(rng, 0..500) },
--- a/testkit/system/src/soak/report.rs
+++ b/testkit/system/src/soak/report.rs
@@ -31,6 +31,12 @@
         Self { violations, counts, requests, folder: folder.to_owned() }
     }
 
+    /// The folder of logs and disks, which is left behind if there are violations.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
     pub(super) fn count(&mut self, what: &'static str) {
         *self.counts.entry(what).or_default() += 1;
     }
