--- a/system/chain/src/replica/mod.rs
+++ b/system/chain/src/replica/mod.rs
@@ -200,7 +200,8 @@
 
     /// The snapshots that followers need from this member.
     pub fn outgoing_snapshots(&self) -> impl Iterator<Item = OutgoingSnapshot> + '_ {
-        self.followers.iter().filter_map(Progress::outgoing_snapshot)
+        let available_index = self.snapshot.as_ref().map(|snapshot| snapshot.index);
+        self.followers.iter().filter_map(move |follower| follower.outgoing_snapshot(available_index))
     }
 
     /// Stops taking part in an epoch from now on. The caller must make the seal durable before it sends a message that depends on
--- a/system/chain/src/replica/progress.rs
+++ b/system/chain/src/replica/progress.rs
@@ -268,10 +268,11 @@
         self.inflight.bytes
     }
 
-    /// The snapshot that is being sent to the follower, if it needs one.
-    pub(super) fn outgoing_snapshot(&self) -> Option<OutgoingSnapshot> {
+    /// The transfer of the snapshot that the follower needs, if it needs one. `available_index` is the index of the snapshot that this
+    /// member has encoded, if there is one; an earlier one is sent no further.
+    pub(super) fn outgoing_snapshot(&self, available_index: Option<u64>) -> Option<OutgoingSnapshot> {
         let ProgressState::Snapshot(transfer) = &self.state else { return None };
-        let state = match transfer.index {
+        let state = match available_index {
             None => OutgoingSnapshotState::Waiting,
             Some(_) if transfer.probes >= STALLED_PROBES => OutgoingSnapshotState::Stalled,
             Some(_) => OutgoingSnapshotState::Sending,
--- a/system/chain/tests/catching_up.rs
+++ b/system/chain/tests/catching_up.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use gingerledge_chain::{
-    MemberId, Replica, ReplicaAction, ReplicaEvent, ReplicaMessage, ReplicaSettings, View, ViewEvent,
+    MemberId, OutgoingSnapshotState, Replica, ReplicaAction, ReplicaEvent, ReplicaMessage, ReplicaSettings,
+    View, ViewEvent,
 };
 
 const HEAD: MemberId = MemberId(1);
@@ -115,3 +116,37 @@
     member.sync();
     assert_eq!(member.applied(), [5]);
 }
+
+/// Guards against a follower that waits forever because its transfer counts as under way after its snapshot was dropped: the entries
+/// after the snapshot are no longer in memory.
+#[test]
+fn a_transfer_whose_snapshot_was_dropped_waits_for_the_next_one() {
+    let settings = ReplicaSettings { min_chain_length: 1, retain_entries: 1, ..ReplicaSettings::default() };
+    let replica = Replica::new(HEAD, settings, 1);
+    let mut member = Member { replica, actions: Vec::new(), unsynced: Vec::new() };
+    member.handle_event(ReplicaEvent::Started);
+    let view = View { epoch: 1, chain: vec![HEAD] };
+    member.handle_event(ReplicaEvent::View(ViewEvent::Install { view }));
+    member.sync();
+    let submit = |member: &mut Member, count: u8| {
+        for number in 0..count {
+            member.handle_event(ReplicaEvent::Submit { command: vec![number] });
+            member.sync();
+        }
+    };
+    let states = |member: &Member| -> Vec<OutgoingSnapshotState> {
+        member.replica.outgoing_snapshots().map(|snapshot| snapshot.state).collect()
+    };
+    submit(&mut member, 10);
+    let resume = ReplicaMessage::Resume { epoch: 1, last_index: 0, in_sync: false, is_learner: true };
+    member.handle_event(ReplicaEvent::Message { from: NEW_TAIL, message: resume });
+    assert!(member.replica.awaits_snapshot());
+    assert_eq!(states(&member), [OutgoingSnapshotState::Waiting]);
+    let index = member.replica.applied_index();
+    member.handle_event(ReplicaEvent::SnapshotReady { index, bytes: vec![7; 10] });
+    assert!(!member.replica.awaits_snapshot());
+    assert_eq!(states(&member), [OutgoingSnapshotState::Sending]);
+    submit(&mut member, 10);
+    assert!(member.replica.awaits_snapshot());
+    assert_eq!(states(&member), [OutgoingSnapshotState::Waiting]);
+}
