--- a/system/chain/src/replica/mod.rs
+++ b/system/chain/src/replica/mod.rs
@@ -16,11 +16,13 @@
 //! requirements on the host are those of [`ControlChain`](crate::ControlChain).
 
 mod barrier;
+mod inflight;
 mod log;
 mod progress;
 mod reads;
 mod recovery;
 mod replication;
+mod snapshot_transfer;
 mod upstream;
 mod view_installation;
 
@@ -28,14 +30,15 @@
 use std::time::Duration;
 
 use crate::{
-    Event, LogRecord, MemberId, OutgoingSnapshot, ReplicaAction, ReplicaEvent, ReplicaMessage,
-    ReplicaSettings, View, ViewAction, ViewEvent,
+    Event, LogRecord, MemberId, OutgoingSnapshot, OutgoingSnapshotState, ReplicaAction, ReplicaEvent,
+    ReplicaMessage, ReplicaSettings, View, ViewAction, ViewEvent,
 };
 use barrier::Barriers;
 use log::Log;
-use progress::{EncodedSnapshot, FollowerRole, Progress};
+use progress::{FollowerRole, Progress};
 use reads::Reads;
 use replication::Resume;
+use snapshot_transfer::EncodedSnapshot;
 use upstream::{Append, Chunk, Upstream};
 
 /// The content of a write in flight, which takes effect once the write is synced.
@@ -55,6 +58,11 @@
 /// Factor by which the limits on retained entries are raised while a snapshot is being sent.
 const SNAPSHOT_RETAIN_FACTOR: usize = 4;
 
+/// An interval that doubles with each repeat, up to `max_doublings` times.
+fn doubled(interval: Duration, repeats: u32, max_doublings: u32) -> Duration {
+    interval * 2u32.pow(repeats.min(max_doublings))
+}
+
 /// One replica of a log.
 #[derive(Clone, Debug)]
 pub struct Replica {
@@ -195,13 +203,13 @@
     /// the number of snapshots that are sent at a time.
     #[must_use]
     pub fn awaits_snapshot(&self) -> bool {
-        self.is_snapshot_requested && self.followers.iter().any(Progress::needs_snapshot)
+        self.outgoing_snapshots().any(|snapshot| snapshot.state == OutgoingSnapshotState::Waiting)
     }
 
     /// The snapshots that followers need from this member.
     pub fn outgoing_snapshots(&self) -> impl Iterator<Item = OutgoingSnapshot> + '_ {
-        let available_index = self.snapshot.as_ref().map(|snapshot| snapshot.index);
-        self.followers.iter().filter_map(move |follower| follower.outgoing_snapshot(available_index))
+        let is_encoded = self.snapshot.is_some();
+        self.followers.iter().filter_map(move |follower| follower.outgoing_snapshot(is_encoded))
     }
 
     /// Stops taking part in an epoch from now on. The caller must make the seal durable before it sends a message that depends on
--- a/system/chain/src/replica/replication.rs
+++ b/system/chain/src/replica/replication.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::progress::{EncodedSnapshot, FollowerRole, Progress, ProgressState};
+use super::progress::{FollowerRole, Progress, ProgressState};
+use super::snapshot_transfer::EncodedSnapshot;
 use super::{Replica, ReplicaAction};
 use crate::{MemberId, ReplicaMessage, ViewAction};
 
--- a/system/chain/src/replica/upstream.rs
+++ b/system/chain/src/replica/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{PendingRecord, Replica, ReplicaAction};
+use super::{doubled, PendingRecord, Replica, ReplicaAction};
 use crate::{LogRecord, MemberId, ReplicaMessage};
 
 /// A learner that has received nothing for this number of resend intervals sends its request again, so that the tail continues to
@@ -254,8 +254,9 @@
             return None;
         }
         if self.upstream.awaits_resume_reply || (self.is_in_chain() && !self.in_sync) {
-            let doublings = self.upstream.overdue_resumes.min(MAX_RESUME_DOUBLINGS);
-            return Some(self.upstream.last_message_at + self.settings.resend_interval * 2u32.pow(doublings));
+            let resumes = self.upstream.overdue_resumes;
+            let interval = doubled(self.settings.resend_interval, resumes, MAX_RESUME_DOUBLINGS);
+            return Some(self.upstream.last_message_at + interval);
         }
         let is_learner = !self.is_in_chain();
         is_learner
