--- a/system/jobs/src/partition/replica_host.rs
+++ b/system/jobs/src/partition/replica_host.rs
@@ -127,9 +127,9 @@
         self.replica.awaits_snapshot() && !self.has_failed
     }
 
-    /// The snapshots that other members need from this replica.
+    /// The snapshots that other members need from this replica; none if it has stopped, since it sends nothing more.
     pub(super) fn outgoing_snapshots(&self) -> impl Iterator<Item = OutgoingSnapshot> + '_ {
-        self.replica.outgoing_snapshots()
+        self.replica.outgoing_snapshots().filter(|_| !self.has_failed)
     }
 
     /// Time at which [`ReplicaEvent::TimerExpired`] must be passed next.
--- a/system/jobs/tests/copies_to_a_new_backend.rs
+++ b/system/jobs/tests/copies_to_a_new_backend.rs
@@ -7,7 +7,7 @@
 
 use common::settings::TestSettings;
 use common::single_backend::{address, create, EDGE};
-use gingerledge_chain::{MemberId, ReplicaMessage};
+use gingerledge_chain::{MemberId, OutgoingSnapshotState, ReplicaMessage};
 use gingerledge_jobs::backend::{Backend, BackendAction, BackendEvent, DiskContent};
 use gingerledge_jobs::partition::ClientRequest;
 use gingerledge_jobs::store::Caller;
@@ -239,3 +239,34 @@
     let others = backends.in_sync(2).iter().filter(|partition| !is_single(partition)).count();
     assert!(others <= 8, "{others} partitions with two copies went before");
 }
+
+/// Guards against copies that are never sent, because replicas that have stopped occupy all slots.
+#[test]
+fn a_replica_that_has_stopped_occupies_no_slot() {
+    let mut backends = Backends::with_jobs(BYTES_PER_SECOND);
+    for partition in 0..PARTITION_COUNT {
+        backends.install(partition, 2, &[FORMER, SOURCE, NEW], &[FORMER, SOURCE]);
+    }
+    let is_sending = |backends: &Backends, number: u16| {
+        let partition = backends.backends[&SOURCE].partition(number).expect("a partition");
+        let mut snapshots = partition.outgoing_snapshots();
+        snapshots.any(|snapshot| snapshot.state == OutgoingSnapshotState::Sending)
+    };
+    backends.run_until(|backends| (0..PARTITION_COUNT).any(|number| is_sending(backends, number)));
+    let stopped: Vec<u16> = (0..PARTITION_COUNT).filter(|&number| is_sending(&backends, number)).collect();
+    for &partition in &stopped {
+        // Entries that can't be decoded, after those that the source holds.
+        let message = ReplicaMessage::Append {
+            epoch: 2,
+            first_index: 1,
+            commands: vec![vec![0xff]; 8],
+            commit_index: 8,
+            in_sync_index: None,
+        };
+        let event = BackendEvent::ReplicaMessage { partition, from: MemberId(FORMER), message };
+        backends.handle(SOURCE, event);
+    }
+    assert!(!stopped.is_empty());
+    let expected = usize::from(PARTITION_COUNT) - stopped.len();
+    backends.run_until(|backends| backends.in_sync(2).len() == expected);
+}
