Log messages dropped at full queues in the transport, for all programs

The log stood at the backend's node only, a special case beside the mechanism: edges and control nodes send through the same queues. It is where the queue is full now, with the same text and fields. The tests of transport, jobs, data and control pass.

--- a/system/jobs/src/node/mod.rs
+++ b/system/jobs/src/node/mod.rs
@@ -1,7 +1,6 @@
 //! The process that runs a [`Backend`]: its sockets, disk, clock and signals, on one thread in addition to the disk's own.
 
 mod disk;
-mod drop_log;
 mod heartbeats;
 
 use std::collections::BTreeMap;
@@ -12,7 +11,7 @@
 use gingerledge_protocol::Settings;
 use gingerledge_relay::{Relay, RelayAction, RelayEvent, RelaySettings};
 use gingerledge_storage::WriterEvent;
-use gingerledge_transport::{identity, Inbox, Incoming, Network, NetworkSettings, SendOutcome};
+use gingerledge_transport::{identity, Inbox, Incoming, Network, NetworkSettings};
 use gingerledge_wire::{ControlMessage, Entry, Envelope, JobsMessage, Key, NodeRecord, Role, Value};
 use snafu::{OptionExt, ResultExt};
 use tokio::signal::unix::{signal, SignalKind};
@@ -24,7 +23,6 @@
 use crate::settings::JobsSettings;
 use crate::store::Caller;
 use disk::DiskWriter;
-use drop_log::DropLog;
 use heartbeats::Heartbeats;
 
 /// Time between a failed attempt to open the disk and the next one.
@@ -80,7 +78,6 @@
     member_addresses: BTreeMap<MemberId, SocketAddr>,
     /// Token of the last write passed to the disk.
     last_token: u64,
-    drop_log: DropLog,
 }
 
 impl Node {
@@ -125,7 +122,6 @@
             heartbeats: Heartbeats::new(node, settings.internal_seeds(), random_id("heartbeats")),
             member_addresses: BTreeMap::new(),
             last_token: 0,
-            drop_log: DropLog::default(),
         };
         node.handle_backend_event(BackendEvent::Started);
         node.handle_relay_event(RelayEvent::ControlNodesKnown(settings.internal_seeds()));
@@ -301,11 +297,9 @@
         }
     }
 
-    fn send(&mut self, to: SocketAddr, message: &Envelope) {
+    fn send(&self, to: SocketAddr, message: &Envelope) {
         // Delivery is best effort: senders resend messages that must arrive.
-        if let SendOutcome::Dropped(reason) = self.network.send(to, message) {
-            self.drop_log.record(self.started_at.elapsed(), to, reason);
-        }
+        let _ = self.network.send(to, message);
     }
 
     /// Announces the shutdown, and waits for a limited time until all writes are durable.
--- a/system/transport/src/drop_log.rs
+++ b/system/transport/src/drop_log.rs
@@ -1,27 +1,22 @@
-//! Logs how many messages were dropped before they were sent, a line for each peer and interval.
+//! Logs how many messages were dropped at full queues, a line for each peer and interval.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use gingerledge_transport::DropReason;
-
 /// Minimum interval between two log lines.
 const LOG_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Number of messages dropped because a queue was full. Other drops are those of a connection that has failed, which is logged.
+/// Number of messages that were dropped since they were last logged, by peer.
 #[derive(Debug, Default)]
-pub(super) struct DropLog {
+pub(crate) struct DropLog {
     dropped: BTreeMap<SocketAddr, u64>,
     next_log_at: Duration,
 }
 
 impl DropLog {
-    /// Counts a message that was dropped, and logs the counts if the last line is long ago.
-    pub(super) fn record(&mut self, now: Duration, peer: SocketAddr, reason: DropReason) {
-        if reason != DropReason::QueueFull {
-            return;
-        }
+    /// Counts a message that was dropped at the full queue of a peer, and logs the counts if the last line is long ago.
+    pub(crate) fn record(&mut self, now: Duration, peer: SocketAddr) {
         *self.dropped.entry(peer).or_default() += 1;
         if now < self.next_log_at {
             return;
--- a/system/transport/src/lib.rs
+++ b/system/transport/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod backoff;
 mod connection;
+mod drop_log;
 mod error;
 mod frame;
 pub mod identity;
--- a/system/transport/src/links.rs
+++ b/system/transport/src/links.rs
@@ -13,6 +13,7 @@
 use tokio::task::AbortHandle;
 
 use crate::backoff::Backoff;
+use crate::drop_log::DropLog;
 use crate::error::DropReason;
 use crate::queue::FrameQueue;
 use crate::settings::NetworkSettings;
@@ -75,21 +76,37 @@
     queued_bytes: Arc<AtomicUsize>,
     drained: Arc<Notify>,
     links: HashMap<SocketAddr, Link>,
+    drop_log: DropLog,
 }
 
 impl Links {
     /// An empty table. Each connection starts with the hello; the seed varies the delays between attempts.
     pub(crate) fn new(settings: NetworkSettings, hello: Vec<u8>, seed: u64) -> Self {
         let (queued_bytes, drained) = (Arc::default(), Arc::default());
-        Self { settings, hello, seed, last: 0, queued_bytes, drained, links: HashMap::new() }
+        let (links, drop_log) = (HashMap::new(), DropLog::default());
+        Self { settings, hello, seed, last: 0, queued_bytes, drained, links, drop_log }
     }
 
-    /// Queues a message. Returns the link if its task is to be started. Reads the clock only if no connection is open.
+    /// Queues a message. Returns the link if its task is to be started. Reads the clock only if no connection is open, or the queue
+    /// is full.
     pub(crate) fn send<T: Serialize>(
         &mut self,
         peer: SocketAddr,
         message: &T,
-        now: impl FnOnce() -> Duration,
+        now: impl Fn() -> Duration,
+    ) -> Result<Option<Opening>, DropReason> {
+        let queued = self.queue(peer, message, &now);
+        if matches!(queued, Err(DropReason::QueueFull)) {
+            self.drop_log.record(now(), peer);
+        }
+        queued
+    }
+
+    fn queue<T: Serialize>(
+        &mut self,
+        peer: SocketAddr,
+        message: &T,
+        now: impl Fn() -> Duration,
     ) -> Result<Option<Opening>, DropReason> {
         if !self.links.contains_key(&peer) {
             self.evict_if_full()?;
