Acquire connections to stores in one function, and name what makes room for one

`acquire` and `acquire_from` passed the same arguments on; `has_free_slot` closed a connection under the name of a question and is `make_room`; each caller of `take_idle` asked for the source first. The ids that a connection has carried need no cell. No behaviour changes; the tests of `gingerledge-data` pass.

--- a/system/data/src/stores/carried_ids.rs
+++ b/system/data/src/stores/carried_ids.rs
@@ -12,7 +12,7 @@
 /// The hashes of the ids that a connection has carried. Two ids with the same hash count as one, which only costs a connection.
 #[derive(Debug, Default)]
 pub(super) struct CarriedIds {
-    hashes: Vec<u64>,
+    hashes: Vec<IdHash>,
 }
 
 /// Hash of the id of a request.
@@ -31,12 +31,12 @@
 impl CarriedIds {
     /// Adds the id of a request that is sent on the connection.
     pub(super) fn add(&mut self, id: IdHash) {
-        self.hashes.push(id.0);
+        self.hashes.push(id);
     }
 
     /// Whether a request with this id may be sent on the connection.
     pub(super) fn permits(&self, id: IdHash) -> bool {
-        !self.is_full() && !self.hashes.contains(&id.0)
+        !self.is_full() && !self.hashes.contains(&id)
     }
 
     /// Whether the connection may carry no further request, whatever its id.
--- a/system/data/src/stores/connection.rs
+++ b/system/data/src/stores/connection.rs
@@ -1,6 +1,6 @@
 //! One connection to a store: a hyper client, and the task that drives its I/O until the connection is dropped.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,7 +24,7 @@
     /// When the connection became idle, on the clock of its pool; `None` while it carries a request.
     pub idle_since: Rc<Cell<Option<Duration>>>,
     /// The ids of the requests that the connection has carried.
-    pub carried_ids: RefCell<CarriedIds>,
+    pub carried_ids: CarriedIds,
     /// Slot that the connection occupies in its pool.
     pub slot: S,
     task: AbortHandle,
@@ -48,7 +48,7 @@
                 on_closed(idle_since_at_close.get());
             }
         });
-        let carried_ids = RefCell::default();
+        let carried_ids = CarriedIds::default();
         Some(Self { sender, idle_since, carried_ids, slot, task: task.abort_handle() })
     }
 }
--- a/system/data/src/stores/pool.rs
+++ b/system/data/src/stores/pool.rs
@@ -112,35 +112,19 @@
         source: ConnectionSource,
     ) -> Result<PooledConnection, PoolError> {
         let store = self.store(target);
-        let connection = self.acquire_from(&store, id, limit, connect_timeout, source).await?;
-        connection.carried_ids.borrow_mut().add(id);
+        let mut connection = match store.take_idle(id, source).await {
+            Some(connection) => connection,
+            None if store.make_room(limit) => self.open(&store, connect_timeout).await?,
+            None => match timeout(connect_timeout, store.wait_for_release(id, limit, source)).await {
+                Err(_elapsed) => return Err(PoolError::LimitReached),
+                Ok(Some(connection)) => connection,
+                Ok(None) => self.open(&store, connect_timeout).await?,
+            },
+        };
+        connection.carried_ids.add(id);
         Ok(connection)
     }
 
-    async fn acquire_from(
-        &self,
-        store: &Rc<StorePool>,
-        id: IdHash,
-        limit: usize,
-        connect_timeout: Duration,
-        source: ConnectionSource,
-    ) -> Result<PooledConnection, PoolError> {
-        if source == ConnectionSource::IdleOrNew {
-            if let Some(connection) = store.take_idle(id).await {
-                return Ok(connection);
-            }
-        }
-        if store.has_free_slot(limit) {
-            return self.open(store, connect_timeout).await;
-        }
-        let wait = store.wait_for_release(id, limit, source);
-        match timeout(connect_timeout, wait).await {
-            Err(_elapsed) => Err(PoolError::LimitReached),
-            Ok(Some(connection)) => Ok(connection),
-            Ok(None) => self.open(store, connect_timeout).await,
-        }
-    }
-
     /// Opens a connection; at the total limit, an idle connection to any store is closed first.
     async fn open(
         &self,
@@ -201,7 +185,7 @@
 
     /// Returns a connection to the pool after a complete response, or closes it if it may carry no further request.
     pub(super) fn release(self: &Rc<Self>, connection: PooledConnection) {
-        if connection.carried_ids.borrow().is_full() {
+        if connection.carried_ids.is_full() {
             return;
         }
         connection.idle_since.set(Some(self.clock_origin.elapsed()));
@@ -240,9 +224,12 @@
         drop(expired);
     }
 
-    /// Takes an idle connection that is open, ready to send a request, and has carried none with the id `id`; closes expired ones on
-    /// the way.
-    async fn take_idle(&self, id: IdHash) -> Option<PooledConnection> {
+    /// Takes an idle connection, if the source permits one, that is open, ready to send a request, and has carried none with the id
+    /// `id`; closes expired ones on the way.
+    async fn take_idle(&self, id: IdHash, source: ConnectionSource) -> Option<PooledConnection> {
+        if source == ConnectionSource::New {
+            return None;
+        }
         loop {
             let connection = self.remove_idle(id)?;
             if connection.sender.is_closed() || self.is_expired(&connection) {
@@ -261,13 +248,13 @@
     /// Removes the idle connection that was used last among those that may carry a request with the id `id`.
     fn remove_idle(&self, id: IdHash) -> Option<PooledConnection> {
         let mut idle_connections = self.idle_connections.borrow_mut();
-        let position =
-            idle_connections.iter().rposition(|connection| connection.carried_ids.borrow().permits(id))?;
+        let position = idle_connections.iter().rposition(|connection| connection.carried_ids.permits(id))?;
         Some(idle_connections.remove(position))
     }
 
-    /// Whether a new connection may be opened. At the limit, an idle connection is closed for it: one that may not carry the request.
-    fn has_free_slot(&self, limit: usize) -> bool {
+    /// Makes room for a new connection, and returns whether there is any. Called when no idle connection can be used: at the limit,
+    /// one of them is closed.
+    fn make_room(&self, limit: usize) -> bool {
         if self.open_connections.get() >= limit {
             let replaced = self.idle_connections.borrow_mut().pop();
             drop(replaced);
@@ -284,12 +271,10 @@
     ) -> Option<PooledConnection> {
         loop {
             self.released.notified().await;
-            if source == ConnectionSource::IdleOrNew {
-                if let Some(connection) = self.take_idle(id).await {
-                    return Some(connection);
-                }
+            if let Some(connection) = self.take_idle(id, source).await {
+                return Some(connection);
             }
-            if self.has_free_slot(limit) {
+            if self.make_room(limit) {
                 return None;
             }
         }
