Count no request to a backend as transmitted that was dropped before it was sent

Since the intervals double, a request that found the queue full or the connection in its backoff would have waited as if it had been sent.

--- a/system/data/src/rollout/backend_client.rs
+++ b/system/data/src/rollout/backend_client.rs
@@ -121,8 +121,10 @@
             let destination = outgoing.destination();
             let now = outgoing.shared.now();
             if let Some(to) = destination.filter(|to| retransmission.is_due(now, *to)) {
-                outgoing.send(request, to);
-                retransmission.on_sent(now, to);
+                // What was dropped here lengthens no queue, so it is sent at the next look-up.
+                if outgoing.send(request, to) {
+                    retransmission.on_sent(now, to);
+                }
                 transmissions += 1;
             }
             let look_up_delay = if destination.is_some() { retransmit_interval } else { UNAVAILABLE_BACKOFF };
@@ -152,8 +154,8 @@
         Some(Destination { address, epoch })
     }
 
-    /// Transmits the request once.
-    fn send(&self, request: u64, to: Destination) {
+    /// Transmits the request once. Returns false if it was dropped here.
+    fn send(&self, request: u64, to: Destination) -> bool {
         let message = JobsMessage::Request {
             request,
             reply_to: self.shared.address(),
@@ -162,7 +164,7 @@
             epoch: to.epoch,
             body: self.body.clone(),
         };
-        self.shared.send(to.address, &Envelope::Jobs(message));
+        self.shared.try_send(to.address, &Envelope::Jobs(message))
     }
 }
 
--- a/system/data/src/shared.rs
+++ b/system/data/src/shared.rs
@@ -107,9 +107,16 @@
 
     /// Sends an internal message; it may be lost.
     pub fn send(&self, to: SocketAddr, message: &Envelope) {
-        if !self.network.send(to, message).is_queued() {
+        self.try_send(to, message);
+    }
+
+    /// Sends an internal message, which may be lost. Returns false if it was dropped here.
+    pub fn try_send(&self, to: SocketAddr, message: &Envelope) -> bool {
+        let is_queued = self.network.send(to, message).is_queued();
+        if !is_queued {
             log::debug!(to:%; "internal message dropped");
         }
+        is_queued
     }
 
     /// Reads the registry. The closure must not call a method that changes the registry, since the registry is borrowed.
