Keep the soak's requests out of its report, and one set of store settings

Four places listed the settings of a numbered store; `StoreSettings::numbered` does now. Of the soak's requests only those that may run once are kept, where they are checked and not in the report; its world is made once. No check changes; the tests of testkit, bin and known_red.rs pass, the soak among them.

--- a/system/bin/tests/common/mod.rs
+++ b/system/bin/tests/common/mod.rs
@@ -13,6 +13,9 @@
 
 /// Bounds every wait in these tests; only a fault reaches it.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(60);
+/// How many of the stores make texts; the others answer look-ups.
+const ENGINES: u8 = 3;
+const STORES: u8 = 5;
 /// Interval at which a condition is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -41,8 +44,8 @@
         let mut fleet = Fleet::new(programs, &folder, network, (3, 3, 2)).expect("fleet");
         fleet.start_all().expect("processes");
         let mut stores = Vec::new();
-        for index in 0..5 {
-            stores.push(Store::start(store(network, index), fleet.control()).await.expect("store"));
+        for number in 0..STORES {
+            stores.push(Store::start(store(network, number), fleet.control()).await.expect("store"));
         }
         let operator = Operator::new(fleet.control());
         let trainer = Trainer::new(fleet.edges());
@@ -115,17 +118,7 @@
     call(edge, Method::POST, path, &headers, b"query".to_vec(), Duration::from_secs(3)).await.ok()
 }
 
-fn store(network: u8, index: usize) -> StoreSettings {
-    let engine = index < 3;
-    StoreSettings {
-        id: format!("i-{index}"),
-        service: if engine { "forage-model" } else { "colony-ledger" }.to_owned(),
-        zone: format!("zone-{}", index % 3),
-        listen: ([127, network, 3, index as u8 + 1], 0).into(),
-        models: if engine { vec!["m0".to_owned()] } else { Vec::new() },
-        events: 8,
-        pause: Duration::from_millis(5),
-        work: Duration::ZERO,
-        heartbeat: Duration::from_millis(300),
-    }
+fn store(network: u8, number: u8) -> StoreSettings {
+    let models: &[&str] = if number < ENGINES { &["m0"] } else { &[] };
+    StoreSettings::numbered(network, number, models)
 }
--- a/testkit/system/src/bin/demo-rollout.rs
+++ b/testkit/system/src/bin/demo-rollout.rs
@@ -9,6 +9,9 @@
 const PATIENCE: Duration = Duration::from_secs(30);
 /// Addresses 127.NETWORK.0.0/16 are this program's.
 const NETWORK: u8 = 77;
+/// How many of the stores make texts; the others answer look-ups.
+const ENGINES: u8 = 2;
+const STORES: u8 = 4;
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> Result<(), Box<dyn std::error::Error>> {
@@ -26,8 +29,8 @@
     println!("started 3 control nodes, 3 backends and 3 edges; edges at {:?}", fleet.edges());
 
     let mut stores = Vec::new();
-    for index in 0..4 {
-        stores.push(Store::start(store(index), fleet.control()).await?);
+    for number in 0..STORES {
+        stores.push(Store::start(store(number), fleet.control()).await?);
     }
     let operator = Operator::new(fleet.control());
     let status = operator.replace(0, &configuration(1, &["m0"]), PATIENCE).await;
@@ -59,17 +62,12 @@
     Ok(())
 }
 
-fn store(index: usize) -> StoreSettings {
-    let engine = index < 2;
+fn store(number: u8) -> StoreSettings {
+    let models: &[&str] = if number < ENGINES { &["m0"] } else { &[] };
     StoreSettings {
-        id: format!("i-{index}"),
-        service: if engine { "forage-model" } else { "colony-ledger" }.to_owned(),
-        zone: format!("zone-{}", index % 3),
-        listen: ([127, NETWORK, 3, index as u8 + 1], 0).into(),
-        models: if engine { vec!["m0".to_owned()] } else { Vec::new() },
         events: 10,
         pause: Duration::from_millis(10),
-        work: Duration::ZERO,
         heartbeat: Duration::from_millis(500),
+        ..StoreSettings::numbered(NETWORK, number, models)
     }
 }
--- a/testkit/system/src/bin/mixed-versions.rs
+++ b/testkit/system/src/bin/mixed-versions.rs
@@ -29,6 +29,9 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Addresses 127.NETWORK.0.0/16 are this program's.
 const NETWORK: u8 = 78;
+/// How many of the stores make texts; the others answer look-ups.
+const ENGINES: u8 = 3;
+const STORES: u8 = 5;
 const GROUPS: usize = 4;
 const GROUP_SIZE: usize = 4;
 const MODEL: &str = "m0";
@@ -103,8 +106,8 @@
         let mut fleet = Fleet::new(programs, folder, NETWORK, (3, 3, 2))?;
         fleet.start_all()?;
         let mut stores = Vec::new();
-        for index in 0..5 {
-            let store = Store::start(store_settings(index), fleet.control()).await;
+        for number in 0..STORES {
+            let store = Store::start(store_settings(number), fleet.control()).await;
             stores.push(store.map_err(|source| FleetError::System { what: "store".to_owned(), source })?);
         }
         let operator = Operator::new(fleet.control());
@@ -208,17 +211,7 @@
     false
 }
 
-fn store_settings(index: usize) -> StoreSettings {
-    let is_engine = index < 3;
-    StoreSettings {
-        id: format!("i-{index}"),
-        service: if is_engine { "forage-model" } else { "colony-ledger" }.to_owned(),
-        zone: format!("zone-{}", index % 3),
-        listen: ([127, NETWORK, 3, index as u8 + 1], 0).into(),
-        models: if is_engine { vec![MODEL.to_owned()] } else { Vec::new() },
-        events: 8,
-        pause: Duration::from_millis(5),
-        work: Duration::ZERO,
-        heartbeat: Duration::from_millis(300),
-    }
+fn store_settings(number: u8) -> StoreSettings {
+    let models: &[&str] = if number < ENGINES { &[MODEL] } else { &[] };
+    StoreSettings::numbered(NETWORK, number, models)
 }
--- a/testkit/system/src/soak/client.rs
+++ b/testkit/system/src/soak/client.rs
@@ -13,7 +13,6 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, Instant};
 
-use super::report::RequestRecord;
 use super::{SoakKind, SoakSettings, World};
 
 /// How long a client waits for one answer; a deadline of two seconds is sent along.
@@ -33,6 +32,13 @@
     last_request: u64,
 }
 
+/// A request that can't be repeated, and what the client was told.
+pub(super) struct SingleRunRequest {
+    id: String,
+    /// Whether the answer promised that the request has not run and never will.
+    is_promised_not_run: bool,
+}
+
 /// How a request ended for the client.
 enum Outcome {
     Answered {
@@ -108,9 +114,10 @@
                 false
             }
         };
-        let id = id.to_owned();
-        let record = RequestRecord { id, is_idempotent, is_promised_not_run };
-        self.world.report.borrow_mut().requests.push(record);
+        if !is_idempotent {
+            let request = SingleRunRequest { id: id.to_owned(), is_promised_not_run };
+            self.world.single_run_requests.borrow_mut().push(request);
+        }
     }
 
     fn judge_answer(&self, edge: SocketAddr, id: &str, status: StatusCode, signature: &str, body: &[u8]) {
@@ -186,8 +193,7 @@
 
 /// Checks that no request that can't be repeated ran twice, or ran although the client was told that it did not.
 pub(super) fn check_runs(world: &World) {
-    let requests = std::mem::take(&mut world.report.borrow_mut().requests);
-    for request in requests.iter().filter(|request| !request.is_idempotent) {
+    for request in world.single_run_requests.borrow().iter() {
         let runs = world.runs(&request.id);
         if runs > 1 {
             world.violation(format!("TWICE {} ran {runs} times", request.id));
--- a/testkit/system/src/soak/mod.rs
+++ b/testkit/system/src/soak/mod.rs
@@ -31,8 +31,9 @@
 const RECOVERY_TIME: Duration = Duration::from_millis(6_100);
 /// Events of the text of an item.
 const EVENTS: u64 = 8;
-const ENGINES: usize = 3;
-const LOOKUP_STORES: usize = 3;
+/// How many of the stores make texts; the others answer look-ups.
+const ENGINES: u8 = 3;
+const STORES: u8 = 6;
 /// Time that a look-up takes at its store, so that many are under way when a process is asked to end.
 const LOOKUP_TIME: Duration = Duration::from_millis(150);
 
@@ -90,6 +91,8 @@
     fleet: RefCell<Fleet>,
     stores: Vec<Store>,
     report: RefCell<SoakReport>,
+    /// The requests that may run once at most, for the check of what their stores did.
+    single_run_requests: RefCell<Vec<client::SingleRunRequest>>,
     /// When clients and disruptions stop.
     end: Instant,
 }
@@ -130,24 +133,24 @@
     let mut fleet = Fleet::new(&settings.programs, folder, settings.network, machines)?;
     fleet.start_all()?;
     let mut stores = Vec::new();
-    for index in 0..ENGINES + LOOKUP_STORES {
-        let store = Store::start(store_settings(settings.network, index), fleet.control()).await;
+    for number in 0..STORES {
+        let store = Store::start(store_settings(settings.network, number), fleet.control()).await;
         stores.push(store.map_err(system_error(folder))?);
     }
     let operator = Operator::new(fleet.control());
     let (edges, readiness) = (fleet.edges(), fleet.readiness());
+    let mut report = SoakReport::new(folder);
+    if !training::is_first_configuration_served(&operator, &edges, &readiness).await {
+        report.violations.push(format!("the system did not start within {PATIENCE:?}"));
+        return Ok(report);
+    }
     let world = Rc::new(World {
         fleet: RefCell::new(fleet),
         stores,
-        report: RefCell::new(SoakReport::new(folder)),
-        end: Instant::now() + PATIENCE * 2,
+        report: RefCell::new(report),
+        single_run_requests: RefCell::default(),
+        end: Instant::now() + settings.duration,
     });
-    if !training::is_first_configuration_served(&operator, &edges, &readiness).await {
-        world.violation(format!("the system did not start within {PATIENCE:?}"));
-        return Ok(into_report(&world));
-    }
-    let end = Instant::now() + settings.duration;
-    let world = Rc::new(World { end, ..Rc::into_inner(world).expect("the only owner") });
     let mut tasks = Vec::new();
     for number in 0..size.clients {
         let client = client::Client::new(&world, &edges, settings, number);
@@ -168,11 +171,8 @@
     training::check_results(&world, &edges, &jobs).await;
     client::check_runs(&world);
     disruptions::note_own_ends(&world)?;
-    Ok(into_report(&world))
-}
-
-fn into_report(world: &World) -> SoakReport {
-    world.report.borrow().clone()
+    let report = world.report.borrow().clone();
+    Ok(report)
 }
 
 fn system_error(path: &Path) -> impl Fn(std::io::Error) -> FleetError + '_ {
@@ -190,17 +190,12 @@
     whole
 }
 
-fn store_settings(network: u8, index: usize) -> StoreSettings {
-    let is_engine = index < ENGINES;
+fn store_settings(network: u8, number: u8) -> StoreSettings {
+    let models: &[&str] = if number < ENGINES { &[MODEL] } else { &[] };
     StoreSettings {
-        id: format!("i-{index}"),
-        service: if is_engine { "forage-model" } else { "colony-ledger" }.to_owned(),
-        zone: format!("zone-{}", index % 3),
-        listen: ([127, network, 3, index as u8 + 1], 0).into(),
-        models: if is_engine { vec![MODEL.to_owned()] } else { Vec::new() },
         events: EVENTS,
         pause: Duration::from_millis(20),
         work: LOOKUP_TIME,
-        heartbeat: Duration::from_millis(300),
+        ..StoreSettings::numbered(network, number, models)
     }
 }
--- a/testkit/system/src/soak/report.rs
+++ b/testkit/system/src/soak/report.rs
@@ -11,24 +11,12 @@
     pub violations: Vec<String>,
     /// How often what happened.
     pub counts: BTreeMap<&'static str, u64>,
-    /// The requests of clients that may run once at most, or that were promised not to run.
-    pub(super) requests: Vec<RequestRecord>,
     folder: PathBuf,
 }
 
-/// A request of a client, and what the client was told.
-#[derive(Clone, Debug)]
-pub(super) struct RequestRecord {
-    pub id: String,
-    pub is_idempotent: bool,
-    /// Whether the answer promised that the request has not run and never will.
-    pub is_promised_not_run: bool,
-}
-
 impl SoakReport {
     pub(super) fn new(folder: &Path) -> Self {
-        let (violations, counts, requests) = (Vec::new(), BTreeMap::new(), Vec::new());
-        Self { violations, counts, requests, folder: folder.to_owned() }
+        Self { violations: Vec::new(), counts: BTreeMap::new(), folder: folder.to_owned() }
     }
 
     /// The folder of logs and disks, which is left behind if there are violations.
--- a/testkit/system/src/store.rs
+++ b/testkit/system/src/store.rs
@@ -43,6 +43,25 @@
     pub heartbeat: Duration,
 }
 
+impl StoreSettings {
+    /// A store of the services of [`configuration`](crate::configuration), by its number: an engine of these models, or one that
+    /// answers look-ups if there are none. It listens at an address of its own in 127.`network`.3.0/24.
+    #[must_use]
+    pub fn numbered(network: u8, number: u8, models: &[&str]) -> Self {
+        Self {
+            id: format!("i-{number}"),
+            service: if models.is_empty() { "colony-ledger" } else { "forage-model" }.to_owned(),
+            zone: format!("zone-{}", number % 3),
+            listen: ([127, network, 3, number + 1], 0).into(),
+            models: models.iter().map(|&model| model.to_owned()).collect(),
+            events: 8,
+            pause: Duration::from_millis(5),
+            work: Duration::ZERO,
+            heartbeat: Duration::from_millis(300),
+        }
+    }
+}
+
 /// What a store has seen.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
