Run the review's cases in a fleet of the small site's size

Case 5 has eleven stores, case 6 has seven edges and four stores, so that the disruptions stay under a tenth of the stores and at one machine.

--- a/review/stand-ins-2/src/bin/late-order-of-a-former-holder.rs
+++ b/review/stand-ins-2/src/bin/late-order-of-a-former-holder.rs
@@ -16,6 +16,8 @@
 /// The bounds of the deployment, in seconds.
 const LEASE_S: f64 = 3.0;
 const THAW_S: f64 = 0.3;
+/// Model stores; one of these and of the look-up store is cut off, which is a share of less than 0.1.
+const ENGINES: u8 = 10;
 const CUT: Duration = Duration::from_millis(3_300);
 
 fn main() {
@@ -60,12 +62,12 @@
 fn run() -> io::Result<bool> {
     let case = Case::from_arguments()?;
     let record = case.record.clone();
-    let mut fleet = Fleet::new(&case.folder, case.network, [3, 3, 3], record.clone())?;
+    let mut fleet = Fleet::new(&case.folder, case.network, [3, 4, 4], record.clone())?;
     fleet.fencing = false;
     fleet.start_all()?;
     let (control, edges) = (fleet.control(), fleet.edges());
     let mut engines = Vec::new();
-    for number in 0..2_u8 {
+    for number in 0..ENGINES {
         let listen = ([127, case.network, 4, number + 1], 0).into();
         engines.push(Engine::start(
             &format!("e-{number}"),
@@ -108,14 +110,16 @@
         return Err(io::Error::other("version 2 was not noted"));
     }
     // The store is cut off while it loads version 2.
-    let target = &engines[0];
+    let mut ordered = None;
     for _ in 0..500 {
-        if !target.orders().is_empty() {
+        ordered = engines.iter().find(|engine| !engine.orders().is_empty());
+        if ordered.is_some() {
             break;
         }
         thread::sleep(Duration::from_millis(10));
     }
-    let Some(first) = target.orders().first().cloned() else {
+    let ordered = ordered.and_then(|engine| Some((engine, engine.orders().first().cloned()?)));
+    let Some((target, first)) = ordered else {
         return Err(io::Error::other("no order for version 2"));
     };
     thread::sleep(Duration::from_millis(100));
--- a/review/stand-ins-2/src/bin/stale-edge-after-deregistration.rs
+++ b/review/stand-ins-2/src/bin/stale-edge-after-deregistration.rs
@@ -35,12 +35,12 @@
 fn run() -> io::Result<bool> {
     let case = Case::from_arguments()?;
     let record = case.record.clone();
-    let mut fleet = Fleet::new(&case.folder, case.network, [3, 3, 3], record.clone())?;
+    let mut fleet = Fleet::new(&case.folder, case.network, [3, 4, 7], record.clone())?;
     fleet.start_all()?;
     let (control, edges) = (fleet.control(), fleet.edges());
     let work = Duration::from_millis(25);
     let mut stores = Vec::new();
-    for number in 0..3_u8 {
+    for number in 0..4_u8 {
         let listen = ([127, case.network, 3, number + 1], 0).into();
         let id = format!("i-{number}");
         stores.push(Store::start(&id, SERVICE, Fleet::zone(number.into()), listen, work, &control, &record)?);
